--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Every target creates the environment from the pinned requirements first.
+VENV := .venv
+PY := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+DURATION ?= 0
+BENCH ?= all
+SEED ?= 1
+NODES ?= 200
+
+.PHONY: run test bench soak format golden
+
+$(STAMP): requirements.txt requirements-dev.txt pyproject.toml
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check --no-deps --editable .
+	touch $(STAMP)
+
+run: $(STAMP)
+	$(PY) -m merlintrail.lab.deployment --duration=$(DURATION)
+
+test: $(STAMP)
+	$(VENV)/bin/ruff format --check merlintrail
+	$(VENV)/bin/flake8 merlintrail
+	$(VENV)/bin/mypy
+	$(VENV)/bin/lint-imports
+	$(PY) -m merlintrail.lab.runner
+
+bench: $(STAMP)
+	$(PY) -m merlintrail.bench --name=$(BENCH) --seed=$(SEED)
+
+soak: $(STAMP)
+	$(PY) -m merlintrail.bench.soak --nodes=$(NODES) --seed=$(SEED)
+
+format: $(STAMP)
+	$(VENV)/bin/ruff format merlintrail
+
+golden: $(STAMP)
+	GOLDEN_WRITE=1 $(PY) -m unittest merlintrail.node.tests.test_golden_sessions
--- /dev/null
+++ b/merlintrail/__init__.py
@@ -0,0 +1,1 @@
+"""Overload control layer for service call graphs."""
--- /dev/null
+++ b/merlintrail/coordination/__init__.py
@@ -0,0 +1,81 @@
+"""What nodes agree on: store, membership, configuration, ledger."""
+
+from merlintrail.coordination._changes import (
+    CONFIGURATION_KEY,
+    ChangeConflict,
+    ChangeInvalid,
+    ConfigurationChange,
+    StoredDocument,
+    apply_change,
+    read_envelope,
+    read_history,
+    read_stored_document,
+)
+from merlintrail.coordination._heartbeat import Heartbeats
+from merlintrail.coordination._http_store import HttpStore, create_http_store
+from merlintrail.coordination._ledger import (
+    KeyedRequest,
+    Ledger,
+    check_key_age,
+    create_ledger,
+    find_slot,
+    find_slot_owner,
+)
+from merlintrail.coordination._ledger_slot import LedgerSlot, SlotParts
+from merlintrail.coordination._membership import Knowledge, Membership
+from merlintrail.coordination._messages import Gossip
+from merlintrail.coordination._peers import (
+    PEER_PATH,
+    HttpPeerClient,
+    PeerClient,
+)
+from merlintrail.coordination._relay import Relay, build_relay_key
+from merlintrail.coordination._store import (
+    Store,
+    StoreFailure,
+    StoreFault,
+    StoreValue,
+)
+from merlintrail.coordination._store_client import (
+    StoreClient,
+    create_store_client,
+)
+from merlintrail.coordination._topology import choose_neighbours
+
+__all__ = (
+    'CONFIGURATION_KEY',
+    'PEER_PATH',
+    'ChangeConflict',
+    'ChangeInvalid',
+    'ConfigurationChange',
+    'Gossip',
+    'Heartbeats',
+    'HttpPeerClient',
+    'HttpStore',
+    'KeyedRequest',
+    'Knowledge',
+    'Ledger',
+    'LedgerSlot',
+    'Membership',
+    'PeerClient',
+    'Relay',
+    'SlotParts',
+    'Store',
+    'StoreClient',
+    'StoreFailure',
+    'StoreFault',
+    'StoreValue',
+    'StoredDocument',
+    'apply_change',
+    'build_relay_key',
+    'check_key_age',
+    'choose_neighbours',
+    'create_http_store',
+    'create_ledger',
+    'create_store_client',
+    'find_slot',
+    'find_slot_owner',
+    'read_envelope',
+    'read_history',
+    'read_stored_document',
+)
--- /dev/null
+++ b/merlintrail/coordination/_heartbeat.py
@@ -0,0 +1,354 @@
+"""Heartbeats: one task for each neighbour, written straight down."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any, Final
+
+from merlintrail.coordination._membership import Membership
+from merlintrail.coordination._messages import Gossip
+from merlintrail.coordination._outbox import Outbox
+from merlintrail.coordination._peers import PeerClient
+from merlintrail.coordination._sections import (
+    SectionedEnvelope,
+    build_difference,
+    hash_sections,
+    merge_difference,
+)
+from merlintrail.observability import create_logger
+from merlintrail.protocol import DecodeFailure, decode_record
+from merlintrail.state import Member, MemberStatus
+from merlintrail.transport import TransportFailure
+
+#: Seconds between heartbeats to a neighbour without news.
+HEARTBEAT_INTERVAL_S: Final = 1.0
+#: Seconds between tries after a failed heartbeat.
+RETRY_INTERVAL_S: Final = 0.3
+#: Seconds that news waits for more to go in the same message.
+BATCH_DELAY_S: Final = 0.02
+#: Seconds between messages while a neighbour is sent much news.
+FULL_MESSAGE_DELAY_S: Final = 0.2
+#: Seconds to wait for the answer to a heartbeat.
+HEARTBEAT_TIMEOUT_S: Final = 0.7
+#: Seconds of silence after which a neighbour is suspected.
+SUSPICION_S: Final = 2.0
+#: Seconds between sweeps over suspects and neighbours.
+SWEEP_INTERVAL_S: Final = 0.25
+#: Lateness of a task in seconds that shows this node was paused itself.
+PAUSE_S: Final = 1.0
+#: Differing digests in a row before tables are compared.
+DIFFERENCES_TO_COMPARE: Final = 4
+#: Seconds between tries to reach a member that fell silent.
+PROBE_INTERVAL_S: Final = 10.0
+#: Seconds for a message with many records.
+BULK_TIMEOUT_S: Final = 5.0
+
+_LOG: Final = create_logger('membership')
+
+
+class Heartbeats:
+    """Runs the tasks that keep a node in touch with its neighbours."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        peers: PeerClient,
+        clock: Callable[[], float],
+        source: random.Random,
+    ) -> None:
+        self._membership = membership
+        self._peers = peers
+        self._clock = clock
+        self._source = source
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._pull: asyncio.Task[None] | None = None
+        self._paused_at = -PAUSE_S
+        self._next_probe_at = 0.0
+
+    async def run(self) -> None:
+        """Keep the neighbours' tasks and sweep suspects, until cancelled."""
+        swept_at = self._clock()
+        try:
+            while True:
+                await asyncio.sleep(SWEEP_INTERVAL_S)
+                now = self._clock()
+                if now - swept_at > SWEEP_INTERVAL_S + PAUSE_S:
+                    self._paused_at = now
+                swept_at = now
+                self._sweep(now)
+        finally:
+            for task in self._tasks.values():
+                task.cancel()
+
+    def refresh_neighbours(self) -> None:
+        """Start and stop tasks as the members change."""
+        chosen = {
+            member.node_id: member
+            for member in self._membership.choose_neighbours()
+        }
+        for node_id in tuple(self._tasks):
+            if node_id not in chosen or self._tasks[node_id].done():
+                self._tasks.pop(node_id).cancel()
+                self._membership.outboxes.pop(node_id, None)
+        for node_id in chosen:
+            if node_id not in self._tasks:
+                self._membership.outboxes[node_id] = Outbox()
+                self._tasks[node_id] = asyncio.create_task(
+                    self._keep_touch(node_id)
+                )
+
+    def handle_gossip(self, document: object) -> Gossip | DecodeFailure:
+        """Take a neighbour's message and build the answer."""
+        gossip = decode_record(Gossip, document)
+        if isinstance(gossip, DecodeFailure):
+            return gossip
+        self._take_gossip(gossip)
+        return self._membership.build_gossip(gossip.sender)
+
+    async def join(self, address: str) -> bool:
+        """Introduce this node to another and take over what it knows."""
+        answer = await self._peers.ask(
+            address,
+            'join',
+            {'member': self._membership.own},
+            timeout_s=BULK_TIMEOUT_S,
+        )
+        if not isinstance(answer, dict):
+            return False
+        self._membership.accept_members(answer.get('members', ()), '')
+        self._membership.accept_suspicions(answer.get('suspicions', ()), '')
+        self.refresh_neighbours()
+        await self.pull_configuration(address)
+        return True
+
+    def handle_join(self, document: dict[str, Any]) -> dict[str, object]:
+        """Take a new member and tell it everything."""
+        self._membership.accept_members([document.get('member', ())], '')
+        self.refresh_neighbours()
+        return {
+            'members': list(self._membership.table),
+            'suspicions': list(
+                self._membership.quarantine.list_suspicions(0.0)
+            ),
+        }
+
+    def handle_comparison(self, document: dict[str, Any]) -> dict[str, object]:
+        """Return the members of the parts in which two tables differ."""
+        members = document.get('members', ())
+        self._membership.accept_members(members, str(document.get('sender')))
+        different = self._membership.list_different(document.get('buckets', ()))
+        return {'members': different}
+
+    def handle_configuration(
+        self, document: dict[str, Any]
+    ) -> SectionedEnvelope | None:
+        """Return the sections that the asker does not have."""
+        envelope = self._membership.holder.envelope
+        if envelope is None:
+            return None
+        return build_difference(envelope, document.get('hashes', {}))
+
+    async def pull_configuration(self, address: str) -> bool:
+        """Fetch the configuration from another node."""
+        holder = self._membership.holder
+        hashes: dict[str, str] = {}
+        if holder.envelope is not None:
+            hashes = hash_sections(holder.envelope.document)
+        answer = await self._peers.ask(
+            address,
+            'configuration',
+            {'hashes': hashes},
+            timeout_s=BULK_TIMEOUT_S,
+        )
+        if isinstance(answer, TransportFailure):
+            return False
+        difference = decode_record(SectionedEnvelope, answer)
+        if isinstance(difference, DecodeFailure):
+            return False
+        envelope = merge_difference(difference, holder.envelope)
+        return envelope is not None and holder.offer(envelope)
+
+    def spread(self) -> None:
+        """Send to every neighbour at once, as after a new generation."""
+        for outbox in self._membership.outboxes.values():
+            outbox.event.set()
+
+    async def tell_now(self) -> None:
+        """Send waiting news to every neighbour and wait for it."""
+        await asyncio.gather(
+            *(
+                self._exchange(member, is_fresh=False)
+                for node_id in tuple(self._tasks)
+                if (member := self._membership.table.find(node_id))
+            )
+        )
+
+    async def _keep_touch(self, node_id: str) -> None:
+        heard_at = self._clock()
+        is_fresh = False
+        differences = 0
+        while True:
+            member = self._membership.table.find(node_id)
+            if member is None or member.is_gone:
+                return
+            reply = await self._exchange(member, is_fresh=is_fresh)
+            now = self._clock()
+            if reply is None:
+                is_fresh = True
+                heard_at = max(heard_at, self._paused_at)
+                if now - heard_at > SUSPICION_S:
+                    self._suspect(member)
+                await asyncio.sleep(RETRY_INTERVAL_S)
+                continue
+            heard_at = now
+            is_fresh = False
+            differences = self._count_difference(reply, differences)
+            if differences >= DIFFERENCES_TO_COMPARE:
+                differences = 0
+                await self._compare_tables(member)
+            await self._wait_for_news(node_id)
+
+    async def _exchange(
+        self, member: Member, *, is_fresh: bool
+    ) -> Gossip | None:
+        gossip = self._membership.build_gossip(member.node_id)
+        answer = await self._peers.ask(
+            member.peer_address,
+            'gossip',
+            gossip._asdict(),
+            timeout_s=HEARTBEAT_TIMEOUT_S,
+            is_fresh=is_fresh,
+        )
+        reply = (
+            None
+            if isinstance(answer, TransportFailure)
+            else decode_record(Gossip, answer)
+        )
+        if reply is None or isinstance(reply, DecodeFailure):
+            self._membership.put_back(member.node_id, gossip)
+            return None
+        if reply.sender != member.node_id:
+            return None
+        self._take_gossip(reply)
+        return reply
+
+    async def _wait_for_news(self, node_id: str) -> None:
+        outbox = self._membership.outboxes.get(node_id)
+        if outbox is None:
+            return
+        if outbox.event.is_set():
+            await asyncio.sleep(FULL_MESSAGE_DELAY_S)
+            return
+        interval = HEARTBEAT_INTERVAL_S * self._source.uniform(0.9, 1.1)
+        try:
+            async with asyncio.timeout(interval):
+                await outbox.event.wait()
+        except TimeoutError:
+            return
+        await asyncio.sleep(BATCH_DELAY_S)
+
+    async def _compare_tables(self, member: Member) -> None:
+        buckets = self._membership.compute_buckets()
+        answer = await self._peers.ask(
+            member.peer_address,
+            'compare',
+            {'sender': self._membership.own.node_id, 'buckets': buckets},
+            timeout_s=BULK_TIMEOUT_S,
+        )
+        if not isinstance(answer, dict):
+            return
+        received = answer.get('members', ())
+        theirs = {record[0] for record in received}
+        mine = [
+            known for known in self._membership.table if known.node_id in theirs
+        ]
+        self._membership.accept_members(received, member.node_id)
+        await self._peers.ask(
+            member.peer_address,
+            'compare',
+            {
+                'sender': self._membership.own.node_id,
+                'members': mine,
+                'buckets': self._membership.compute_buckets(),
+            },
+            timeout_s=BULK_TIMEOUT_S,
+        )
+
+    def _count_difference(self, reply: Gossip, differences: int) -> int:
+        if reply.digest == self._membership.table.digest:
+            return 0
+        return differences if reply.has_news else differences + 1
+
+    def _take_gossip(self, gossip: Gossip) -> None:
+        self._membership.accept_gossip(gossip)
+        sender = self._membership.table.find(gossip.sender)
+        if sender is None:
+            return
+        if gossip.generation > self._membership.holder.generation:
+            self._start_pull(sender.peer_address)
+
+    def _start_pull(self, address: str) -> None:
+        if self._pull is None or self._pull.done():
+            self._pull = asyncio.create_task(self._pull_and_spread(address))
+
+    async def _pull_and_spread(self, address: str) -> None:
+        if await self.pull_configuration(address):
+            self.spread()
+
+    def _suspect(self, member: Member) -> None:
+        if self._membership.suspect(member.node_id):
+            _LOG.warning(
+                'member suspected',
+                extra={
+                    'instance': member.node_id,
+                    'reason': f'silent for {SUSPICION_S} s',
+                },
+            )
+
+    def _sweep(self, now: float) -> None:
+        for member in self._membership.expire_suspects():
+            _LOG.warning(
+                'member dead',
+                extra={
+                    'instance': member.node_id,
+                    'reason': 'suspicion not refuted',
+                },
+            )
+        self._membership.table.forget_gone()
+        self.refresh_neighbours()
+        if now >= self._next_probe_at:
+            pause_s = PROBE_INTERVAL_S * self._source.uniform(0.5, 1.5)
+            self._next_probe_at = now + pause_s
+            self._probe_dead()
+
+    def _probe_dead(self) -> None:
+        """Try to reach a member that fell silent, in case it is back."""
+        dead = [
+            member
+            for member in self._membership.table
+            if member.status == MemberStatus.DEAD
+        ]
+        if dead:
+            member = self._source.choice(dead)
+            probe = asyncio.create_task(self._probe(member))
+            probe.add_done_callback(_discard_result)
+
+    async def _probe(self, member: Member) -> None:
+        answer = await self._peers.ask(
+            member.peer_address,
+            'compare',
+            {
+                'sender': self._membership.own.node_id,
+                'members': [member, self._membership.own],
+                'buckets': self._membership.compute_buckets(),
+            },
+            timeout_s=BULK_TIMEOUT_S,
+            is_fresh=True,
+        )
+        if isinstance(answer, dict):
+            self._membership.accept_members(answer.get('members', ()), '')
+
+
+def _discard_result(task: asyncio.Task[None]) -> None:
+    if not task.cancelled():
+        task.exception()
--- /dev/null
+++ b/merlintrail/coordination/_http_store.py
@@ -0,0 +1,95 @@
+"""The store for a node: the blocking client on threads of its own."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from typing import Final, TypeVar
+
+from merlintrail.coordination._store import (
+    Store,
+    StoreFailure,
+    StoreValue,
+)
+from merlintrail.coordination._store_client import (
+    StoreClient,
+    create_store_client,
+)
+
+#: Threads for calls, and one for the watch.
+CALL_THREADS: Final = 6
+
+ResultT = TypeVar('ResultT')
+
+
+class HttpStore(Store):
+    """Runs each call of the blocking client on a thread."""
+
+    def __init__(self, client: StoreClient) -> None:
+        self._client = client
+        self._calls = ThreadPoolExecutor(CALL_THREADS, 'store')
+        self._watches = ThreadPoolExecutor(1, 'store-watch')
+        #: Calls made, by kind.
+        self.counts: Counter[str] = Counter()
+
+    async def read(self, key: str) -> StoreValue | StoreFailure:
+        """Read a key."""
+        return await self._run('read', lambda: self._client.read(key))
+
+    async def write(
+        self,
+        key: str,
+        document: object,
+        expected_version: int,
+        lease: str | None = None,
+    ) -> int | StoreFailure:
+        """Write a key if its version is the expected one."""
+        return await self._run(
+            'write',
+            lambda: self._client.write(key, document, expected_version, lease),
+        )
+
+    async def remove(
+        self, key: str, expected_version: int
+    ) -> None | StoreFailure:
+        """Remove a key if its version is the expected one."""
+        return await self._run(
+            'remove', lambda: self._client.remove(key, expected_version)
+        )
+
+    async def watch(
+        self, key: str, known_version: int, timeout_s: float
+    ) -> StoreValue | StoreFailure:
+        """Wait until a key has another version than the known one."""
+        self.counts['watch'] += 1
+        return await asyncio.get_running_loop().run_in_executor(
+            self._watches,
+            lambda: self._client.watch(key, known_version, timeout_s),
+        )
+
+    async def grant_lease(self, duration_s: float) -> str | StoreFailure:
+        """Obtain a lease."""
+        return await self._run(
+            'lease', lambda: self._client.grant_lease(duration_s)
+        )
+
+    async def renew_lease(self, lease: str) -> None | StoreFailure:
+        """Renew a lease for its whole duration."""
+        return await self._run('lease', lambda: self._client.renew_lease(lease))
+
+    async def revoke_lease(self, lease: str) -> None | StoreFailure:
+        """Give a lease up, with the keys that hang on it."""
+        return await self._run(
+            'lease', lambda: self._client.revoke_lease(lease)
+        )
+
+    async def _run(self, kind: str, call: Callable[[], ResultT]) -> ResultT:
+        self.counts[kind] += 1
+        return await asyncio.get_running_loop().run_in_executor(
+            self._calls, call
+        )
+
+
+def create_http_store(addresses: Sequence[str]) -> HttpStore:
+    """Create the store of a node."""
+    return HttpStore(create_store_client(addresses))
--- /dev/null
+++ b/merlintrail/coordination/_ledger.py
@@ -0,0 +1,232 @@
+"""At-most-once execution of non-idempotent requests."""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+from typing import Final, NamedTuple, TypeAlias
+
+import xxhash
+
+from merlintrail.coordination._ledger_slot import LedgerSlot, SlotParts
+from merlintrail.protocol import (
+    Outcome,
+    Reason,
+    Refusal,
+    read_key_age_s,
+)
+from merlintrail.state import (
+    Configuration,
+    KeyRecord,
+    KeyState,
+    LedgerSettings,
+    Member,
+    MemberStatus,
+    MemberTable,
+)
+from merlintrail.transport import HttpResponse
+
+#: Bytes of answers kept for resends.
+MAX_ANSWER_BYTES: Final = 16777216
+#: Seconds by which a key may come from the future.
+MAX_CLOCK_SKEW_S: Final = 60.0
+
+Run: TypeAlias = Callable[[], Awaitable[HttpResponse | Refusal]]
+Recall: TypeAlias = Callable[
+    [KeyRecord], Awaitable[HttpResponse | Refusal | None]
+]
+
+
+class KeyedRequest(NamedTuple):
+    """A non-idempotent request and its key."""
+
+    #: Service and key, the scope in which the key is unique.
+    key: str
+    #: Digest of the request.
+    digest: str
+    #: Runs the request; called at most once.
+    run: Run
+
+
+def find_slot(key: str, slots: int) -> int:
+    """Return the slot that a key belongs to."""
+    place: int = xxhash.xxh3_64_intdigest(key.encode()) % slots
+    return place
+
+
+def find_slot_owner(
+    table: MemberTable, configuration: Configuration, slot: int
+) -> Member | None:
+    """Return the node that owns a slot, by rendezvous hashing.
+
+    Only nodes that are alive own slots, those of the ledger's region first.
+    """
+    alive = [member for member in table if member.status == MemberStatus.ALIVE]
+    region = configuration.ledger.region
+    near = [
+        member
+        for member in alive
+        if configuration.regions.get(member.data_centre) == region
+    ]
+    return max(
+        near or alive,
+        key=lambda member: xxhash.xxh3_64_intdigest(
+            f'{slot} {member.node_id}'.encode()
+        ),
+        default=None,
+    )
+
+
+def check_key_age(
+    key: str, settings: LedgerSettings, wall_time_s: float
+) -> Refusal | None:
+    """Refuse a key whose record may be trimmed already."""
+    age_s = read_key_age_s(key, wall_time_s)
+    if age_s is None:
+        return None
+    if age_s > settings.retention_s:
+        return Refusal(
+            Outcome.MAY_HAVE_RUN,
+            Reason.KEY_TOO_OLD,
+            f'the key is {age_s:.0f} s old, keys are remembered for '
+            f'{settings.retention_s:.0f} s',
+        )
+    if age_s < -MAX_CLOCK_SKEW_S:
+        return Refusal(
+            Outcome.NOT_RUN,
+            Reason.KEY_FROM_FUTURE,
+            f'the key is dated {-age_s:.0f} s ahead',
+        )
+    return None
+
+
+class Ledger:
+    """The slots that this node owns, and the requests that run for them."""
+
+    def __init__(self, parts: SlotParts, recall: Recall) -> None:
+        """Create a ledger without slots.
+
+        :param recall: asks an earlier owner for the answer to a key.
+        """
+        self._parts = parts
+        self._recall = recall
+        self._settings = LedgerSettings()
+        self._slots: dict[int, LedgerSlot] = {}
+        self._running: dict[str, asyncio.Task[HttpResponse | Refusal]] = {}
+        self._answers: OrderedDict[str, HttpResponse] = OrderedDict()
+        self._answer_bytes = 0
+
+    @property
+    def running(self) -> int:
+        """Requests in progress."""
+        return len(self._running)
+
+    def update_settings(self, settings: LedgerSettings) -> None:
+        """Take the settings of a new configuration."""
+        if settings != self._settings:
+            self._settings = settings
+            for slot in self._slots.values():
+                slot.resign()
+            self._slots.clear()
+
+    async def execute(self, request: KeyedRequest) -> HttpResponse | Refusal:
+        """Run a request unless its key is known; return its one answer."""
+        running = self._running.get(request.key)
+        if running is None:
+            answer = self._answers.get(request.key)
+            if answer is not None:
+                return self._check_reuse(request) or answer
+            running = asyncio.create_task(self._execute_new(request))
+            self._running[request.key] = running
+            running.add_done_callback(
+                lambda _: self._running.pop(request.key, None)
+            )
+        return await asyncio.shield(running)
+
+    def find_answer(self, key: str) -> HttpResponse | Refusal | None:
+        """Return what this node knows of a key that it once recorded."""
+        if key in self._running:
+            return Refusal(Outcome.MAY_HAVE_RUN, Reason.KEY_IN_USE)
+        return self._answers.get(key)
+
+    async def _execute_new(
+        self, request: KeyedRequest
+    ) -> HttpResponse | Refusal:
+        slot = self._get_slot(request.key)
+        refusal = await slot.acquire()
+        if refusal is not None:
+            return refusal
+        known = slot.index.find(request.key)
+        if known is not None and known.state != KeyState.RELEASED:
+            return await self._answer_known(request, known)
+        record = KeyRecord(
+            request.key,
+            request.digest,
+            self._parts.wall_clock(),
+            KeyState.EXECUTED,
+            self._parts.owner,
+        )
+        slot.index.put(record)
+        refusal = await slot.append(record)
+        if refusal is not None:
+            slot.release(record)
+            return refusal
+        return await self._run(request, slot, record)
+
+    async def _run(
+        self, request: KeyedRequest, slot: LedgerSlot, record: KeyRecord
+    ) -> HttpResponse | Refusal:
+        answer = await request.run()
+        if isinstance(answer, HttpResponse):
+            self._keep_answer(request.key, answer)
+        elif answer.outcome == Outcome.NOT_RUN:
+            slot.release(record)
+        return answer
+
+    async def _answer_known(
+        self, request: KeyedRequest, known: KeyRecord
+    ) -> HttpResponse | Refusal:
+        if known.digest != request.digest:
+            return Refusal(
+                Outcome.NOT_RUN,
+                Reason.KEY_REUSED,
+                'the key belongs to another request',
+            )
+        if known.owner != self._parts.owner:
+            recalled = await self._recall(known)
+            if recalled is not None:
+                return recalled
+        return Refusal(
+            Outcome.MAY_HAVE_RUN,
+            Reason.KEY_EXECUTED,
+            'the request was started once and is not run again',
+        )
+
+    def _check_reuse(self, request: KeyedRequest) -> Refusal | None:
+        known = self._get_slot(request.key).index.find(request.key)
+        if known is not None and known.digest != request.digest:
+            return Refusal(
+                Outcome.NOT_RUN,
+                Reason.KEY_REUSED,
+                'the key belongs to another request',
+            )
+        return None
+
+    def _get_slot(self, key: str) -> LedgerSlot:
+        number = find_slot(key, self._settings.slots)
+        slot = self._slots.get(number)
+        if slot is None:
+            slot = LedgerSlot(self._parts, number, self._settings)
+            self._slots[number] = slot
+        return slot
+
+    def _keep_answer(self, key: str, answer: HttpResponse) -> None:
+        self._answers[key] = answer
+        self._answer_bytes += len(answer.body)
+        while self._answer_bytes > MAX_ANSWER_BYTES:
+            _, dropped = self._answers.popitem(last=False)
+            self._answer_bytes -= len(dropped.body)
+
+
+def create_ledger(parts: SlotParts, recall: Recall) -> Ledger:
+    """Create a ledger that owns nothing yet."""
+    return Ledger(parts, recall)
--- /dev/null
+++ b/merlintrail/coordination/_messages.py
@@ -0,0 +1,68 @@
+"""Typed messages of the membership protocol."""
+
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+
+from merlintrail.state import (
+    Member,
+    MemberStatus,
+    Suspicion,
+    read_member,
+)
+
+
+class StatusNews(NamedTuple):
+    """News of a member that needs no more than its status."""
+
+    node_id: str
+    incarnation: int
+    version: int
+    #: Value of :class:`MemberStatus`.
+    status: int
+
+
+class Gossip(NamedTuple):
+    """A heartbeat with the news that the receiver may not know."""
+
+    sender: str
+    incarnation: int
+    #: Generation of the configuration at the sender.
+    generation: int
+    #: Digest of the sender's member table.
+    digest: int
+    #: Whole records of members.
+    members: Sequence[Any] = ()
+    #: Records of :class:`StatusNews`.
+    statuses: Sequence[Any] = ()
+    #: Records of :class:`Suspicion`.
+    suspicions: Sequence[Any] = ()
+
+    @property
+    def has_news(self) -> bool:
+        """Whether it is more than a heartbeat."""
+        return bool(self.members or self.statuses or self.suspicions)
+
+
+def read_members(records: Sequence[Any]) -> list[Member]:
+    """Read member records; a malformed one is passed over."""
+    members = [read_member(record) for record in records]
+    return [member for member in members if member is not None]
+
+
+def read_statuses(records: Sequence[Any]) -> list[StatusNews]:
+    """Read status records; a malformed one is passed over."""
+    return [
+        StatusNews(*record)
+        for record in records
+        if len(record) == len(StatusNews._fields)
+        and record[3] in MemberStatus.__members__.values()
+    ]
+
+
+def read_suspicions(records: Sequence[Any]) -> list[Suspicion]:
+    """Read suspicions; a malformed one is passed over."""
+    return [
+        Suspicion(record[0], tuple(record[1]), bool(record[2]), record[3])
+        for record in records
+        if len(record) == len(Suspicion._fields)
+    ]
--- /dev/null
+++ b/merlintrail/coordination/_relay.py
@@ -0,0 +1,213 @@
+"""Relays: the few nodes of a data centre that watch the store."""
+
+import asyncio
+import random
+from typing import Final
+
+from merlintrail.coordination._changes import (
+    CONFIGURATION_KEY,
+    read_envelope,
+)
+from merlintrail.coordination._heartbeat import Heartbeats
+from merlintrail.coordination._membership import Membership
+from merlintrail.coordination._store import (
+    Store,
+    StoreFailure,
+    StoreFault,
+    StoreValue,
+)
+from merlintrail.coordination._topology import compute_rank
+from merlintrail.observability import create_logger
+from merlintrail.protocol import DecodeFailure
+from merlintrail.state import MemberStatus
+
+#: Relays in each data centre.
+RELAYS: Final = 2
+#: Seconds that a relay's lease lasts, and between its renewals.
+LEASE_S: Final = 6.0
+RENEWAL_S: Final = 2.0
+#: Seconds of one watch.
+WATCH_S: Final = 20.0
+#: Seconds between checks whether the data centre lacks a relay.
+CHECK_S: Final = 1.0
+#: Seconds between looks for relays that are not known.
+DISCOVERY_S: Final = 5.0
+#: Seconds after its beginning for which a relay looks more often.
+EAGER_S: Final = 20.0
+EAGER_DISCOVERY_S: Final = 0.5
+#: Seconds before the first and the longest pause after a store failure.
+MIN_PAUSE_S: Final = 0.2
+MAX_PAUSE_S: Final = 5.0
+
+_LOG: Final = create_logger('relay')
+
+
+def build_relay_key(data_centre: str, place: int) -> str:
+    """Build the key under which a relay announces itself."""
+    return f'relay/{data_centre}/{place}'
+
+
+class Relay:
+    """Takes a relay's place when one is free, and then watches the store."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        heartbeats: Heartbeats,
+        store: Store,
+        source: random.Random,
+    ) -> None:
+        self._membership = membership
+        self._heartbeats = heartbeats
+        self._store = store
+        self._source = source
+        self._pause_s = MIN_PAUSE_S
+
+    async def run(self) -> None:
+        """Be a candidate, then a relay, then a candidate again."""
+        while True:
+            await asyncio.sleep(CHECK_S * self._source.uniform(0.7, 1.3))
+            place = self._find_free_place()
+            if place is None:
+                continue
+            lease = await self._take_place(place)
+            if lease is None:
+                await self._pause()
+                continue
+            self._pause_s = MIN_PAUSE_S
+            await self._serve(lease)
+
+    async def fetch(self) -> StoreValue | StoreFailure:
+        """Read the document from the store and offer it."""
+        found = await self._store.read(CONFIGURATION_KEY)
+        if isinstance(found, StoreValue):
+            self._offer(found)
+        return found
+
+    def _find_free_place(self) -> int | None:
+        """Return the place that this node should take, if any."""
+        own = self._membership.own
+        if own.status != MemberStatus.ALIVE:
+            return None
+        alive = [
+            member
+            for member in self._membership.table
+            if member.data_centre == own.data_centre
+            and member.status == MemberStatus.ALIVE
+        ]
+        free = RELAYS - sum(1 for member in alive if member.is_relay)
+        candidates = sorted(
+            (member for member in alive if not member.is_relay),
+            key=lambda member: compute_rank(member.node_id),
+        )[: max(0, free)]
+        names = [member.node_id for member in candidates]
+        if own.node_id not in names:
+            return None
+        return (compute_rank(own.node_id) + self._source.getrandbits(1)) % (
+            RELAYS
+        )
+
+    async def _take_place(self, place: int) -> str | None:
+        lease = await self._store.grant_lease(LEASE_S)
+        if isinstance(lease, StoreFailure):
+            return None
+        own = self._membership.own
+        for offset in range(RELAYS):
+            key = build_relay_key(own.data_centre, (place + offset) % RELAYS)
+            written = await self._store.write(
+                key, {'address': own.peer_address}, 0, lease
+            )
+            if isinstance(written, int):
+                return lease
+            if written.fault != StoreFault.CONFLICT:
+                break
+        await self._store.revoke_lease(lease)
+        return None
+
+    async def _serve(self, lease: str) -> None:
+        self._membership.update_own(is_relay=True)
+        _LOG.info(
+            'relay begins',
+            extra={'instance': self._membership.own.node_id},
+        )
+        renewal = asyncio.create_task(self._keep_lease(lease))
+        watch = asyncio.create_task(self._watch())
+        discovery = asyncio.create_task(self._discover())
+        try:
+            await renewal
+        finally:
+            for task in (watch, discovery, renewal):
+                task.cancel()
+            await self._resign(lease)
+
+    async def _resign(self, lease: str) -> None:
+        self._membership.update_own(is_relay=False)
+        await self._store.revoke_lease(lease)
+
+    async def _keep_lease(self, lease: str) -> None:
+        """Return when the lease is lost; a store outage does not end it."""
+        while self._membership.own.status == MemberStatus.ALIVE:
+            await asyncio.sleep(RENEWAL_S)
+            failure = await self._store.renew_lease(lease)
+            if failure is None:
+                continue
+            if failure.fault == StoreFault.LEASE_EXPIRED:
+                return
+
+    async def _watch(self) -> None:
+        known_version = 0
+        while True:
+            found = await self._store.watch(
+                CONFIGURATION_KEY, known_version, WATCH_S
+            )
+            if isinstance(found, StoreValue):
+                known_version = found.version
+                self._pause_s = MIN_PAUSE_S
+                self._offer(found)
+            elif found.fault != StoreFault.UNCHANGED:
+                known_version = 0
+                await self._pause()
+
+    async def _discover(self) -> None:
+        """Look for relays that this node does not know.
+
+        Nodes that started at the same time, or were apart for long, find
+        each other this way.
+        """
+        started_at = asyncio.get_running_loop().time()
+        while True:
+            age_s = asyncio.get_running_loop().time() - started_at
+            interval_s = DISCOVERY_S if age_s > EAGER_S else EAGER_DISCOVERY_S
+            await asyncio.sleep(interval_s * self._source.uniform(0.5, 1.5))
+            await self._look_for_relay()
+
+    async def _look_for_relay(self) -> None:
+        configuration = self._membership.holder.current
+        if configuration is None:
+            return
+        data_centre = self._source.choice(sorted(configuration.regions))
+        place = self._source.randrange(RELAYS)
+        found = await self._store.read(build_relay_key(data_centre, place))
+        if not isinstance(found, StoreValue):
+            return
+        address = str(found.document['address'])
+        known = {
+            member.peer_address
+            for member in self._membership.table.list_present()
+        }
+        if address not in known:
+            await self._heartbeats.join(address)
+
+    def _offer(self, found: StoreValue) -> None:
+        envelope = read_envelope(found.document)
+        if isinstance(envelope, DecodeFailure):
+            _LOG.error(
+                'stored document unreadable', extra={'reason': envelope.reason}
+            )
+            return
+        if self._membership.holder.offer(envelope):
+            self._heartbeats.spread()
+
+    async def _pause(self) -> None:
+        await asyncio.sleep(self._pause_s * self._source.uniform(0.5, 1.5))
+        self._pause_s = min(MAX_PAUSE_S, self._pause_s * 2)
--- /dev/null
+++ b/merlintrail/coordination/_sections.py
@@ -0,0 +1,108 @@
+"""Documents as sections with content hashes, so that only changes travel."""
+
+from collections.abc import Mapping, Sequence
+from typing import Any, Final, NamedTuple, TypeAlias
+
+import xxhash
+
+from merlintrail.protocol import encode_json
+from merlintrail.state import Envelope
+
+_SERVICE_PREFIX: Final = 'services/'
+
+Sections: TypeAlias = Mapping[str, Any]
+
+
+class SectionedEnvelope(NamedTuple):
+    """An envelope whose document comes as the sections that changed."""
+
+    generation: int
+    change_id: str
+    operator: str
+    applied_at: float
+    #: Names of all sections, services in the document's order.
+    names: Sequence[str]
+    #: Sections that the asker does not have.
+    sections: Sections
+
+
+def split_document(document: Mapping[str, Any]) -> dict[str, Any]:
+    """Split a document: one section a service, one each other member."""
+    sections: dict[str, Any] = {
+        f'{_SERVICE_PREFIX}{service["name"]}': service
+        for service in document['services']
+    }
+    for name, part in document.items():
+        if name != 'services':
+            sections[name] = part
+    return sections
+
+
+def join_sections(sections: Sections) -> dict[str, Any]:
+    """Put a document together again."""
+    document: dict[str, Any] = {'services': []}
+    for name, part in sections.items():
+        if name.startswith(_SERVICE_PREFIX):
+            document['services'].append(part)
+        else:
+            document[name] = part
+    return document
+
+
+def compute_section_hash(part: object) -> str:
+    """Compute the content hash of a section."""
+    digest: str = xxhash.xxh3_64_hexdigest(encode_json(part))
+    return digest
+
+
+def hash_sections(document: Mapping[str, Any]) -> dict[str, str]:
+    """Return the hash of each section of a document."""
+    return {
+        name: compute_section_hash(part)
+        for name, part in split_document(document).items()
+    }
+
+
+def build_difference(
+    envelope: Envelope, known_hashes: Mapping[str, str]
+) -> SectionedEnvelope:
+    """Build what a node needs that has sections of these hashes."""
+    sections = split_document(envelope.document)
+    changed = {
+        name: part
+        for name, part in sections.items()
+        if compute_section_hash(part) != known_hashes.get(name)
+    }
+    return SectionedEnvelope(
+        envelope.generation,
+        envelope.change_id,
+        envelope.operator,
+        envelope.applied_at,
+        tuple(sections),
+        changed,
+    )
+
+
+def merge_difference(
+    difference: SectionedEnvelope, known: Envelope | None
+) -> Envelope | None:
+    """Complete a difference with the sections that are known.
+
+    :returns: ``None`` when a section is missing.
+    """
+    present = {} if known is None else split_document(known.document)
+    sections = {}
+    for name in difference.names:
+        if name in difference.sections:
+            sections[name] = difference.sections[name]
+        elif name in present:
+            sections[name] = present[name]
+        else:
+            return None
+    return Envelope(
+        difference.generation,
+        difference.change_id,
+        difference.operator,
+        difference.applied_at,
+        join_sections(sections),
+    )
--- /dev/null
+++ b/merlintrail/coordination/_topology.py
@@ -0,0 +1,73 @@
+"""Which nodes a node keeps in touch with."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from typing import Final
+
+import xxhash
+
+from merlintrail.state import Member
+
+#: Neighbours on each side of the ring within a data centre.
+RING_DEGREE: Final = 2
+#: Links from one data centre to each other one.
+LINKS_BETWEEN: Final = 2
+
+
+def compute_rank(node_id: str) -> int:
+    """Compute the place of a node in every order of nodes."""
+    rank: int = xxhash.xxh3_64_intdigest(node_id.encode())
+    return rank
+
+
+def _group_members(members: Iterable[Member]) -> dict[str, list[Member]]:
+    groups: defaultdict[str, list[Member]] = defaultdict(list)
+    for member in members:
+        groups[member.data_centre].append(member)
+    return {
+        data_centre: sorted(group, key=_rank_member)
+        for data_centre, group in groups.items()
+    }
+
+
+def _rank_member(member: Member) -> int:
+    return compute_rank(member.node_id)
+
+
+def _choose_ring(own_rank: int, group: Sequence[Member]) -> list[Member]:
+    size = len(group)
+    offsets = [
+        offset for step in range(1, RING_DEGREE + 1) for offset in (step, -step)
+    ]
+    places = {(own_rank + offset) % size for offset in offsets}
+    places.discard(own_rank)
+    return [group[place] for place in sorted(places)]
+
+
+def choose_neighbours(own: Member, members: Iterable[Member]) -> list[Member]:
+    """Choose the neighbours of a node.
+
+    Within the data centre the nodes form a ring with chords. Towards other
+    data centres each node keeps few links; ranks are matched so that the
+    links of one data centre cover all others, and the nodes of each other
+    data centre evenly.
+    """
+    groups = _group_members(members)
+    own_group = groups.pop(own.data_centre, [own])
+    own_rank = next(
+        (
+            rank
+            for rank, member in enumerate(own_group)
+            if member.node_id == own.node_id
+        ),
+        0,
+    )
+    neighbours = _choose_ring(own_rank, own_group)
+    others = [groups[name] for name in sorted(groups)]
+    if not others:
+        return neighbours
+    links = -(-LINKS_BETWEEN * len(others) // len(own_group))
+    for link in range(min(links, len(others))):
+        group = others[(own_rank + link * len(own_group)) % len(others)]
+        neighbours.append(group[own_rank % len(group)])
+    return neighbours
--- /dev/null
+++ b/merlintrail/daemon/__init__.py
@@ -0,0 +1,5 @@
+"""The program ``merlintraild``."""
+
+from merlintrail.daemon._main import run_daemon
+
+__all__ = ('run_daemon',)
--- /dev/null
+++ b/merlintrail/daemon/_main.py
@@ -0,0 +1,111 @@
+"""Start and end of the daemon process."""
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Final
+
+import uvloop
+from absl import app, flags
+
+from merlintrail.console import start_console
+from merlintrail.coordination import create_http_store
+from merlintrail.node import (
+    InvalidSettings,
+    Node,
+    Settings,
+    create_environment,
+    create_node,
+    parse_settings,
+)
+from merlintrail.observability import JsonLinesHandler, open_log
+
+#: Exit status for settings that have faults.
+EXIT_SETTINGS: Final = 2
+#: Exit status for an address that cannot be bound.
+EXIT_ADDRESS: Final = 3
+#: Seconds between writes of the gathered log lines.
+LOG_FLUSH_S: Final = 0.2
+#: Allocations between collections of the youngest generation.
+GC_THRESHOLD: Final = 50000
+#: Seconds that the thread of the console may hold the interpreter.
+SWITCH_INTERVAL_S: Final = 0.0005
+
+_SETTINGS: Final = flags.DEFINE_string(
+    'settings', None, 'Path of the JSON settings file.'
+)
+
+
+def run_daemon() -> None:
+    """Run the program; the entry point ``merlintraild``."""
+    app.run(_run)
+
+
+def _run(arguments: Sequence[str]) -> int:
+    if len(arguments) > 1 or _SETTINGS.value is None:
+        sys.stderr.write('usage: merlintraild --settings FILE\n')
+        return EXIT_SETTINGS
+    settings = _load_settings(_SETTINGS.value)
+    if settings is None:
+        return EXIT_SETTINGS
+    log = open_log(settings.log_path, settings.log_level)
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
+    gc.set_threshold(GC_THRESHOLD, 20, 100)
+    with log.applicationbound():
+        status = uvloop.run(_serve(settings, log))
+    log.flush()
+    sys.stderr.flush()
+    # Threads that wait for the store must not delay the end.
+    os._exit(status)
+
+
+def _load_settings(path: str) -> Settings | None:
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+    except OSError as error:
+        sys.stderr.write(f'{path}: {error.strerror}\n')
+        return None
+    settings = parse_settings(text)
+    if isinstance(settings, InvalidSettings):
+        for finding in settings.findings:
+            sys.stderr.write(f'{path}: {finding}\n')
+        return None
+    return settings
+
+
+async def _serve(settings: Settings, log: JsonLinesHandler) -> int:
+    store = create_http_store(settings.store_addresses)
+    node = create_node(settings, create_environment(store))
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(
+        signal.SIGTERM, node.lifecycle.start_drain, 'SIGTERM'
+    )
+    loop.add_signal_handler(signal.SIGINT, node.lifecycle.stopped.set)
+    try:
+        await node.start()
+        console = start_console(node, loop)
+    except OSError as error:
+        sys.stderr.write(f'cannot listen: {error}\n')
+        return EXIT_ADDRESS
+    flusher = loop.create_task(_flush_log(log))
+    gc.freeze()
+    await node.lifecycle.stopped.wait()
+    flusher.cancel()
+    await _stop(node)
+    console.stop()
+    return 0
+
+
+async def _flush_log(log: JsonLinesHandler) -> None:
+    while True:
+        await asyncio.sleep(LOG_FLUSH_S)
+        log.flush()
+
+
+async def _stop(node: Node) -> None:
+    await node.stop()
+    node.metrics.shut_down()
--- /dev/null
+++ b/merlintrail/lab/backend.py
@@ -0,0 +1,196 @@
+"""Stand-in for a backend server.
+
+Run it with ``python -m merlintrail.lab.backend --plan=JSON``.
+"""
+
+import asyncio
+import os
+import random
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from typing import Any, Final, NamedTuple
+
+import orjson
+import uvloop
+from absl import app, flags
+
+from merlintrail.protocol import (
+    CONTEXT_HEADER,
+    IDEMPOTENCY_KEY_HEADER,
+    OUTCOME_HEADER,
+    encode_json,
+)
+from merlintrail.transport import (
+    ConnectionPool,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    create_pool,
+    start_server,
+)
+
+_PLAN: Final = flags.DEFINE_string('plan', '{}', 'Plan of the stand-in.')
+#: Seconds between announcements.
+RENEWAL_S: Final = 1.0
+#: Calls that may wait for a slot before the stand-in sheds.
+QUEUE_PER_SLOT: Final = 2.0
+#: A request whose body holds this ends the process.
+CRASH_MARK: Final = b'crash-the-backend-server'
+_OK: Final = 200
+_MS_PER_S: Final = 1000
+
+
+class BackendPlan(NamedTuple):
+    """What a stand-in does."""
+
+    service: str
+    #: ``host:port`` to listen on.
+    address: str
+    #: ``host:port`` of the node beside it.
+    node_address: str
+    slots: int = 8
+    #: Mean service time in milliseconds.
+    service_ms: float = 10.0
+    #: ``/SERVICE/PATH`` of each call made for a request, in order.
+    children: Sequence[str] = ()
+    #: Whether the stand-in queues and sheds by itself.
+    enforces_slots: bool = True
+    #: Path at which the health endpoint answers.
+    health_path: str = '/health'
+
+
+class Backend:
+    """One backend server with slots, service times and calls below."""
+
+    def __init__(self, plan: BackendPlan, source: random.Random) -> None:
+        self.plan = plan
+        self._source = source
+        self._pool: ConnectionPool = create_pool()
+        self._slots = asyncio.Semaphore(plan.slots)
+        self._waiting = 0
+        #: Factor on service times, set through the control path.
+        self.slowdown = 1.0
+        #: Whether the health endpoint tells the truth.
+        self.health_status = _OK
+        self.is_ready = True
+        #: Requests begun, finished and cancelled.
+        self.counts: Counter[str] = Counter()
+        #: Times that each idempotency key was run.
+        self.executions: Counter[str] = Counter()
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Serve one request."""
+        if request.target == self.plan.health_path:
+            return HttpResponse(self.health_status, (), b'')
+        if request.target.startswith('/-/'):
+            return self._handle_control(request)
+        if self._waiting >= self.plan.slots * QUEUE_PER_SLOT:
+            self.counts['shed'] += 1
+            return HttpResponse(503, ((OUTCOME_HEADER, 'not-run'),), b'')
+        self._waiting += 1
+        try:
+            if not self.plan.enforces_slots:
+                return await self._run(request)
+            async with self._slots:
+                return await self._run(request)
+        except asyncio.CancelledError:
+            self.counts['cancelled'] += 1
+            raise
+        finally:
+            self._waiting -= 1
+
+    async def announce(self) -> None:
+        """Announce this backend server to its node, for ever."""
+        while True:
+            await self.announce_once()
+            await asyncio.sleep(RENEWAL_S)
+
+    async def announce_once(self) -> None:
+        """Announce this backend server to its node."""
+        await self._pool.exchange(
+            self.plan.node_address,
+            'POST',
+            '/-/announce',
+            (('host', self.plan.node_address),),
+            encode_json(
+                {
+                    'service': self.plan.service,
+                    'address': self.plan.address,
+                    'slots': self.plan.slots,
+                    'is_ready': self.is_ready,
+                    'ttl_s': RENEWAL_S * 4,
+                    'health_path': self.plan.health_path,
+                }
+            ),
+            timeout_s=1.0,
+        )
+
+    async def _run(self, request: HttpRequest) -> HttpResponse:
+        self.counts['begun'] += 1
+        key = request.headers.get(IDEMPOTENCY_KEY_HEADER)
+        if key is not None:
+            self.executions[key] += 1
+        if CRASH_MARK in request.body:
+            os._exit(1)
+        mean_s = self.plan.service_ms / _MS_PER_S * self.slowdown
+        await asyncio.sleep(mean_s * self._source.uniform(0.5, 1.5))
+        for child in self.plan.children:
+            answer = await self._call(request, child)
+            if answer is None or answer.status != _OK:
+                self.counts['failed'] += 1
+                return HttpResponse(502, (), b'{"error":"call below failed"}')
+        self.counts['finished'] += 1
+        body = {
+            'service': self.plan.service,
+            'target': request.target,
+            'echo': request.body.decode('latin-1'),
+        }
+        return HttpResponse(
+            _OK, (('content-type', 'application/json'),), encode_json(body)
+        )
+
+    async def _call(
+        self, request: HttpRequest, target: str
+    ) -> HttpResponse | None:
+        headers = [('host', self.plan.node_address)]
+        context = request.headers.get(CONTEXT_HEADER)
+        if context is not None:
+            headers.append((CONTEXT_HEADER, context))
+        answer = await self._pool.exchange(
+            self.plan.node_address, 'POST', target, headers, request.body
+        )
+        return answer if isinstance(answer, HttpResponse) else None
+
+    def _handle_control(self, request: HttpRequest) -> HttpResponse:
+        if request.method == 'POST':
+            change: Mapping[str, Any] = orjson.loads(request.body)
+            self.slowdown = change.get('slowdown', self.slowdown)
+            self.is_ready = change.get('is_ready', self.is_ready)
+            self.health_status = change.get('health_status', self.health_status)
+        body = {
+            'counts': dict(self.counts),
+            'executions': dict(self.executions),
+        }
+        return HttpResponse(_OK, (), encode_json(body))
+
+
+async def start_backend(backend: Backend) -> HttpServer:
+    """Start a stand-in; it announces itself from now on."""
+    host, _, port = backend.plan.address.rpartition(':')
+    server = await start_server(backend.handle, host, int(port))
+    return server
+
+
+async def _serve_forever(plan: BackendPlan) -> None:
+    backend = Backend(plan, random.Random(plan.address))
+    await start_backend(backend)
+    await backend.announce()
+
+
+def _run(_: Sequence[str]) -> None:
+    plan = BackendPlan(**orjson.loads(_PLAN.value))
+    uvloop.run(_serve_forever(plan))
+
+
+if __name__ == '__main__':
+    app.run(_run)
--- /dev/null
+++ b/merlintrail/lab/processes.py
@@ -0,0 +1,287 @@
+"""A small deployment of real processes on one machine."""
+
+import contextlib
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+import orjson
+import urllib3
+
+#: Address of every process of a deployment.
+HOST: Final = '127.0.0.1'
+#: Key of the operator in deployments of the lab.
+OPERATOR_KEY: Final = 'lab-operator-key'
+FLEET_KEY: Final = 'lab-fleet-key'
+#: Seconds to wait for a deployment to be ready.
+READY_TIMEOUT_S: Final = 30.0
+#: Seconds to wait for a process to end.
+END_TIMEOUT_S: Final = 10.0
+_POLL_S: Final = 0.05
+_OK: Final = 200
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Return ports that are free now."""
+    with contextlib.ExitStack() as stack:
+        ports = []
+        for _ in range(count):
+            listener = stack.enter_context(socket.socket())
+            listener.bind((HOST, 0))
+            ports.append(int(listener.getsockname()[1]))
+    return ports
+
+
+class Worker(NamedTuple):
+    """A node and the backend server beside it."""
+
+    instance: str
+    data_centre: str
+    call_address: str
+    peer_address: str
+    admin_address: str
+    backend_address: str
+
+
+class WorkerPlan(NamedTuple):
+    """What one worker runs."""
+
+    instance: str
+    data_centre: str
+    #: Members of :class:`BackendPlan`, without addresses; ``None`` for a
+    #: node without a backend server.
+    backend: Mapping[str, Any] | None
+
+
+class Deployment:
+    """Starts, controls and ends the processes."""
+
+    def __init__(
+        self,
+        *,
+        daemon_module: str = 'merlintrail.daemon',
+        log_level: str = 'info',
+    ) -> None:
+        self._folder = Path(tempfile.mkdtemp(prefix='merlintrail-'))
+        self._daemon_module = daemon_module
+        self._log_level = log_level
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._http = urllib3.PoolManager(retries=False, timeout=5.0)
+        self._plans: dict[str, WorkerPlan] = {}
+        #: Workers by instance.
+        self.workers: dict[str, Worker] = {}
+        self.store_address = f'{HOST}:{find_free_ports(1)[0]}'
+
+    @property
+    def folder(self) -> Path:
+        """Where settings and logs lie."""
+        return self._folder
+
+    def start_store(self) -> None:
+        """Start the store stand-in."""
+        port = self.store_address.rpartition(':')[2]
+        self._start('store', '-m', 'merlintrail.lab.store', f'--port={port}')
+        self._wait_for(f'http://{self.store_address}/v1/counts')
+
+    def start_workers(self, plans: Sequence[WorkerPlan]) -> None:
+        """Start nodes and their backend servers."""
+        ports = iter(find_free_ports(4 * len(plans)))
+        for plan in plans:
+            addresses = [f'{HOST}:{next(ports)}' for _ in range(4)]
+            worker = Worker(plan.instance, plan.data_centre, *addresses)
+            self.workers[plan.instance] = worker
+            self._plans[plan.instance] = plan
+            self.start_node(plan.instance)
+        for plan in plans:
+            if plan.backend is not None:
+                self.start_backend(plan.instance)
+
+    def start_node(self, instance: str) -> None:
+        """Start, or start again, the node of a worker."""
+        worker = self.workers[instance]
+        path = self._folder / f'{instance}.json'
+        path.write_bytes(orjson.dumps(self._build_settings(worker)))
+        self._start(
+            f'node {instance}',
+            '-m',
+            self._daemon_module,
+            f'--settings={path}',
+        )
+
+    def start_backend(self, instance: str) -> None:
+        """Start, or start again, the backend server of a worker."""
+        worker = self.workers[instance]
+        plan = self._plans[instance].backend or {}
+        document = {
+            **plan,
+            'address': worker.backend_address,
+            'node_address': worker.call_address,
+        }
+        self._start(
+            f'backend {instance}',
+            '-m',
+            'merlintrail.lab.backend',
+            f'--plan={orjson.dumps(document).decode()}',
+        )
+
+    def apply_configuration(self, document: Mapping[str, Any]) -> int:
+        """Put a document in force over the administration API."""
+        seen = self.ask_admin('GET', '/v1/configuration')['generation']
+        answer = self.ask_admin(
+            'POST',
+            '/v1/configuration',
+            {'document': document, 'seen_generation': seen},
+        )
+        generation: int = answer['generation']
+        return generation
+
+    def ask_admin(
+        self,
+        method: str,
+        path: str,
+        document: object = None,
+        instance: str | None = None,
+    ) -> Any:
+        """Ask a node's administration API."""
+        worker = self.workers[instance or next(iter(self.workers))]
+        answer = self._http.request(
+            method,
+            f'http://{worker.admin_address}{path}',
+            body=None if document is None else orjson.dumps(document),
+            headers={'Authorization': f'Bearer {OPERATOR_KEY}'},
+        )
+        return orjson.loads(answer.data)
+
+    def control_backend(
+        self, instance: str, change: Mapping[str, Any] | None = None
+    ) -> Any:
+        """Change a backend server stand-in, or read its counts."""
+        address = self.workers[instance].backend_address
+        answer = self._http.request(
+            'GET' if change is None else 'POST',
+            f'http://{address}/-/control',
+            body=None if change is None else orjson.dumps(change),
+        )
+        return orjson.loads(answer.data)
+
+    def set_store_faults(self, faults: Mapping[str, Any]) -> None:
+        """Switch faults of the store on or off."""
+        self._http.request(
+            'POST',
+            f'http://{self.store_address}/v1/faults',
+            body=orjson.dumps(faults),
+        )
+
+    def read_store_counts(self) -> Mapping[str, int]:
+        """Return the store's calls by kind."""
+        answer = self._http.request(
+            'GET', f'http://{self.store_address}/v1/counts'
+        )
+        counts: Mapping[str, int] = orjson.loads(answer.data)
+        return counts
+
+    def wait_until_ready(self, generation: int) -> None:
+        """Wait until every node knows everything.
+
+        :raises TimeoutError: when that takes too long.
+        """
+        expected = len(self.workers)
+        backends = sum(1 for plan in self._plans.values() if plan.backend)
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < deadline:
+            if all(
+                self._is_ready(instance, generation, expected, backends)
+                for instance in self.workers
+            ):
+                return
+            time.sleep(_POLL_S)
+        raise TimeoutError('the deployment did not become ready')
+
+    def send_signal(self, name: str, number: int) -> None:
+        """Send a signal to one process, by its name."""
+        self._processes[name].send_signal(number)
+
+    def wait_for_end(self, name: str) -> int:
+        """Wait for a process to end and return its status."""
+        return self._processes[name].wait(END_TIMEOUT_S)
+
+    def read_process_id(self, name: str) -> int:
+        """Return the identifier of a process."""
+        return self._processes[name].pid
+
+    def stop(self) -> None:
+        """End every process that was started here."""
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.send_signal(signal.SIGKILL)
+        for process in self._processes.values():
+            process.wait(END_TIMEOUT_S)
+
+    def _is_ready(
+        self, instance: str, generation: int, members: int, backends: int
+    ) -> bool:
+        try:
+            status = self.ask_admin('GET', '/v1/status', instance=instance)
+            known = self.ask_admin('GET', '/v1/members', instance=instance)
+        except (urllib3.exceptions.HTTPError, orjson.JSONDecodeError):
+            return False
+        ready = sum(
+            1
+            for member in known
+            for offer in member['offers']
+            if offer['is_ready'] and member['status'] == 'alive'
+        )
+        return bool(
+            status['generation'] >= generation
+            and status['members'] >= members
+            and ready >= backends
+        )
+
+    def _start(self, name: str, *arguments: str) -> None:
+        log_path = self._folder / f'{name.replace(" ", "-")}.err'
+        with log_path.open('ab') as log:
+            self._processes[name] = subprocess.Popen(
+                [sys.executable, *arguments],
+                stdout=log,
+                stderr=log,
+                env={**os.environ, 'PYTHONUNBUFFERED': '1'},
+            )
+
+    def _wait_for(self, url: str) -> None:
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < deadline:
+            try:
+                if self._http.request('GET', url).status == _OK:
+                    return
+            except urllib3.exceptions.HTTPError:
+                time.sleep(_POLL_S)
+        raise TimeoutError(url)
+
+    def _build_settings(self, worker: Worker) -> Mapping[str, Any]:
+        return {
+            'instance': worker.instance,
+            'data_centre': worker.data_centre,
+            'call_address': worker.call_address,
+            'peer_address': worker.peer_address,
+            'admin_address': worker.admin_address,
+            'store_addresses': [self.store_address],
+            'join': [
+                other.peer_address
+                for other in list(self.workers.values())[:3]
+                if other.instance != worker.instance
+            ],
+            'fleet_key': FLEET_KEY,
+            'operator_keys': [{'name': 'lab', 'key': OPERATOR_KEY}],
+            'log': {
+                'path': str(self._folder / f'{worker.instance}.log'),
+                'level': self._log_level,
+            },
+        }
--- /dev/null
+++ b/merlintrail/node/_backend.py
@@ -0,0 +1,199 @@
+"""A backend server beside the node, as it announced itself."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Mapping
+from typing import Any, Final, NamedTuple
+
+from merlintrail.state import compute_digest
+from merlintrail.transport import ConnectionPool, HttpRequest, TransportFailure
+
+#: Seconds between tries to reach a backend server that is down.
+PROBE_INTERVAL_S: Final = 0.1
+#: Seconds to wait for the answer of a health or load endpoint.
+HINT_TIMEOUT_S: Final = 0.5
+#: Seconds between looks at the health and load endpoints.
+HINT_INTERVAL_S: Final = 2.0
+#: Seconds within which calls that fail together count as one death.
+DEATH_WINDOW_S: Final = 0.1
+#: Seconds for which an announcement lasts if it names no time.
+DEFAULT_TTL_S: Final = 10.0
+_MAX_SLOTS: Final = 100000
+
+
+class Announcement(NamedTuple):
+    """What a backend server says of itself."""
+
+    service: str
+    #: ``host:port`` at which it takes calls.
+    address: str
+    slots: int
+    #: Whether it takes new calls.
+    is_ready: bool = True
+    #: Seconds until it must be renewed.
+    ttl_s: float = DEFAULT_TTL_S
+    health_path: str | None = None
+    load_path: str | None = None
+
+
+class InvalidAnnouncement(NamedTuple):
+    """Sentinel in place of an announcement, with all faults."""
+
+    findings: tuple[str, ...]
+
+
+def read_announcement(
+    document: Mapping[str, Any],
+) -> Announcement | InvalidAnnouncement:
+    """Read and check an announcement."""
+    findings = [
+        f'unknown member {name!r}'
+        for name in document
+        if name not in Announcement._fields
+    ]
+    service = document.get('service')
+    if not isinstance(service, str) or not service:
+        findings.append('service: needs a name')
+    address = document.get('address')
+    host, _, port = str(address).rpartition(':')
+    if not host or not port.isdigit():
+        findings.append('address: needs host:port')
+    slots = document.get('slots')
+    if not isinstance(slots, int) or not 0 < slots <= _MAX_SLOTS:
+        findings.append('slots: needs a positive number')
+    ttl_s = document.get('ttl_s', DEFAULT_TTL_S)
+    if not isinstance(ttl_s, int | float) or ttl_s <= 0:
+        findings.append('ttl_s: needs a positive number of seconds')
+    if not isinstance(document.get('is_ready', True), bool):
+        findings.append('is_ready: needs true or false')
+    if findings:
+        return InvalidAnnouncement(tuple(findings))
+    return Announcement(**document)
+
+
+class RunningCall(NamedTuple):
+    """A call in the backend server, for the case that it dies."""
+
+    service: str
+    method: str
+    target: str
+    body: bytes
+
+    def compute_digest(self) -> str:
+        """Compute the digest of the request."""
+        return compute_digest(self.service, self.method, self.target, self.body)
+
+
+class BackendServer:
+    """State of one backend server.
+
+    Health and load endpoints are hints: they are shown to operators and
+    logged, while readiness follows from connections and answers.
+    """
+
+    def __init__(self, announcement: Announcement, now: float) -> None:
+        self.announcement = announcement
+        self.renewed_at = now
+        #: Whether connections succeed.
+        self.is_reachable = True
+        #: Whether it said that it drains.
+        self.is_draining = not announcement.is_ready
+        #: What the health endpoint said last.
+        self.health_hint = 'unknown'
+        #: What the load endpoint said last.
+        self.load_hint: object = None
+        #: Calls running in it, by call identifier.
+        self.running: dict[str, RunningCall] = {}
+        #: Calls lost together, within a short time.
+        self._lost: Counter[str] = Counter()
+        self._lost_since = 0.0
+
+    def is_ready(self, now: float) -> bool:
+        """Tell whether it takes new calls."""
+        is_current = now - self.renewed_at < self.announcement.ttl_s
+        return is_current and self.is_reachable and not self.is_draining
+
+    def renew(self, announcement: Announcement, now: float) -> None:
+        """Take a renewed announcement."""
+        self.announcement = announcement
+        self.renewed_at = now
+        self.is_draining = not announcement.is_ready
+
+    def record_loss(self, call_id: str, now: float) -> list[str]:
+        """Take note that a call's connection was lost.
+
+        :returns: digests of the calls that ran, once all of them are lost.
+        """
+        if now - self._lost_since > DEATH_WINDOW_S:
+            self._lost.clear()
+            self._lost_since = now
+        lost = self.running.pop(call_id, None)
+        if lost is not None:
+            self._lost[lost.compute_digest()] += 1
+        if self.running:
+            return []
+        digests = list(self._lost)
+        self._lost.clear()
+        return digests
+
+    def list_running(self) -> list[str]:
+        """Return the digests of the calls running or just lost."""
+        running = [call.compute_digest() for call in self.running.values()]
+        return [*self._lost, *running]
+
+
+class BackendProber:
+    """Finds out when a backend server is back, and reads its hints."""
+
+    def __init__(
+        self, pool: ConnectionPool, on_change: Callable[[], None]
+    ) -> None:
+        self._pool = pool
+        self._on_change = on_change
+
+    async def is_listening(self, backend: BackendServer) -> bool:
+        """Tell whether a new connection succeeds."""
+        host, _, port = backend.announcement.address.rpartition(':')
+        try:
+            async with asyncio.timeout(HINT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return True
+
+    async def wait_until_back(self, backend: BackendServer) -> None:
+        """Return once connections succeed again."""
+        while not await self.is_listening(backend):
+            await asyncio.sleep(PROBE_INTERVAL_S)
+        backend.is_reachable = True
+        self._on_change()
+
+    async def read_hints(self, backend: BackendServer) -> None:
+        """Look at the health and load endpoints."""
+        announcement = backend.announcement
+        if announcement.health_path is not None:
+            answer = await self._fetch(announcement, announcement.health_path)
+            backend.health_hint = answer
+        if announcement.load_path is not None:
+            backend.load_hint = await self._fetch(
+                announcement, announcement.load_path
+            )
+
+    async def _fetch(self, announcement: Announcement, path: str) -> str:
+        answer = await self._pool.exchange(
+            announcement.address,
+            'GET',
+            path,
+            (('host', announcement.address),),
+            b'',
+            timeout_s=HINT_TIMEOUT_S,
+        )
+        if isinstance(answer, TransportFailure):
+            return answer.reason
+        return f'{answer.status} {answer.body[:80].decode("latin-1")}'
+
+
+def is_local_sender(request: HttpRequest, own_host: str) -> bool:
+    """Tell whether a request comes from the node's own instance."""
+    return request.remote_host in {'127.0.0.1', '::1', own_host}
--- /dev/null
+++ b/merlintrail/node/_calls.py
@@ -0,0 +1,95 @@
+"""A call to be sent, and what came of it."""
+
+from typing import NamedTuple
+
+from merlintrail.protocol import (
+    CALL_HEADER,
+    FLEET_KEY_HEADER,
+    FORWARDED_DROP,
+    INTERNAL_PREFIX,
+    REPORT_HEADER,
+    CallReport,
+    Refusal,
+    build_refusal_response,
+    encode_fields,
+)
+from merlintrail.state import RetryAccount
+from merlintrail.transport import HeaderList, HttpRequest, HttpResponse
+
+
+class OutgoingCall(NamedTuple):
+    """A call that this node sends for a caller or its backend server."""
+
+    request_id: str
+    #: Name of the request kind at the ingress.
+    kind: str
+    service: str
+    method: str
+    #: Path and query below the service.
+    target: str
+    headers: HeaderList
+    body: bytes
+    priority: int
+    is_idempotent: bool
+    #: Clock time at which the answer is due.
+    deadline: float
+    account: RetryAccount
+    depth: int
+    #: Idempotency key, scoped to the service.
+    key: str | None
+
+
+class CallResult(NamedTuple):
+    """What came of a call."""
+
+    answer: HttpResponse | Refusal
+    #: Highest shedding level met by the call.
+    path_level: int
+
+
+class GateResult(NamedTuple):
+    """What came of a call at the backend server's node."""
+
+    answer: HttpResponse | Refusal
+    report: CallReport
+
+
+def list_forwarded(request: HttpRequest) -> HeaderList:
+    """Return the headers of a request that go on to the next hop."""
+    return [
+        (name, text)
+        for name, text in request.headers.items()
+        if name not in FORWARDED_DROP and not name.startswith(INTERNAL_PREFIX)
+    ]
+
+
+def list_returned(answer: HttpResponse) -> list[tuple[str, str]]:
+    """Return the headers of an answer that go back to the caller."""
+    return [
+        (name, text)
+        for name, text in answer.headers
+        if name not in FORWARDED_DROP and not name.startswith(INTERNAL_PREFIX)
+    ]
+
+
+def build_peer_answer(gate_result: GateResult, request_id: str) -> HttpResponse:
+    """Build the answer between nodes, with its report."""
+    answer = gate_result.answer
+    if isinstance(answer, Refusal):
+        answer = build_refusal_response(answer, request_id)
+        headers = list(answer.headers)
+    else:
+        headers = list_returned(answer)
+    headers.append((REPORT_HEADER, encode_fields(gate_result.report)))
+    return HttpResponse(answer.status, headers, answer.body)
+
+
+def build_call_headers(
+    headers: HeaderList, encoded_header: str, fleet_key: str
+) -> HeaderList:
+    """Add the headers between nodes to those of the caller."""
+    return [
+        (CALL_HEADER, encoded_header),
+        (FLEET_KEY_HEADER, fleet_key),
+        *headers,
+    ]
--- /dev/null
+++ b/merlintrail/node/_contexts.py
@@ -0,0 +1,86 @@
+"""Calls running in the own backend server, by their context token."""
+
+import asyncio
+import random
+from typing import Final
+
+from merlintrail.protocol import CallHeader, create_id
+from merlintrail.state import RetryAccount
+
+#: Calls that a request may be deep.
+MAX_DEPTH: Final = 32
+
+
+class ParentCall:
+    """A call running in the backend server, parent of the calls it makes."""
+
+    def __init__(self, token: str, header: CallHeader, deadline: float) -> None:
+        #: Opaque context that the backend server copies.
+        self.token = token
+        self.header = header
+        #: Clock time at which the answer is due.
+        self.deadline = deadline
+        #: Retries for the calls below.
+        self.account = RetryAccount(header.retries)
+        #: Highest shedding level of a service below.
+        self.path_level = 0
+        #: Whether a call below was refused or failed.
+        self.has_failed_below = False
+        #: Digests of the calls made so far.
+        self.digests: set[str] = set()
+        self._tasks: set[asyncio.Task[object]] = set()
+        self._waiting_since: float | None = None
+        self._waited_s = 0.0
+
+    def enter_child(self, now: float) -> None:
+        """Note that a call below begins in the current task."""
+        task = asyncio.current_task()
+        if task is not None:
+            self._tasks.add(task)
+        if self._waiting_since is None:
+            self._waiting_since = now
+
+    def leave_child(self, now: float) -> None:
+        """Note that the call below in the current task has ended."""
+        task = asyncio.current_task()
+        if task is not None:
+            self._tasks.discard(task)
+        if not self._tasks and self._waiting_since is not None:
+            self._waited_s += now - self._waiting_since
+            self._waiting_since = None
+
+    def compute_own_time(self, held_s: float) -> float:
+        """Return the time not spent waiting for calls below."""
+        return max(0.0, held_s - self._waited_s)
+
+    def cancel_children(self) -> None:
+        """End the calls below."""
+        for task in tuple(self._tasks):
+            task.cancel()
+
+
+class ContextTable:
+    """Finds the parent of a call by the token that it carries."""
+
+    def __init__(self, source: random.Random) -> None:
+        self._source = source
+        self._parents: dict[str, ParentCall] = {}
+
+    def __len__(self) -> int:
+        """Return the number of calls running."""
+        return len(self._parents)
+
+    def open(self, header: CallHeader, deadline: float) -> ParentCall:
+        """Begin a call in the backend server."""
+        parent = ParentCall(create_id(self._source), header, deadline)
+        self._parents[parent.token] = parent
+        return parent
+
+    def find(self, token: str) -> ParentCall | None:
+        """Return the call that a token stands for, while it runs."""
+        return self._parents.get(token)
+
+    def close(self, parent: ParentCall) -> None:
+        """End a call and everything below it."""
+        del self._parents[parent.token]
+        parent.cancel_children()
--- /dev/null
+++ b/merlintrail/node/_dispatch.py
@@ -0,0 +1,305 @@
+"""Routing a call, and trying it again where that is allowed."""
+
+import random
+from collections.abc import Callable
+from typing import Final, NamedTuple, Protocol
+
+from merlintrail.node._calls import (
+    CallResult,
+    GateResult,
+    OutgoingCall,
+    list_returned,
+)
+from merlintrail.node._exchange import PeerExchange
+from merlintrail.observability import NodeMetrics, log_decision
+from merlintrail.protocol import (
+    REPORT_HEADER,
+    SUBLEVELS,
+    CallHeader,
+    CallReport,
+    DecodeFailure,
+    Importance,
+    Outcome,
+    Reason,
+    Refusal,
+    create_id,
+    decode_call_report,
+)
+from merlintrail.state import (
+    Choice,
+    ConfigurationHolder,
+    NoTarget,
+    RetryBudget,
+    RoutingTable,
+    Target,
+    Tier,
+)
+from merlintrail.transport import HttpResponse
+
+#: Reasons after which another backend server may do better.
+_ELSEWHERE: Final = frozenset(
+    (
+        Reason.OVERLOAD,
+        Reason.DEADLINE,
+        Reason.DRAINING,
+        Reason.PLANNED_STOP,
+        Reason.NO_BACKEND_SERVER,
+        Reason.PEER_LOST,
+        Reason.BACKEND_LOST,
+        Reason.BACKEND_REFUSED,
+        Reason.STALE_INCARNATION,
+        Reason.TOMBSTONE,
+        Reason.NO_CONFIGURATION,
+        Reason.SUSPECT_BUSY,
+    )
+)
+#: Reasons that say that a backend server lacks capacity.
+_SHEDDING: Final = frozenset(
+    (Reason.OVERLOAD, Reason.DEADLINE, Reason.BACKEND_REFUSED)
+)
+_FAILURES: Final = frozenset((Reason.PEER_LOST, Reason.BACKEND_LOST))
+
+
+class LocalGate(Protocol):
+    """The way to the backend servers beside this node."""
+
+    async def handle_call(
+        self, header: CallHeader, call: OutgoingCall
+    ) -> GateResult:
+        """Run a call in a backend server of this node."""
+
+
+class DispatchParts(NamedTuple):
+    """What a dispatcher is made with."""
+
+    #: Identifier of this node.
+    node_id: str
+    holder: ConfigurationHolder
+    routing: RoutingTable
+    exchange: PeerExchange
+    gate: LocalGate
+    metrics: NodeMetrics
+    clock: Callable[[], float]
+    source: random.Random
+
+
+class Dispatcher:
+    """Sends calls to backend servers of their service."""
+
+    def __init__(self, parts: DispatchParts) -> None:
+        self._parts = parts
+        self._routing = parts.routing
+        self._clock = parts.clock
+        #: Share of retries that this node may make.
+        self.budget = RetryBudget(share=0.1)
+
+    async def dispatch(self, call: OutgoingCall) -> CallResult:
+        """Send a call until it is answered or no try is left."""
+        self.budget.record_attempt()
+        tried: list[str] = []
+        path_level = 0
+        refusal: Refusal | None = None
+        while True:
+            choice = self._choose(call, tried)
+            if isinstance(choice, NoTarget):
+                refusal = refusal or self._refuse(call, choice)
+                return CallResult(refusal, max(path_level, choice.level))
+            tried.append(choice.target.member.node_id)
+            gate_result = await self._attempt(call, choice)
+            path_level = max(path_level, gate_result.report.path_level)
+            if isinstance(gate_result.answer, HttpResponse):
+                break
+            refusal = gate_result.answer
+            if not self._may_retry(call, gate_result, refusal):
+                break
+            self._parts.metrics.record_retry(call.service)
+        level = self._routing.read_service_level(call.service, self._clock())
+        return CallResult(gate_result.answer, max(path_level, level))
+
+    def _choose(
+        self, call: OutgoingCall, tried: list[str]
+    ) -> Choice | NoTarget:
+        configuration = self._parts.holder.current
+        service = configuration and configuration.services.get(call.service)
+        warmup_s = service.warmup_s if service else 0.0
+        choice = self._routing.choose(
+            call.service, call.priority, tried, warmup_s
+        )
+        if isinstance(choice, Choice):
+            log_decision(
+                'route',
+                request_id=call.request_id,
+                service=call.service,
+                instance=choice.target.member.node_id,
+                tier=choice.tier.name.lower(),
+                load=round(choice.load, 3),
+                attempt=len(tried) + 1,
+                priority=call.priority,
+            )
+        return choice
+
+    def _refuse(self, call: OutgoingCall, absence: NoTarget) -> Refusal:
+        reason = Reason.NO_BACKEND_SERVER
+        if absence.is_shedding:
+            reason = Reason.SHED_EARLY
+        log_decision(
+            'refuse',
+            request_id=call.request_id,
+            service=call.service,
+            reason=reason.value,
+            detail=absence.reason,
+            level=absence.level,
+            priority=call.priority,
+        )
+        return Refusal(Outcome.NOT_RUN, reason, absence.reason)
+
+    async def _attempt(self, call: OutgoingCall, choice: Choice) -> GateResult:
+        target = choice.target
+        share = call.account.lend()
+        header = self._build_header(call, target, share)
+        started_at = self._clock()
+        target.in_flight += 1
+        try:
+            gate_result = await self._send(call, header, choice)
+        finally:
+            target.in_flight -= 1
+        now = self._clock()
+        report = gate_result.report
+        call.account.restore(share, report.retries)
+        if report.call_id:
+            target.record_report(report, now - started_at, now)
+        self._count_failure(target, gate_result.answer)
+        return gate_result
+
+    async def _send(
+        self, call: OutgoingCall, header: CallHeader, choice: Choice
+    ) -> GateResult:
+        if choice.target.member.node_id == self._parts.node_id:
+            return await self._parts.gate.handle_call(header, call)
+        target = choice.target
+        answer = await self._parts.exchange.send(
+            target.member, header, call, target.latency_s
+        )
+        if choice.tier == Tier.REMOTE:
+            self._charge_link(call, target, answer)
+        return read_peer_answer(header, answer)
+
+    def _charge_link(
+        self,
+        call: OutgoingCall,
+        target: Target,
+        answer: HttpResponse | Refusal,
+    ) -> None:
+        sent = len(call.body)
+        if isinstance(answer, HttpResponse):
+            sent += len(answer.body)
+        pair = self._routing.find_region_pair(target.member)
+        self._routing.links.spend(pair, self._clock(), sent)
+
+    def _count_failure(
+        self, target: Target, answer: HttpResponse | Refusal
+    ) -> None:
+        if isinstance(answer, HttpResponse) or answer.reason not in _FAILURES:
+            return
+        pause_s = self._routing.record_failure(target)
+        if pause_s:
+            log_decision(
+                'eject',
+                instance=target.member.node_id,
+                service=target.offer.service,
+                seconds=pause_s,
+                reason=answer.reason.value,
+            )
+
+    def _may_retry(
+        self, call: OutgoingCall, gate_result: GateResult, refusal: Refusal
+    ) -> bool:
+        if not gate_result.report.may_retry:
+            return False
+        if refusal.reason not in _ELSEWHERE:
+            return False
+        is_unproved = refusal.outcome != Outcome.NOT_RUN
+        if is_unproved and not call.is_idempotent:
+            return False
+        if call.deadline <= self._clock():
+            return False
+        return self._has_allowance(call, refusal)
+
+    def _has_allowance(self, call: OutgoingCall, refusal: Refusal) -> bool:
+        """Take one retry from the request's account and the node's budget.
+
+        The most important calls are redirected beyond the node's budget, as
+        long as the request's own account permits.
+        """
+        is_critical = call.priority >= Importance.CRITICAL * SUBLEVELS
+        is_redirect = is_critical and refusal.outcome == Outcome.NOT_RUN
+        if not is_redirect:
+            level = self._routing.read_service_level(
+                call.service, self._clock()
+            )
+            if level > 0 and refusal.reason in _SHEDDING:
+                return False
+            if not self.budget.spend():
+                return False
+        return call.account.spend()
+
+    def _build_header(
+        self, call: OutgoingCall, target: Target, share: int
+    ) -> CallHeader:
+        return CallHeader(
+            call.request_id,
+            create_id(self._parts.source),
+            call.kind,
+            call.priority,
+            call.is_idempotent,
+            (call.deadline - self._clock()) * 1000,
+            share,
+            call.depth,
+            target.member.incarnation,
+            self._parts.node_id,
+            call.service,
+        )
+
+
+def read_peer_answer(
+    header: CallHeader, answer: HttpResponse | Refusal
+) -> GateResult:
+    """Read what a peer answered, with the report that came along."""
+    if isinstance(answer, Refusal):
+        returned = header.retries if answer.outcome == Outcome.NOT_RUN else 0
+        return GateResult(answer, _build_silence(answer, returned))
+    encoded = answer.find_header(REPORT_HEADER)
+    report = (
+        DecodeFailure('no report')
+        if encoded is None
+        else decode_call_report(encoded)
+    )
+    if isinstance(report, DecodeFailure) or report.call_id != header.call_id:
+        refusal = Refusal(
+            Outcome.MAY_HAVE_RUN, Reason.PEER_LOST, 'answer to another call'
+        )
+        return GateResult(refusal, _build_silence(refusal, 0))
+    if report.reason:
+        refusal = Refusal(
+            Outcome(report.outcome),
+            Reason(report.reason),
+            retry_after_s=float(answer.find_header('retry-after') or 1),
+        )
+        return GateResult(refusal, report)
+    stripped = HttpResponse(answer.status, list_returned(answer), answer.body)
+    return GateResult(stripped, report)
+
+
+def _build_silence(refusal: Refusal, returned: int) -> CallReport:
+    """Build the report of a call that brought none."""
+    return CallReport(
+        call_id='',
+        outcome=refusal.outcome.value,
+        reason=refusal.reason.value,
+        retries=returned,
+        level=0,
+        path_level=0,
+        in_flight=0,
+        service_ms=0.0,
+        is_draining=False,
+    )
--- /dev/null
+++ b/merlintrail/node/_lifecycle.py
@@ -0,0 +1,114 @@
+"""Planned stops and draining of the whole node."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from merlintrail.coordination import Heartbeats, Membership
+from merlintrail.node._gatekeeper import Gatekeeper
+from merlintrail.node._ingress import Ingress
+from merlintrail.observability import log_decision
+from merlintrail.state import (
+    ConfigurationHolder,
+    MemberStatus,
+    PlannedStop,
+    find_stop,
+)
+
+#: Seconds between looks at the planned stops.
+CHECK_INTERVAL_S: Final = 0.2
+#: Seconds before a window, beyond the longest deadline, at which a node
+#: tells the others.
+NOTICE_S: Final = 5.0
+#: Seconds that a node stays after its drain was told to the others.
+SPREAD_S: Final = 1.0
+#: Seconds after which a drain ends even with calls running.
+MAX_DRAIN_S: Final = 60.0
+_MS_PER_S: Final = 1000
+
+
+class LifecycleParts(NamedTuple):
+    """What a lifecycle is made with."""
+
+    instance: str
+    data_centre: str
+    holder: ConfigurationHolder
+    membership: Membership
+    heartbeats: Heartbeats
+    gatekeeper: Gatekeeper
+    ingress: Ingress
+    wall_clock: Callable[[], float]
+
+
+class Lifecycle:
+    """Ends a node without cutting a call."""
+
+    def __init__(self, parts: LifecycleParts) -> None:
+        self._parts = parts
+        #: Set when the node should end.
+        self.stopped = asyncio.Event()
+        self._drain: asyncio.Task[None] | None = None
+
+    async def run(self) -> None:
+        """Follow the planned stops until cancelled."""
+        while True:
+            self._check_stop()
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
+    def start_drain(self, reason: str) -> None:
+        """Begin to drain; the node ends once it is idle."""
+        if self._drain is None:
+            log_decision('drain', instance=self._parts.instance, reason=reason)
+            self._drain = asyncio.create_task(self._drain_and_stop())
+
+    def _check_stop(self) -> None:
+        configuration = self._parts.holder.current
+        if configuration is None:
+            return
+        now = self._parts.wall_clock()
+        stop = find_stop(
+            configuration,
+            self._parts.instance,
+            self._parts.data_centre,
+            now,
+        )
+        self._parts.gatekeeper.planned_stop = stop
+        if stop is not None and self._compute_notice(stop) <= now:
+            self.start_drain(f'planned stop {stop.stop_id}')
+
+    def _compute_notice(self, stop: PlannedStop) -> float:
+        """Return the time at which the node tells of its stop."""
+        configuration = self._parts.holder.current
+        assert configuration is not None
+        longest_ms = max(
+            kind.deadline_ms
+            for service in configuration.services.values()
+            for kind in service.kinds
+        )
+        return stop.starts_at - longest_ms / _MS_PER_S - NOTICE_S
+
+    async def _drain_and_stop(self) -> None:
+        self._parts.gatekeeper.is_draining = True
+        self._parts.membership.update_own(status=MemberStatus.DRAINING)
+        await asyncio.sleep(SPREAD_S)
+        try:
+            async with asyncio.timeout(MAX_DRAIN_S):
+                await self._wait_until_idle()
+        except TimeoutError:
+            log_decision(
+                'drain',
+                instance=self._parts.instance,
+                reason='calls still running at the longest drain',
+            )
+        self._parts.membership.update_own(status=MemberStatus.LEFT)
+        await self._parts.heartbeats.tell_now()
+        self.stopped.set()
+
+    async def _wait_until_idle(self) -> None:
+        quiet_checks = 0
+        while quiet_checks < 2:
+            running = (
+                self._parts.gatekeeper.running + self._parts.ingress.running
+            )
+            quiet_checks = 0 if running else quiet_checks + 1
+            await asyncio.sleep(CHECK_INTERVAL_S)
--- /dev/null
+++ b/merlintrail/node/_local_service.py
@@ -0,0 +1,83 @@
+"""What a node answers to the backend servers beside it."""
+
+import json
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any, Final
+
+from merlintrail.node._backend import (
+    InvalidAnnouncement,
+    is_local_sender,
+    read_announcement,
+)
+from merlintrail.node._gatekeeper import Gatekeeper
+from merlintrail.observability import log_decision
+from merlintrail.protocol import decode_json, encode_json
+from merlintrail.transport import HttpRequest, HttpResponse, RequestHandler
+
+#: Path prefix of what backend servers tell their node.
+LOCAL_PATH: Final = '/-/'
+_JSON: Final = (('content-type', 'application/json'),)
+
+
+def _build_answer(status: int, document: Mapping[str, Any]) -> HttpResponse:
+    return HttpResponse(status, _JSON, encode_json(document))
+
+
+class LocalService:
+    """Takes announcements; passes every other request to the ingress."""
+
+    def __init__(
+        self,
+        gatekeeper: Gatekeeper,
+        serve: RequestHandler,
+        own_host: str,
+        build_health: Callable[[], Mapping[str, Any]],
+    ) -> None:
+        self._gatekeeper = gatekeeper
+        self._serve = serve
+        self._own_host = own_host
+        self._build_health = build_health
+
+    def handle(self, request: HttpRequest) -> Awaitable[HttpResponse]:
+        """Answer one request on the call address."""
+        if request.target.startswith(LOCAL_PATH):
+            return self._handle_local(request)
+        return self._serve(request)
+
+    async def _handle_local(self, request: HttpRequest) -> HttpResponse:
+        subject = request.target.removeprefix(LOCAL_PATH)
+        if subject == 'health':
+            health = self._build_health()
+            return _build_answer(200 if health['is_ready'] else 503, health)
+        if not is_local_sender(request, self._own_host):
+            return _build_answer(
+                403, {'error': 'only for backend servers of this instance'}
+            )
+        if request.method != 'POST' or subject not in {'announce', 'drain'}:
+            return _build_answer(404, {'error': f'no {subject!r} here'})
+        document = decode_json(request.body)
+        if not isinstance(document, dict):
+            return _build_answer(400, {'error': 'not a JSON object'})
+        if subject == 'drain':
+            return self._drain(document)
+        return self._announce(document)
+
+    def _announce(self, document: Mapping[str, Any]) -> HttpResponse:
+        announcement = read_announcement(document)
+        if isinstance(announcement, InvalidAnnouncement):
+            return _build_answer(400, {'findings': announcement.findings})
+        self._gatekeeper.announce(announcement)
+        return _build_answer(200, {'ttl_s': announcement.ttl_s})
+
+    def _drain(self, document: Mapping[str, Any]) -> HttpResponse:
+        service = document.get('service')
+        gate = self._gatekeeper.gates.get(str(service))
+        if gate is None:
+            known = json.dumps(sorted(self._gatekeeper.gates))
+            return _build_answer(
+                404, {'error': f'{service!r} is not announced; known: {known}'}
+            )
+        announcement = gate.backend.announcement._replace(is_ready=False)
+        self._gatekeeper.announce(announcement)
+        log_decision('drain', service=announcement.service)
+        return _build_answer(200, {'running': gate.admission.running})
--- /dev/null
+++ b/merlintrail/node/_node.py
@@ -0,0 +1,455 @@
+"""One node: its parts put together, started and stopped."""
+
+import asyncio
+import os
+import random
+import resource
+import time
+from collections.abc import Callable, Coroutine, Mapping, Sequence
+from typing import Any, Final, NamedTuple
+
+from merlintrail.coordination import (
+    Heartbeats,
+    HttpPeerClient,
+    Knowledge,
+    Membership,
+    Relay,
+    SlotParts,
+    Store,
+    StoreValue,
+    build_relay_key,
+    create_ledger,
+)
+from merlintrail.node._contexts import ContextTable
+from merlintrail.node._dispatch import Dispatcher, DispatchParts
+from merlintrail.node._exchange import PeerExchange
+from merlintrail.node._gatekeeper import Gatekeeper, GateParts
+from merlintrail.node._ingress import Ingress, IngressParts
+from merlintrail.node._keyed import KeyedCalls, KeyedParts
+from merlintrail.node._lifecycle import Lifecycle, LifecycleParts
+from merlintrail.node._local_service import LocalService
+from merlintrail.node._peer_service import PeerParts, PeerService
+from merlintrail.node._settings import Settings
+from merlintrail.observability import (
+    NodeMetrics,
+    create_logger,
+    create_metrics,
+    log_decision,
+)
+from merlintrail.protocol import create_id
+from merlintrail.state import (
+    CallTable,
+    Configuration,
+    ConfigurationHolder,
+    Member,
+    MemberStatus,
+    MemberTable,
+    Place,
+    Quarantine,
+    RoutingTable,
+    ServiceOffer,
+)
+from merlintrail.transport import (
+    HttpServer,
+    create_pool,
+    start_server,
+)
+
+#: Seconds between looks at the backend servers' readiness and hints.
+READINESS_INTERVAL_S: Final = 0.25
+#: Seconds before the first and the longest pause between tries to join.
+MIN_JOIN_PAUSE_S: Final = 0.2
+MAX_JOIN_PAUSE_S: Final = 3.0
+#: Relays of a data centre that a joining node asks for.
+RELAY_PLACES: Final = 2
+#: Relays that suffice to join through.
+MAX_CONTACTS: Final = 2
+_MS_PER_S: Final = 1000
+_KIB: Final = 1024
+
+_LOG: Final = create_logger('node')
+
+
+class Environment(NamedTuple):
+    """What a node takes from outside, so that tests can replace it."""
+
+    store: Store
+    clock: Callable[[], float]
+    wall_clock: Callable[[], float]
+    source: random.Random
+
+
+def split_host_port(address: str) -> tuple[str, int]:
+    """Split a listening address."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+class Node:
+    """The one process beside a backend server."""
+
+    def __init__(self, settings: Settings, environment: Environment) -> None:
+        self.settings = settings
+        self._environment = environment
+        self._clock = environment.clock
+        self._wall_clock = environment.wall_clock
+        self._source = environment.source
+        self._tasks: list[asyncio.Task[None]] = []
+        self._servers: list[HttpServer] = []
+        self._started_at = self._clock()
+        self.incarnation = int(self._wall_clock() * _MS_PER_S)
+        self.metrics: NodeMetrics = create_metrics(
+            settings.instance, settings.otlp_endpoint
+        )
+        self.holder = ConfigurationHolder()
+        self.table = MemberTable(self._clock)
+        self.quarantine = Quarantine()
+        self._create_coordination()
+        self._create_call_path()
+        self._create_services()
+        self.holder.add_listener(self._apply_configuration)
+        self.table.add_listener(self.routing.update_member)
+
+    async def start(self) -> None:
+        """Listen, and begin to join the others.
+
+        :raises OSError: when an address cannot be bound.
+        """
+        host, port = split_host_port(self.settings.peer_address)
+        self._servers.append(
+            await start_server(self.peer_service.handle, host, port)
+        )
+        host, port = split_host_port(self.settings.call_address)
+        self._servers.append(
+            await start_server(
+                self.local_service.handle,
+                host,
+                port,
+                report_bad_request=lambda bad_request: log_decision(
+                    'refuse', reason=bad_request.reason
+                ),
+            )
+        )
+        self._start_task(self._join())
+        self._start_task(self.heartbeats.run())
+        self._start_task(self._relay.run())
+        self._start_task(self._follow_readiness())
+        self._start_task(self.lifecycle.run())
+        _LOG.info(
+            'node started',
+            extra={
+                'instance': self.settings.instance,
+                'incarnation': self.incarnation,
+                'call_address': self.settings.call_address,
+            },
+        )
+
+    async def stop(self) -> None:
+        """Close everything at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for server in self._servers:
+            server.close()
+        self._pool.close()
+        self._peer_pool.close()
+        _LOG.info('node stopped', extra={'instance': self.settings.instance})
+
+    def build_health(self) -> Mapping[str, Any]:
+        """Return whether the node serves, and why not."""
+        reasons = []
+        if self.holder.current is None:
+            reasons.append('no configuration yet')
+        if self.gatekeeper.is_draining:
+            reasons.append('draining')
+        return {'is_ready': not reasons, 'reasons': reasons}
+
+    def build_status(self) -> Mapping[str, Any]:
+        """Return the state of the node for operators."""
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        return {
+            'instance': self.settings.instance,
+            'data_centre': self.settings.data_centre,
+            'incarnation': self.incarnation,
+            'process': os.getpid(),
+            'uptime_s': round(self._clock() - self._started_at, 1),
+            'generation': self.holder.generation,
+            'health': self.build_health(),
+            'is_relay': self.membership.own.is_relay,
+            'members': len(self.table.list_present()),
+            'member_digest': f'{self.table.digest:016x}',
+            'running': self.ingress.running,
+            'backend_servers': self._build_backend_status(),
+            'ledger_running': self.keyed.ledger.running,
+            'store_calls': dict(getattr(self._environment.store, 'counts', {})),
+            'control_bytes': {
+                'sent': self._peer_pool.bytes_sent,
+                'received': self._peer_pool.bytes_received,
+            },
+            'cpu_s': usage.ru_utime + usage.ru_stime,
+            'max_memory_bytes': usage.ru_maxrss * _KIB,
+        }
+
+    def list_members(self) -> Sequence[Mapping[str, Any]]:
+        """Return every member known, for operators."""
+        return [
+            {
+                **member._asdict(),
+                'status': MemberStatus(member.status).name.lower(),
+                'offers': [offer._asdict() for offer in member.offers],
+            }
+            for member in self.table
+        ]
+
+    def _create_coordination(self) -> None:
+        settings = self.settings
+        self._pool = create_pool()
+        self._peer_pool = create_pool()
+        self.peers = HttpPeerClient(self._peer_pool, settings.fleet_key)
+        own = Member(
+            settings.instance,
+            self.incarnation,
+            1,
+            MemberStatus.ALIVE,
+            settings.data_centre,
+            settings.call_address,
+            settings.peer_address,
+        )
+        self.membership = Membership(
+            own,
+            Knowledge(self.table, self.holder, self.quarantine),
+            self._clock,
+            self._wall_clock,
+        )
+        self.heartbeats = Heartbeats(
+            self.membership, self.peers, self._clock, self._source
+        )
+        self._relay = Relay(
+            self.membership,
+            self.heartbeats,
+            self._environment.store,
+            self._source,
+        )
+
+    def _create_call_path(self) -> None:
+        settings = self.settings
+        place = Place(settings.instance, settings.data_centre)
+        self.routing = RoutingTable(place, self._clock, self._source)
+        self.calls = CallTable(self._clock)
+        self.contexts = ContextTable(self._source)
+        self.gatekeeper = Gatekeeper(
+            GateParts(
+                settings.instance,
+                self.incarnation,
+                self._pool,
+                self.calls,
+                self.contexts,
+                self.quarantine,
+                self.metrics,
+                self._clock,
+                self._wall_clock,
+                self.membership.tell_suspicions,
+                self._update_offers,
+            )
+        )
+        exchange = PeerExchange(
+            self._pool, self.peers, settings.fleet_key, self._clock
+        )
+        self.dispatcher = Dispatcher(
+            DispatchParts(
+                settings.instance,
+                self.holder,
+                self.routing,
+                exchange,
+                self.gatekeeper,
+                self.metrics,
+                self._clock,
+                self._source,
+            )
+        )
+        self.keyed = KeyedCalls(
+            KeyedParts(
+                settings.instance,
+                self.holder,
+                self.table,
+                self.dispatcher,
+                exchange,
+                self.peers,
+                self._clock,
+                self._wall_clock,
+                self._source,
+            )
+        )
+        slot_parts = SlotParts(
+            self._environment.store,
+            settings.instance,
+            self._wall_clock,
+            lambda: create_id(self._source),
+        )
+        self.keyed.attach(create_ledger(slot_parts, self.keyed.recall))
+
+    def _create_services(self) -> None:
+        settings = self.settings
+        self.ingress = Ingress(
+            IngressParts(
+                settings.instance,
+                settings.data_centre,
+                self.holder,
+                self.contexts,
+                self.dispatcher,
+                self.keyed,
+                self.quarantine,
+                self.metrics,
+                self._clock,
+                self._wall_clock,
+                self._source,
+            )
+        )
+        self.lifecycle = Lifecycle(
+            LifecycleParts(
+                settings.instance,
+                settings.data_centre,
+                self.holder,
+                self.membership,
+                self.heartbeats,
+                self.gatekeeper,
+                self.ingress,
+                self._wall_clock,
+            )
+        )
+        host, _ = split_host_port(settings.call_address)
+        self.local_service = LocalService(
+            self.gatekeeper, self.ingress.handle, host, self.build_health
+        )
+        self.peer_service = PeerService(
+            PeerParts(
+                settings.fleet_key,
+                self.incarnation,
+                self.calls,
+                self.gatekeeper,
+                self.keyed,
+                self.heartbeats,
+                self,
+                self._clock,
+            )
+        )
+
+    def _build_backend_status(self) -> list[Mapping[str, Any]]:
+        now = self._clock()
+        return [
+            {
+                'service': name,
+                'address': gate.backend.announcement.address,
+                'slots': gate.backend.announcement.slots,
+                'is_ready': gate.backend.is_ready(now),
+                'limit': gate.limit.limit,
+                'running': gate.admission.running,
+                'queued': gate.admission.queued,
+                'service_ms': gate.admission.service_s * _MS_PER_S,
+                'shedding_level': gate.shedder.read_level(now),
+                'health_hint': gate.backend.health_hint,
+                'load_hint': gate.backend.load_hint,
+            }
+            for name, gate in self.gatekeeper.gates.items()
+        ]
+
+    def _apply_configuration(self, configuration: Configuration) -> None:
+        self.routing.update_regions(configuration.regions)
+        self.dispatcher.budget.share = configuration.retry_share
+        self.gatekeeper.update_configuration(configuration)
+        self.keyed.ledger.update_settings(configuration.ledger)
+        self._update_links(configuration)
+        _LOG.info(
+            'configuration in force',
+            extra={
+                'generation': configuration.generation,
+                'change_id': configuration.change_id,
+            },
+        )
+
+    def _update_links(self, configuration: Configuration) -> None:
+        region = configuration.regions.get(self.settings.data_centre)
+        nodes = sum(
+            1
+            for member in self.table.list_present()
+            if configuration.regions.get(member.data_centre) == region
+        )
+        self.routing.links.update(configuration.links, nodes)
+
+    def _update_offers(self) -> None:
+        now = self._clock()
+        offers = tuple(
+            ServiceOffer(
+                name,
+                gate.backend.announcement.slots,
+                gate.backend.is_ready(now),
+            )
+            for name, gate in sorted(self.gatekeeper.gates.items())
+        )
+        self.membership.update_own(offers=offers)
+
+    async def _follow_readiness(self) -> None:
+        while True:
+            self._update_offers()
+            if self.holder.current is not None:
+                self._update_links(self.holder.current)
+            await asyncio.sleep(READINESS_INTERVAL_S)
+
+    async def _join(self) -> None:
+        """Find other nodes; go on until one is found or this is a relay."""
+        pause_s = MIN_JOIN_PAUSE_S
+        while not await self._try_join():
+            await asyncio.sleep(pause_s * self._source.uniform(0.5, 1.5))
+            pause_s = min(MAX_JOIN_PAUSE_S, pause_s * 2)
+        self.routing.is_settled = True
+
+    async def _try_join(self) -> bool:
+        own_data_centre = self.settings.data_centre
+        contacts = await self._find_contacts([own_data_centre])
+        if await self._join_any([*contacts, *self.settings.join]):
+            return True
+        if self.holder.current is None:
+            await self._relay.fetch()
+        configuration = self.holder.current
+        if configuration is not None:
+            others = sorted(set(configuration.regions) - {own_data_centre})
+            if await self._join_any(await self._find_contacts(others)):
+                return True
+        return self.membership.own.is_relay
+
+    async def _join_any(self, addresses: Sequence[str]) -> bool:
+        for address in addresses:
+            if address == self.settings.peer_address:
+                continue
+            if await self.heartbeats.join(address):
+                return True
+        return False
+
+    async def _find_contacts(self, data_centres: Sequence[str]) -> list[str]:
+        """Return the addresses of a few relays, from the store."""
+        contacts = []
+        for data_centre in data_centres:
+            for place in range(RELAY_PLACES):
+                found = await self._environment.store.read(
+                    build_relay_key(data_centre, place)
+                )
+                if isinstance(found, StoreValue):
+                    contacts.append(str(found.document['address']))
+            if len(contacts) >= MAX_CONTACTS:
+                break
+        return contacts
+
+    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.create_task(work))
+
+
+def create_environment(store: Store) -> Environment:
+    """Create the environment of a real process."""
+    return Environment(
+        store, time.monotonic, time.time, random.Random(os.urandom(16))
+    )
+
+
+def create_node(settings: Settings, environment: Environment) -> Node:
+    """Create a node that is not started yet."""
+    return Node(settings, environment)
--- /dev/null
+++ b/merlintrail/node/_peer_service.py
@@ -0,0 +1,186 @@
+"""What a node answers to other nodes."""
+
+import base64
+import hmac
+from collections.abc import Callable, Mapping
+from typing import Any, Final, NamedTuple, Protocol
+
+from merlintrail.coordination import PEER_PATH, Heartbeats
+from merlintrail.node._calls import (
+    GateResult,
+    OutgoingCall,
+    build_peer_answer,
+    list_forwarded,
+)
+from merlintrail.node._gatekeeper import Gatekeeper
+from merlintrail.node._keyed import KeyedCalls
+from merlintrail.observability import log_decision
+from merlintrail.protocol import (
+    CALL_HEADER,
+    FLEET_KEY_HEADER,
+    CallHeader,
+    DecodeFailure,
+    Inquiry,
+    InquiryAnswer,
+    InquiryState,
+    Outcome,
+    Reason,
+    Refusal,
+    build_refusal_response,
+    decode_call_header,
+    decode_json,
+    decode_record,
+    encode_json,
+)
+from merlintrail.state import CallTable, RetryAccount
+from merlintrail.transport import HttpRequest, HttpResponse
+
+_MS_PER_S: Final = 1000
+_UNAUTHORIZED: Final = HttpResponse(401, (), b'')
+_NOT_FOUND: Final = HttpResponse(404, (), b'')
+
+Subject = Callable[[dict[str, Any]], object]
+
+
+class StatusSource(Protocol):
+    """Tells what operators want to know of the node."""
+
+    def build_status(self) -> Mapping[str, Any]:
+        """Return the state of the node."""
+
+
+class PeerParts(NamedTuple):
+    """What the peer service is made with."""
+
+    fleet_key: str
+    incarnation: int
+    calls: CallTable
+    gatekeeper: Gatekeeper
+    keyed: KeyedCalls
+    heartbeats: Heartbeats
+    status: StatusSource
+    clock: Callable[[], float]
+
+
+class PeerService:
+    """Answers calls and messages of other nodes."""
+
+    def __init__(self, parts: PeerParts) -> None:
+        self._parts = parts
+        self._clock = parts.clock
+        self._subjects: Mapping[str, Subject] = {
+            'gossip': parts.heartbeats.handle_gossip,
+            'join': parts.heartbeats.handle_join,
+            'compare': parts.heartbeats.handle_comparison,
+            'configuration': self._tell_configuration,
+            'inquiry': self._answer_inquiry,
+            'recall': parts.keyed.handle_recall,
+            'status': lambda _: parts.status.build_status(),
+        }
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request of another node."""
+        key = request.headers.get(FLEET_KEY_HEADER, '')
+        if not hmac.compare_digest(
+            key.encode(), self._parts.fleet_key.encode()
+        ):
+            log_decision('refuse', reason='wrong fleet key')
+            return _UNAUTHORIZED
+        encoded = request.headers.get(CALL_HEADER)
+        if encoded is not None:
+            return await self._handle_call(request, encoded)
+        if request.target.startswith(PEER_PATH):
+            return self._handle_message(request)
+        return _NOT_FOUND
+
+    async def _handle_call(
+        self, request: HttpRequest, encoded: str
+    ) -> HttpResponse:
+        header = decode_call_header(encoded)
+        if isinstance(header, DecodeFailure):
+            refusal = Refusal(
+                Outcome.NOT_RUN, Reason.BAD_REQUEST, header.reason
+            )
+            return build_refusal_response(refusal, '')
+        call = self._build_call(request, header)
+        if header.key is None:
+            gate_result = await self._parts.gatekeeper.handle_call(header, call)
+            return build_peer_answer(gate_result, header.request_id)
+        return await self._handle_keyed(header, call)
+
+    async def _handle_keyed(
+        self, header: CallHeader, call: OutgoingCall
+    ) -> HttpResponse:
+        calls = self._parts.calls
+        state = calls.begin(header.call_id)
+        if state is not None or header.incarnation != self._parts.incarnation:
+            refusal = Refusal(Outcome.MAY_HAVE_RUN, Reason.DUPLICATE_CALL)
+            if state in {None, InquiryState.TOMBSTONE}:
+                refusal = Refusal(Outcome.NOT_RUN, Reason.TOMBSTONE)
+            return build_refusal_response(refusal, header.request_id)
+        gate_result: GateResult | None = None
+        try:
+            gate_result = await self._parts.keyed.handle_peer_call(header, call)
+        finally:
+            if gate_result is None:
+                calls.abandon(header.call_id)
+        answer = build_peer_answer(gate_result, header.request_id)
+        calls.finish(header.call_id, answer)
+        return answer
+
+    def _build_call(
+        self, request: HttpRequest, header: CallHeader
+    ) -> OutgoingCall:
+        return OutgoingCall(
+            header.request_id,
+            header.kind,
+            header.service,
+            request.method,
+            request.target,
+            list_forwarded(request),
+            request.body,
+            header.priority,
+            header.is_idempotent,
+            self._clock() + header.deadline_ms / _MS_PER_S,
+            RetryAccount(header.retries),
+            header.depth,
+            header.key,
+        )
+
+    def _handle_message(self, request: HttpRequest) -> HttpResponse:
+        handle = self._subjects.get(request.target.removeprefix(PEER_PATH))
+        document = decode_json(request.body or b'{}')
+        if handle is None:
+            return _NOT_FOUND
+        if not isinstance(document, dict):
+            return HttpResponse(400, (), b'')
+        answer = handle(document)
+        if isinstance(answer, DecodeFailure):
+            return HttpResponse(400, (), answer.reason.encode())
+        if hasattr(answer, '_asdict'):
+            answer = answer._asdict()
+        return HttpResponse(200, (), encode_json(answer))
+
+    def _tell_configuration(self, document: dict[str, Any]) -> object:
+        difference = self._parts.heartbeats.handle_configuration(document)
+        return (
+            DecodeFailure('no configuration')
+            if difference is None
+            else (difference)
+        )
+
+    def _answer_inquiry(self, document: dict[str, Any]) -> object:
+        inquiry = decode_record(Inquiry, document)
+        if isinstance(inquiry, DecodeFailure):
+            return inquiry
+        if inquiry.incarnation != self._parts.incarnation:
+            return InquiryAnswer(InquiryState.OTHER_INCARNATION.value)
+        known = self._parts.calls.inquire(inquiry.call_id)
+        if known.answer is None:
+            return InquiryAnswer(known.state.value)
+        return InquiryAnswer(
+            known.state.value,
+            known.answer.status,
+            tuple(known.answer.headers),
+            base64.b64encode(known.answer.body).decode(),
+        )
--- /dev/null
+++ b/merlintrail/observability/__init__.py
@@ -0,0 +1,18 @@
+"""Logs and metrics."""
+
+from merlintrail.observability._logs import (
+    JsonLinesHandler,
+    create_logger,
+    log_decision,
+    open_log,
+)
+from merlintrail.observability._metrics import NodeMetrics, create_metrics
+
+__all__ = (
+    'JsonLinesHandler',
+    'NodeMetrics',
+    'create_logger',
+    'create_metrics',
+    'log_decision',
+    'open_log',
+)
--- /dev/null
+++ b/merlintrail/observability/_metrics.py
@@ -0,0 +1,127 @@
+"""Metrics by OpenTelemetry, with the names of its semantic conventions."""
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, Final
+
+import orjson
+from opentelemetry.metrics import CallbackOptions, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import (
+    InMemoryMetricReader,
+    MetricReader,
+    PeriodicExportingMetricReader,
+)
+from opentelemetry.sdk.resources import Resource
+
+#: Milliseconds between exports to a collector.
+EXPORT_INTERVAL_MS: Final = 10000
+
+GaugeReader = Callable[[], Iterable[tuple[float, Mapping[str, str]]]]
+
+
+class NodeMetrics:
+    """The instruments of a node."""
+
+    def __init__(
+        self, provider: MeterProvider, reader: InMemoryMetricReader
+    ) -> None:
+        self._reader = reader
+        self._provider = provider
+        self._meter = provider.get_meter('merlintrail')
+        self._duration = self._meter.create_histogram(
+            'http.server.request.duration',
+            unit='s',
+            description='Time from request to answer.',
+        )
+        self._calls = self._meter.create_counter(
+            'merlintrail.calls',
+            unit='{call}',
+            description='Calls by service, outcome and reason.',
+        )
+        self._retries = self._meter.create_counter(
+            'merlintrail.retries',
+            unit='{retry}',
+            description='Attempts beyond the first of a call.',
+        )
+
+    def record_request(
+        self, service: str, status: int, duration_s: float
+    ) -> None:
+        """Record an answered request."""
+        self._duration.record(
+            duration_s,
+            {
+                'merlintrail.service': service,
+                'http.response.status_code': status,
+            },
+        )
+
+    def record_call(self, service: str, outcome: str, reason: str) -> None:
+        """Record what became of a call at its backend server."""
+        self._calls.add(
+            1,
+            {
+                'merlintrail.service': service,
+                'merlintrail.outcome': outcome,
+                'merlintrail.reason': reason,
+            },
+        )
+
+    def record_retry(self, service: str) -> None:
+        """Record a further attempt."""
+        self._retries.add(1, {'merlintrail.service': service})
+
+    def observe(
+        self, name: str, unit: str, description: str, read: GaugeReader
+    ) -> None:
+        """Register a gauge that is read at each collection."""
+
+        def collect(_: CallbackOptions) -> Iterable[Observation]:
+            for number, attributes in read():
+                yield Observation(number, attributes)
+
+        self._meter.create_observable_gauge(
+            name, [collect], unit=unit, description=description
+        )
+
+    def read_all(self) -> Mapping[str, Any]:
+        """Return every metric in the JSON form of OpenTelemetry."""
+        collected = self._reader.get_metrics_data()
+        if collected is None:
+            return {}
+        document: Mapping[str, Any] = orjson.loads(collected.to_json())
+        return document
+
+    def shut_down(self) -> None:
+        """Export what is left."""
+        self._provider.shutdown()
+
+
+def create_metrics(
+    instance: str, otlp_endpoint: str | None = None
+) -> NodeMetrics:
+    """Create the metrics of a node.
+
+    :param otlp_endpoint: URL of a collector's OTLP/HTTP metrics endpoint.
+    """
+    memory_reader = InMemoryMetricReader()
+    readers: list[MetricReader] = [memory_reader]
+    if otlp_endpoint is not None:
+        readers.append(_create_export_reader(otlp_endpoint))
+    resource = Resource.create(
+        {'service.name': 'merlintrail', 'service.instance.id': instance}
+    )
+    provider = MeterProvider(metric_readers=readers, resource=resource)
+    return NodeMetrics(provider, memory_reader)
+
+
+def _create_export_reader(endpoint: str) -> MetricReader:
+    """Load the exporter only where one is configured: it costs memory."""
+    from opentelemetry.exporter.otlp.proto.http.metric_exporter import (
+        OTLPMetricExporter,
+    )
+
+    return PeriodicExportingMetricReader(
+        OTLPMetricExporter(endpoint=endpoint),
+        export_interval_millis=EXPORT_INTERVAL_MS,
+    )
--- /dev/null
+++ b/merlintrail/protocol/__init__.py
@@ -0,0 +1,84 @@
+"""Headers, outcomes and typed messages, with their codecs."""
+
+from merlintrail.protocol._call import (
+    CallHeader,
+    CallReport,
+    decode_call_header,
+    decode_call_report,
+    encode_fields,
+)
+from merlintrail.protocol._codec import (
+    DecodeFailure,
+    decode_json,
+    decode_record,
+    encode_json,
+)
+from merlintrail.protocol._headers import (
+    CONTEXT_HEADER,
+    DEADLINE_HEADER,
+    FLEET_KEY_HEADER,
+    FORWARDED_DROP,
+    IDEMPOTENCY_KEY_HEADER,
+    INTERNAL_PREFIX,
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    REPORT_HEADER,
+    REQUEST_ID_HEADER,
+    CALL_HEADER,
+    CallerHeaders,
+    read_caller_headers,
+)
+from merlintrail.protocol._identity import create_id, read_key_age_s
+from merlintrail.protocol._importance import (
+    MAX_PRIORITY,
+    SUBLEVELS,
+    Importance,
+    compute_priority,
+    read_importance,
+)
+from merlintrail.protocol._inquiry import Inquiry, InquiryAnswer, InquiryState
+from merlintrail.protocol._outcome import (
+    Outcome,
+    Reason,
+    Refusal,
+    build_refusal_response,
+)
+
+__all__ = (
+    'CALL_HEADER',
+    'CONTEXT_HEADER',
+    'DEADLINE_HEADER',
+    'FLEET_KEY_HEADER',
+    'FORWARDED_DROP',
+    'IDEMPOTENCY_KEY_HEADER',
+    'INTERNAL_PREFIX',
+    'MAX_PRIORITY',
+    'OUTCOME_HEADER',
+    'REASON_HEADER',
+    'REPORT_HEADER',
+    'REQUEST_ID_HEADER',
+    'SUBLEVELS',
+    'CallHeader',
+    'CallReport',
+    'CallerHeaders',
+    'DecodeFailure',
+    'Importance',
+    'Inquiry',
+    'InquiryAnswer',
+    'InquiryState',
+    'Outcome',
+    'Reason',
+    'Refusal',
+    'build_refusal_response',
+    'compute_priority',
+    'create_id',
+    'decode_call_header',
+    'decode_call_report',
+    'decode_json',
+    'decode_record',
+    'encode_fields',
+    'encode_json',
+    'read_caller_headers',
+    'read_importance',
+    'read_key_age_s',
+)
--- /dev/null
+++ b/merlintrail/protocol/_call.py
@@ -0,0 +1,72 @@
+"""What nodes tell each other about a call, in one header each way."""
+
+from typing import NamedTuple
+
+from merlintrail.protocol._codec import (
+    DecodeFailure,
+    decode_json,
+    decode_record,
+    encode_json,
+)
+
+
+class CallHeader(NamedTuple):
+    """Sent with a call from node to node."""
+
+    request_id: str
+    #: Identifier of this attempt, asked for in an inquiry.
+    call_id: str
+    #: Name of the request kind at the ingress, ``service/kind``.
+    kind: str
+    priority: int
+    is_idempotent: bool
+    #: Milliseconds left until the deadline.
+    deadline_ms: float
+    #: Retries that travel with the call.
+    retries: int
+    depth: int
+    #: Incarnation of the node that the call is meant for.
+    incarnation: int
+    #: Identifier of the sending node.
+    origin: str
+    service: str
+    #: Idempotency key, for a call to the owner of its ledger slot.
+    key: str | None = None
+
+
+class CallReport(NamedTuple):
+    """Returned with the answer to a call."""
+
+    call_id: str
+    #: Value of :class:`Outcome`.
+    outcome: str
+    #: Value of :class:`Reason`, empty for a completed call.
+    reason: str
+    #: Retries that come back unspent.
+    retries: int
+    #: Shedding level of the backend server: lower priorities are refused.
+    level: int
+    #: Shedding level of any service further down that the kind reaches.
+    path_level: int
+    #: Calls in flight and queued at the backend server.
+    in_flight: int
+    #: Mean service time in milliseconds.
+    service_ms: float
+    is_draining: bool
+    #: Whether another try elsewhere can help.
+    may_retry: bool = True
+
+
+def encode_fields(record: CallHeader | CallReport) -> str:
+    """Encode a header record as one line of JSON."""
+    return encode_json(record._asdict()).decode()
+
+
+def decode_call_header(text: str) -> CallHeader | DecodeFailure:
+    """Decode the call header."""
+    return decode_record(CallHeader, decode_json(text))
+
+
+def decode_call_report(text: str) -> CallReport | DecodeFailure:
+    """Decode the report header."""
+    return decode_record(CallReport, decode_json(text))
--- /dev/null
+++ b/merlintrail/protocol/_headers.py
@@ -0,0 +1,90 @@
+"""Header names of the contract, and reading what callers send."""
+
+import math
+from collections.abc import Mapping
+from typing import Final, NamedTuple
+
+#: Prefix of every header that belongs to merlintrail.
+INTERNAL_PREFIX: Final = 'merlintrail-'
+#: Opaque context that a backend server copies to the calls it makes.
+CONTEXT_HEADER: Final = 'merlintrail-context'
+#: Milliseconds that the caller is ready to wait.
+DEADLINE_HEADER: Final = 'merlintrail-deadline-ms'
+#: Outcome of the call.
+OUTCOME_HEADER: Final = 'merlintrail-outcome'
+#: Reason of a refusal.
+REASON_HEADER: Final = 'merlintrail-reason'
+#: Identifier of the request, for logs and support.
+REQUEST_ID_HEADER: Final = 'merlintrail-request-id'
+#: Call header between nodes, a JSON object.
+CALL_HEADER: Final = 'merlintrail-call'
+#: Report header between nodes, a JSON object.
+REPORT_HEADER: Final = 'merlintrail-report'
+#: Shared key by which nodes recognise each other.
+FLEET_KEY_HEADER: Final = 'merlintrail-fleet-key'
+#: Key by which a resend of a non-idempotent request is recognised.
+IDEMPOTENCY_KEY_HEADER: Final = 'idempotency-key'
+#: Headers that end at each hop.
+FORWARDED_DROP: Final = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'keep-alive',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+#: Longest accepted idempotency key in characters.
+MAX_KEY_CHARS: Final = 128
+
+
+class CallerHeaders(NamedTuple):
+    """What a caller says about its request, checked."""
+
+    context: str | None
+    deadline_ms: float | None
+    key: str | None
+    #: What is wrong with the headers, all findings together.
+    findings: tuple[str, ...]
+
+
+def _read_deadline(text: str, findings: list[str]) -> float | None:
+    try:
+        deadline_ms = float(text)
+    except ValueError:
+        deadline_ms = math.nan
+    if not (math.isfinite(deadline_ms) and deadline_ms > 0):
+        findings.append(f'{DEADLINE_HEADER}: not a positive number')
+        return None
+    return deadline_ms
+
+
+def _read_key(text: str, findings: list[str]) -> str | None:
+    key = text.strip('"')
+    if not key or len(key) > MAX_KEY_CHARS or not key.isprintable():
+        findings.append(
+            f'{IDEMPOTENCY_KEY_HEADER}: needs 1 to {MAX_KEY_CHARS} '
+            'printable characters'
+        )
+        return None
+    return key
+
+
+def read_caller_headers(headers: Mapping[str, str]) -> CallerHeaders:
+    """Read the headers of the contract; every fault becomes a finding."""
+    findings: list[str] = []
+    deadline_text = headers.get(DEADLINE_HEADER)
+    deadline_ms = (
+        None
+        if deadline_text is None
+        else _read_deadline(deadline_text, findings)
+    )
+    key_text = headers.get(IDEMPOTENCY_KEY_HEADER)
+    key = None if key_text is None else _read_key(key_text, findings)
+    return CallerHeaders(
+        headers.get(CONTEXT_HEADER), deadline_ms, key, tuple(findings)
+    )
--- /dev/null
+++ b/merlintrail/protocol/_identity.py
@@ -0,0 +1,29 @@
+"""Identifiers, and the age of idempotency keys."""
+
+import random
+import uuid
+from typing import Final
+
+_ID_BITS: Final = 96
+_TIMED_VERSION: Final = 7
+_TIMESTAMP_SHIFT: Final = 80
+_MS_PER_S: Final = 1000
+
+
+def create_id(source: random.Random) -> str:
+    """Create a random identifier of 24 hexadecimal digits."""
+    return f'{source.getrandbits(_ID_BITS):024x}'
+
+
+def read_key_age_s(key: str, wall_time_s: float) -> float | None:
+    """Return the age in seconds that a UUIDv7 key tells.
+
+    :returns: ``None`` for a key of another form.
+    """
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return None
+    if parsed.version != _TIMED_VERSION:
+        return None
+    return wall_time_s - (parsed.int >> _TIMESTAMP_SHIFT) / _MS_PER_S
--- /dev/null
+++ b/merlintrail/protocol/_outcome.py
@@ -0,0 +1,116 @@
+"""What became of a call, and the answers that say so."""
+
+import enum
+import math
+from typing import Final, NamedTuple
+
+from merlintrail.protocol._codec import encode_json
+from merlintrail.protocol._headers import (
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    REQUEST_ID_HEADER,
+)
+from merlintrail.transport import HttpResponse
+
+
+class Outcome(enum.StrEnum):
+    """Whether a call ran."""
+
+    #: The whole answer of the backend server is delivered.
+    COMPLETED = 'completed'
+    #: Proved: the request did not run anywhere.
+    NOT_RUN = 'not-run'
+    #: The request ran in part, or nobody can tell.
+    MAY_HAVE_RUN = 'may-have-run'
+
+
+class Reason(enum.StrEnum):
+    """Why a call was refused or given up."""
+
+    OVERLOAD = 'overload'
+    SHED_EARLY = 'shed-early'
+    DEADLINE = 'deadline-unreachable'
+    DEADLINE_PASSED = 'deadline-passed'
+    DRAINING = 'draining'
+    PLANNED_STOP = 'planned-stop'
+    NO_BACKEND_SERVER = 'no-backend-server'
+    NO_CONFIGURATION = 'no-configuration'
+    UNKNOWN_SERVICE = 'unknown-service'
+    UNKNOWN_CONTEXT = 'unknown-context'
+    BAD_REQUEST = 'bad-request'
+    QUARANTINED = 'quarantined'
+    SUSPECT_BUSY = 'suspect-already-running'
+    PARENT_ENDED = 'parent-ended'
+    TOMBSTONE = 'tombstone'
+    STALE_INCARNATION = 'stale-incarnation'
+    DUPLICATE_CALL = 'duplicate-call'
+    REPEATED_CALL = 'retry-account-empty'
+    BACKEND_REFUSED = 'backend-server-refused'
+    BACKEND_LOST = 'backend-server-lost'
+    PEER_LOST = 'peer-lost'
+    KEY_TOO_OLD = 'key-too-old'
+    KEY_FROM_FUTURE = 'key-from-future'
+    KEY_IN_USE = 'key-running'
+    KEY_EXECUTED = 'key-already-executed'
+    KEY_REUSED = 'key-for-another-request'
+    LEDGER_UNAVAILABLE = 'ledger-unavailable'
+    LEDGER_MOVED = 'ledger-owner-moved'
+    TOO_DEEP = 'call-chain-too-deep'
+
+
+_STATUSES: Final = {
+    Reason.DEADLINE: 504,
+    Reason.DEADLINE_PASSED: 504,
+    Reason.UNKNOWN_SERVICE: 404,
+    Reason.UNKNOWN_CONTEXT: 400,
+    Reason.BAD_REQUEST: 400,
+    Reason.QUARANTINED: 422,
+    Reason.BACKEND_LOST: 502,
+    Reason.PEER_LOST: 504,
+    Reason.KEY_TOO_OLD: 422,
+    Reason.KEY_FROM_FUTURE: 422,
+    Reason.KEY_IN_USE: 409,
+    Reason.KEY_EXECUTED: 409,
+    Reason.KEY_REUSED: 422,
+    Reason.TOO_DEEP: 508,
+}
+_DEFAULT_STATUS: Final = 503
+_STATUSES_TO_RETRY: Final = frozenset((409, 502, 503, 504))
+
+
+class Refusal(NamedTuple):
+    """Sentinel in place of an answer, with outcome and reason."""
+
+    outcome: Outcome
+    reason: Reason
+    #: Further words for a person.
+    detail: str = ''
+    #: Seconds after which the caller should come back.
+    retry_after_s: float = 1.0
+
+    @property
+    def status(self) -> int:
+        """The HTTP status of the refusal."""
+        return _STATUSES.get(self.reason, _DEFAULT_STATUS)
+
+
+def build_refusal_response(refusal: Refusal, request_id: str) -> HttpResponse:
+    """Build the answer that tells a caller of a refusal."""
+    headers = [
+        ('content-type', 'application/json'),
+        (OUTCOME_HEADER, refusal.outcome.value),
+        (REASON_HEADER, refusal.reason.value),
+        (REQUEST_ID_HEADER, request_id),
+    ]
+    if refusal.status in _STATUSES_TO_RETRY:
+        seconds = max(1, math.ceil(refusal.retry_after_s))
+        headers.append(('retry-after', str(seconds)))
+    body = encode_json(
+        {
+            'outcome': refusal.outcome.value,
+            'reason': refusal.reason.value,
+            'detail': refusal.detail,
+            'request_id': request_id,
+        }
+    )
+    return HttpResponse(refusal.status, headers, body)
--- /dev/null
+++ b/merlintrail/state/__init__.py
@@ -0,0 +1,105 @@
+"""What a node knows, and the decisions that it takes on it."""
+
+from merlintrail.state._admission import Admission
+from merlintrail.state._call_table import CallRecord, CallTable
+from merlintrail.state._difference import Difference, find_differences
+from merlintrail.state._document import (
+    Configuration,
+    LedgerSettings,
+    PlannedStop,
+    RequestKind,
+    Service,
+    build_configuration,
+)
+from merlintrail.state._holder import ConfigurationHolder, Envelope
+from merlintrail.state._ledger_index import KeyRecord, KeyState, LedgerIndex
+from merlintrail.state._limits import (
+    AdaptiveLimit,
+    ConcurrencyLimit,
+    FixedLimit,
+    create_limit,
+)
+from merlintrail.state._links import LinkAllowance
+from merlintrail.state._members import (
+    Member,
+    MemberStatus,
+    MemberTable,
+    ServiceOffer,
+    read_member,
+)
+from merlintrail.state._quarantine import (
+    Quarantine,
+    Suspicion,
+    compute_digest,
+)
+from merlintrail.state._retry_account import RetryAccount, RetryBudget
+from merlintrail.state._routing import (
+    Choice,
+    NoTarget,
+    Place,
+    RoutingTable,
+    Tier,
+)
+from merlintrail.state._shedding import LevelTable, ShedController
+from merlintrail.state._stops import find_stop, outlasts_start
+from merlintrail.state._targets import Target
+from merlintrail.state._validation import (
+    Finding,
+    ParsedDocument,
+    find_schema_faults,
+    load_schema,
+    parse_document,
+    parse_json_object,
+    validate_document,
+)
+
+__all__ = (
+    'AdaptiveLimit',
+    'Admission',
+    'CallRecord',
+    'CallTable',
+    'Choice',
+    'ConcurrencyLimit',
+    'Configuration',
+    'ConfigurationHolder',
+    'Difference',
+    'Envelope',
+    'Finding',
+    'FixedLimit',
+    'KeyRecord',
+    'KeyState',
+    'LedgerIndex',
+    'LedgerSettings',
+    'LevelTable',
+    'LinkAllowance',
+    'Member',
+    'MemberStatus',
+    'MemberTable',
+    'NoTarget',
+    'ParsedDocument',
+    'Place',
+    'PlannedStop',
+    'Quarantine',
+    'RequestKind',
+    'RetryAccount',
+    'RetryBudget',
+    'RoutingTable',
+    'Service',
+    'ServiceOffer',
+    'ShedController',
+    'Suspicion',
+    'Target',
+    'Tier',
+    'build_configuration',
+    'compute_digest',
+    'create_limit',
+    'find_differences',
+    'find_schema_faults',
+    'find_stop',
+    'load_schema',
+    'outlasts_start',
+    'parse_document',
+    'parse_json_object',
+    'read_member',
+    'validate_document',
+)
--- /dev/null
+++ b/merlintrail/state/_admission.py
@@ -0,0 +1,204 @@
+"""Admission to a backend server: slots, a queue by importance, deadlines."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import Final
+
+from merlintrail.protocol import (
+    SUBLEVELS,
+    Importance,
+    Outcome,
+    Reason,
+    Refusal,
+)
+from merlintrail.state._limits import ConcurrencyLimit
+from merlintrail.state._shedding import ShedController
+
+#: Weight of a new sample in the mean service time. A rise is followed
+#: faster than a fall, so that the queue shortens as soon as calls slow down.
+RISE_WEIGHT: Final = 0.2
+FALL_WEIGHT: Final = 0.05
+#: Service time assumed before the first call, in seconds.
+INITIAL_SERVICE_S: Final = 0.005
+#: Share of the remaining time that may pass in the queue.
+MAX_WAIT_SHARE: Final = 0.5
+#: Longest pause that a refused caller is asked for, in seconds.
+MAX_RETRY_AFTER_S: Final = 5.0
+
+
+class QueuedCall:
+    """A call that waits for a slot."""
+
+    def __init__(self, priority: int, latest_start: float) -> None:
+        self.priority = priority
+        #: Clock time after which the call could not finish in time.
+        self.latest_start = latest_start
+        #: Resolves to ``None`` with a slot, or to a refusal.
+        self.decision: asyncio.Future[Refusal | None]
+        self.decision = asyncio.get_running_loop().create_future()
+
+
+class Admission:
+    """Admits calls to one backend server.
+
+    An arrival that finds the queue full pushes out the least important
+    call that waits. Within a class the newest call goes first while the
+    queue is overloaded, so that the queue does not serve calls whose
+    callers are about to give up.
+    """
+
+    def __init__(
+        self,
+        limit: ConcurrencyLimit,
+        shedder: ShedController,
+        clock: Callable[[], float],
+        queue_limit_s: float,
+    ) -> None:
+        self.limit = limit
+        self.shedder = shedder
+        self.queue_limit_s = queue_limit_s
+        #: Calls that hold a slot.
+        self.running = 0
+        #: Mean time in seconds for which a call holds its slot.
+        self.service_s = INITIAL_SERVICE_S
+        self._clock = clock
+        self._queues: list[deque[QueuedCall]] = [deque() for _ in Importance]
+
+    @property
+    def queued(self) -> int:
+        """Calls that wait."""
+        return sum(len(queue) for queue in self._queues)
+
+    async def admit(self, priority: int, deadline: float) -> Refusal | None:
+        """Wait for a slot.
+
+        :param deadline: clock time at which the answer is due.
+        :returns: ``None`` with a slot that must be released, or a refusal.
+        """
+        now = self._clock()
+        self.shedder.record_arrival(now, priority)
+        refusal = self._check_arrival(now, priority, deadline)
+        if refusal is not None:
+            return refusal
+        if self.running < self.limit.limit and not self.queued:
+            self.running += 1
+            return None
+        self.shedder.record_saturation()
+        return await self._wait(priority, deadline)
+
+    def release(self) -> None:
+        """Give a slot back and start what waits."""
+        self.running -= 1
+        self.start_waiting()
+
+    def start_waiting(self) -> None:
+        """Give free slots to waiting calls."""
+        while self.running < self.limit.limit:
+            call = self._take_next()
+            if call is None:
+                return
+            self.running += 1
+            call.decision.set_result(None)
+
+    def record_service(self, held_s: float) -> None:
+        """Take the time for which a completed call held its slot."""
+        self.shedder.record_completion()
+        difference = held_s - self.service_s
+        weight = RISE_WEIGHT if difference > 0 else FALL_WEIGHT
+        self.service_s += difference * weight
+
+    def estimate_wait(self, priority: int) -> float:
+        """Estimate the seconds until a call of that priority would start."""
+        ahead = sum(
+            len(queue) for queue in self._queues[priority // SUBLEVELS :]
+        )
+        if self.running < self.limit.limit and not ahead:
+            return 0.0
+        return (ahead + 1) * self.service_s / self.limit.limit
+
+    def _check_arrival(
+        self, now: float, priority: int, deadline: float
+    ) -> Refusal | None:
+        wait_s = self.estimate_wait(priority)
+        if now + wait_s + self.service_s > deadline:
+            if wait_s > 0:
+                self.shedder.record_overflow()
+            return self._refuse(Reason.DEADLINE)
+        level = self.shedder.read_level(now)
+        is_free = self.running < self.limit.limit and not self.queued
+        if priority < level and not is_free:
+            return self._refuse(Reason.OVERLOAD)
+        return None
+
+    async def _wait(self, priority: int, deadline: float) -> Refusal | None:
+        call = QueuedCall(priority, deadline - self.service_s)
+        if not self._make_room(call):
+            self.shedder.record_overflow()
+            return self._refuse(Reason.OVERLOAD)
+        self._queues[priority // SUBLEVELS].append(call)
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(
+            max(0.0, call.latest_start - self._clock()),
+            self._expire,
+            call,
+        )
+        try:
+            return await call.decision
+        except asyncio.CancelledError:
+            self._abandon(call)
+            raise
+        finally:
+            timer.cancel()
+
+    def _make_room(self, call: QueuedCall) -> bool:
+        if self._fits(call):
+            return True
+        for queue in self._queues[: call.priority // SUBLEVELS]:
+            if queue:
+                self.shedder.record_overflow()
+                pushed_out = queue.popleft()
+                pushed_out.decision.set_result(self._refuse(Reason.OVERLOAD))
+                return True
+        return False
+
+    def _fits(self, call: QueuedCall) -> bool:
+        remaining_s = call.latest_start - self._clock()
+        allowed_s = min(self.queue_limit_s, remaining_s * MAX_WAIT_SHARE)
+        room = max(1, int(allowed_s * self.limit.limit / self.service_s))
+        return self.queued < room
+
+    def _take_next(self) -> QueuedCall | None:
+        for queue in reversed(self._queues):
+            while queue:
+                is_overloaded = len(queue) > self.limit.limit
+                call = queue.pop() if is_overloaded else queue.popleft()
+                if not call.decision.done():
+                    return call
+        return None
+
+    def _expire(self, call: QueuedCall) -> None:
+        if not call.decision.done():
+            self._remove(call)
+            self.shedder.record_overflow()
+            call.decision.set_result(self._refuse(Reason.DEADLINE))
+
+    def _abandon(self, call: QueuedCall) -> None:
+        if call.decision.done() and not call.decision.cancelled():
+            if call.decision.result() is None:
+                self.release()
+        else:
+            self._remove(call)
+
+    def _remove(self, call: QueuedCall) -> None:
+        queue = self._queues[call.priority // SUBLEVELS]
+        if call in queue:
+            queue.remove(call)
+
+    def _refuse(self, reason: Reason) -> Refusal:
+        pause_s = self.service_s * (self.queued + 1) / self.limit.limit
+        return Refusal(
+            Outcome.NOT_RUN,
+            reason,
+            retry_after_s=min(MAX_RETRY_AFTER_S, 1.0 + pause_s),
+        )
--- /dev/null
+++ b/merlintrail/transport/__init__.py
@@ -0,0 +1,35 @@
+"""Listeners and pooled connections for HTTP/1.1 on asyncio."""
+
+from merlintrail.transport._client import ClientConnection
+from merlintrail.transport._failure import FailureStage, TransportFailure
+from merlintrail.transport._message import (
+    HeaderList,
+    HttpRequest,
+    HttpResponse,
+    encode_request,
+    encode_response,
+)
+from merlintrail.transport._pool import ConnectionPool, create_pool
+from merlintrail.transport._server import (
+    HttpServer,
+    RequestHandler,
+    ServerLimits,
+    start_server,
+)
+
+__all__ = (
+    'ClientConnection',
+    'ConnectionPool',
+    'FailureStage',
+    'HeaderList',
+    'HttpRequest',
+    'HttpResponse',
+    'HttpServer',
+    'RequestHandler',
+    'ServerLimits',
+    'TransportFailure',
+    'create_pool',
+    'encode_request',
+    'encode_response',
+    'start_server',
+)
--- /dev/null
+++ b/merlintrail/transport/_client.py
@@ -0,0 +1,152 @@
+"""One client connection: a single exchange at a time, never pipelined."""
+
+import asyncio
+from typing import Final, cast
+
+import httptools
+
+from merlintrail.transport._failure import FailureStage, TransportFailure
+from merlintrail.transport._message import HttpResponse
+from merlintrail.transport._socket_options import set_socket_options
+
+_BODILESS_STATUSES: Final = frozenset((204, 304))
+_FIRST_FINAL_STATUS: Final = 200
+
+
+class ClientConnection(asyncio.Protocol):
+    """A connection to one address.
+
+    An exchange that does not end cleanly closes the connection, so that a
+    late answer cannot reach the next request.
+    """
+
+    def __init__(self, max_body_bytes: int) -> None:
+        self._max_body_bytes = max_body_bytes
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._answer: asyncio.Future[HttpResponse | TransportFailure] | None
+        self._answer = None
+        self._method = 'GET'
+        #: Event loop time at which the connection went back to its pool.
+        self.idle_since = 0.0
+        #: Whether another exchange may use the connection.
+        self.is_reusable = True
+        self._reset_message()
+
+    async def exchange(
+        self, method: str, payload: bytes
+    ) -> HttpResponse | TransportFailure:
+        """Send an encoded request and await the whole answer.
+
+        Cancelling the exchange closes the connection.
+        """
+        if self._transport is None or self._transport.is_closing():
+            return TransportFailure(FailureStage.CONNECT, 'connection closed')
+        self._method = method
+        self._reset_message()
+        self._answer = asyncio.get_running_loop().create_future()
+        self._transport.write(payload)
+        try:
+            return await self._answer
+        except asyncio.CancelledError:
+            self.close()
+            raise
+        finally:
+            self._answer = None
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self.is_reusable = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Set the socket options."""
+        transport = cast(asyncio.Transport, transport)
+        self._transport = transport
+        set_socket_options(transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the exchange in progress."""
+        self.is_reusable = False
+        self._fail('connection lost before the whole answer')
+
+    def data_received(self, data: bytes) -> None:  # noqa: WPS110
+        """Feed the parser; bytes outside an exchange end the connection."""
+        if self._answer is None or self._answer.done():
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._fail('malformed answer')
+            self.close()
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        """Begin an answer."""
+        self._reset_message()
+
+    def on_header(self, name: bytes, value: bytes) -> None:  # noqa: WPS110
+        """Take one header."""
+        self._headers.append(
+            (
+                name.decode('latin-1').lower(),
+                value.decode('latin-1').strip(),
+            )
+        )
+
+    def on_headers_complete(self) -> None:
+        """Refuse an answer whose end could not be recognised."""
+        status = self._parser.get_status_code()
+        if self._method == 'HEAD' and status >= _FIRST_FINAL_STATUS:
+            self._finish(status)
+            self.close()
+        elif status not in _BODILESS_STATUSES and not self._has_framing():
+            if status >= _FIRST_FINAL_STATUS:
+                self._fail('answer without length')
+                self.close()
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self._body.append(body)
+        self._body_bytes += len(body)
+        if self._body_bytes > self._max_body_bytes:
+            self._fail('answer too large')
+            self.close()
+
+    def on_message_complete(self) -> None:
+        """Deliver the whole answer; an interim answer is passed over."""
+        status = self._parser.get_status_code()
+        if status < _FIRST_FINAL_STATUS:
+            return
+        if not self._parser.should_keep_alive():
+            self.is_reusable = False
+        self._finish(status)
+
+    def _has_framing(self) -> bool:
+        return any(
+            name in {'content-length', 'transfer-encoding'}
+            for name, _ in self._headers
+        )
+
+    def _finish(self, status: int) -> None:
+        if self._answer is not None and not self._answer.done():
+            self._answer.set_result(
+                HttpResponse(status, self._headers, b''.join(self._body))
+            )
+
+    def _fail(self, reason: str) -> None:
+        self.is_reusable = False
+        if self._answer is not None and not self._answer.done():
+            self._answer.set_result(
+                TransportFailure(FailureStage.ANSWER, reason)
+            )
+
+    def _reset_message(self) -> None:
+        self._headers: list[tuple[str, str]] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
--- /dev/null
+++ b/merlintrail/transport/_pool.py
@@ -0,0 +1,152 @@
+"""Pools of client connections, one list of idle ones for each address."""
+
+import asyncio
+from collections import defaultdict
+from typing import Final
+
+from merlintrail.transport._client import ClientConnection
+from merlintrail.transport._failure import FailureStage, TransportFailure
+from merlintrail.transport._message import (
+    HeaderList,
+    HttpResponse,
+    encode_request,
+)
+
+#: Seconds after which an idle connection is closed rather than reused.
+MAX_IDLE_S: Final = 30.0
+#: Idle connections kept for each address.
+MAX_IDLE_CONNECTIONS: Final = 512
+#: Seconds to wait for a new connection.
+CONNECT_TIMEOUT_S: Final = 1.0
+#: Bytes of the largest answer that is buffered.
+MAX_ANSWER_BYTES: Final = 4194304
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``host:port``.
+
+    :raises ValueError: when the port is not a number.
+    """
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+class ConnectionPool:
+    """Reuses connections whose last exchange ended cleanly."""
+
+    def __init__(self, max_answer_bytes: int) -> None:
+        self._max_answer_bytes = max_answer_bytes
+        self._idle: defaultdict[str, list[ClientConnection]]
+        self._idle = defaultdict(list)
+        #: Bytes sent and received, for the account of control traffic.
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    async def exchange(  # noqa: WPS211
+        self,
+        address: str,
+        method: str,
+        target: str,
+        headers: HeaderList,
+        body: bytes,
+        *,
+        is_fresh: bool = False,
+        timeout_s: float | None = None,
+    ) -> HttpResponse | TransportFailure:
+        """Send one request and return the whole answer or the failure.
+
+        :param address: ``host:port`` of the peer.
+        :param is_fresh: whether to open a new connection in any case.
+        :param timeout_s: seconds for the whole exchange.
+        """
+        if timeout_s is None:
+            return await self._exchange(
+                address, method, target, headers, body, is_fresh=is_fresh
+            )
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._exchange(
+                    address, method, target, headers, body, is_fresh=is_fresh
+                )
+        except TimeoutError:
+            return TransportFailure(FailureStage.ANSWER, 'timeout')
+
+    def drop_idle(self, address: str) -> int:
+        """Close the idle connections to an address; return how many."""
+        connections = self._idle.pop(address, [])
+        for connection in connections:
+            connection.close()
+        return len(connections)
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for address in tuple(self._idle):
+            self.drop_idle(address)
+
+    async def _exchange(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        headers: HeaderList,
+        body: bytes,
+        *,
+        is_fresh: bool,
+    ) -> HttpResponse | TransportFailure:
+        connection = None if is_fresh else self._take_idle(address)
+        if connection is None:
+            connected = await self._connect(address)
+            if isinstance(connected, TransportFailure):
+                return connected
+            connection = connected
+        payload = encode_request(method, target, headers, body)
+        self.bytes_sent += len(payload)
+        answer = await connection.exchange(method, payload)
+        if isinstance(answer, HttpResponse):
+            self.bytes_received += len(answer.body)
+        if connection.is_reusable:
+            self._put_idle(address, connection)
+        else:
+            connection.close()
+        return answer
+
+    async def _connect(
+        self, address: str
+    ) -> ClientConnection | TransportFailure:
+        host, port = split_address(address)
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    lambda: ClientConnection(self._max_answer_bytes),
+                    host,
+                    port,
+                )
+        except (OSError, TimeoutError) as error:
+            return TransportFailure(
+                FailureStage.CONNECT, f'cannot connect: {error}'
+            )
+        return connection
+
+    def _take_idle(self, address: str) -> ClientConnection | None:
+        idle = self._idle.get(address)
+        oldest_use = asyncio.get_running_loop().time() - MAX_IDLE_S
+        while idle:
+            connection = idle.pop()
+            if connection.is_reusable and connection.idle_since > oldest_use:
+                return connection
+            connection.close()
+        return None
+
+    def _put_idle(self, address: str, connection: ClientConnection) -> None:
+        idle = self._idle[address]
+        if len(idle) >= MAX_IDLE_CONNECTIONS:
+            connection.close()
+            return
+        connection.idle_since = asyncio.get_running_loop().time()
+        idle.append(connection)
+
+
+def create_pool(max_answer_bytes: int = MAX_ANSWER_BYTES) -> ConnectionPool:
+    """Create an empty pool."""
+    return ConnectionPool(max_answer_bytes)
