Add overload benches against plain forwarders

Cause: no figure told what the decisions under overload are worth.

Change: benches slow_deep_service, surge, crash and two_at_once drive twelve workers of four chained services, with nodes and with plain forwarders.

--- a/merlintrail/bench/__init__.py
+++ b/merlintrail/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches: each prints its figures as JSON lines."""
--- /dev/null
+++ b/merlintrail/bench/__main__.py
@@ -0,0 +1,31 @@
+"""Run benches: ``python -m merlintrail.bench --name=NAME``."""
+
+import sys
+from collections.abc import Callable, Sequence
+from typing import Final
+
+from absl import app, flags
+
+from merlintrail.bench import _overload
+
+_NAME: Final = flags.DEFINE_string('name', 'all', 'Bench to run.')
+_SEED: Final = flags.DEFINE_integer('seed', 1, 'Seed of the load.')
+
+_BENCHES: Final[dict[str, Callable[[int], None]]] = {
+    **_overload.list_benches(),
+}
+
+
+def _run(_: Sequence[str]) -> int:
+    names = list(_BENCHES) if _NAME.value == 'all' else [_NAME.value]
+    for name in names:
+        if name not in _BENCHES:
+            known = ', '.join(sorted(_BENCHES))
+            sys.stderr.write(f'no bench {name!r}; there are: {known}\n')
+            return 2
+        _BENCHES[name](_SEED.value)
+    return 0
+
+
+if __name__ == '__main__':
+    app.run(_run)
--- /dev/null
+++ b/merlintrail/bench/_forwarder.py
@@ -0,0 +1,124 @@
+"""Plain forwarder, the baseline of the overload benches.
+
+It stands where a node stands, with every policy off: calls go to servers of
+a service in turn, and a failed call is tried three more times at each hop.
+"""
+
+import asyncio
+import itertools
+from collections.abc import Mapping, Sequence
+from typing import Any, Final, NamedTuple
+
+import orjson
+import uvloop
+from absl import app, flags
+
+from merlintrail.node import split_host_port
+from merlintrail.protocol import (
+    DEADLINE_HEADER,
+    FORWARDED_DROP,
+    OUTCOME_HEADER,
+    encode_json,
+)
+from merlintrail.transport import (
+    HttpRequest,
+    HttpResponse,
+    create_pool,
+    start_server,
+)
+
+_PLAN: Final = flags.DEFINE_string('plan', '{}', 'Plan of the forwarder.')
+#: Tries beyond the first, at each hop.
+RETRIES: Final = 3
+#: Seconds for a call without a deadline.
+DEFAULT_TIMEOUT_S: Final = 2.0
+_FIRST_FAILURE: Final = 500
+_MS_PER_S: Final = 1000
+
+
+class ForwarderPlan(NamedTuple):
+    """Addresses that a forwarder is told."""
+
+    call_address: str
+    peer_address: str
+    backend_address: str
+    #: Peer addresses of each service.
+    table: Mapping[str, Sequence[str]]
+
+
+class Forwarder:
+    """Forwards calls without any policy."""
+
+    def __init__(self, plan: ForwarderPlan) -> None:
+        self._plan = plan
+        self._pool = create_pool()
+        self._turns = {
+            service: itertools.cycle(addresses)
+            for service, addresses in plan.table.items()
+        }
+        self._retries = 0
+
+    async def handle_call(self, request: HttpRequest) -> HttpResponse:
+        """Forward a call of a caller or of the backend server."""
+        if request.target == '/-/retries':
+            return HttpResponse(200, (), encode_json(self._retries))
+        if request.target.startswith('/-/'):
+            return HttpResponse(200, (), b'{}')
+        _, service, rest = request.target.split('/', 2)
+        answer = HttpResponse(503, (), b'')
+        for attempt in range(RETRIES + 1):
+            self._retries += 1 if attempt else 0
+            answer = await self._send(
+                next(self._turns[service]), f'/{rest}', request
+            )
+            if answer.status < _FIRST_FAILURE:
+                break
+        return answer
+
+    async def handle_peer(self, request: HttpRequest) -> HttpResponse:
+        """Forward a call to the backend server."""
+        return await self._send(
+            self._plan.backend_address, request.target, request
+        )
+
+    async def _send(
+        self, address: str, target: str, request: HttpRequest
+    ) -> HttpResponse:
+        headers = [
+            (name, text)
+            for name, text in request.headers.items()
+            if name not in FORWARDED_DROP
+        ]
+        deadline_ms = request.headers.get(DEADLINE_HEADER)
+        timeout_s = DEFAULT_TIMEOUT_S
+        if deadline_ms is not None:
+            timeout_s = float(deadline_ms) / _MS_PER_S
+        answer = await self._pool.exchange(
+            address,
+            request.method,
+            target,
+            headers,
+            request.body,
+            timeout_s=timeout_s,
+        )
+        if isinstance(answer, HttpResponse):
+            return HttpResponse(answer.status, (), answer.body)
+        return HttpResponse(504, ((OUTCOME_HEADER, 'may-have-run'),), b'')
+
+
+async def _serve_forever(plan: ForwarderPlan) -> None:
+    forwarder = Forwarder(plan)
+    host, port = split_host_port(plan.call_address)
+    await start_server(forwarder.handle_call, host, port)
+    host, port = split_host_port(plan.peer_address)
+    await start_server(forwarder.handle_peer, host, port)
+    await asyncio.Event().wait()
+
+
+def _run(_: Sequence[str]) -> None:
+    document: dict[str, Any] = orjson.loads(str(_PLAN.value))
+    uvloop.run(_serve_forever(ForwarderPlan(**document)))
+
+
+if __name__ == '__main__':
+    app.run(_run)
--- /dev/null
+++ b/merlintrail/bench/_worlds.py
@@ -0,0 +1,163 @@
+"""Deployments of the benches: both of the brief, on a smaller scale."""
+
+from collections.abc import Mapping, Sequence
+from typing import Any, Final, NamedTuple
+
+from merlintrail.lab.load import LoadKind
+from merlintrail.lab.processes import WorkerPlan
+
+#: Workers of each service.
+WORKERS: Final = 3
+_MS_PER_S: Final = 1000
+
+
+class BenchService(NamedTuple):
+    """A service of a bench deployment."""
+
+    name: str
+    slots: int
+    service_ms: float
+    children: tuple[str, ...] = ()
+
+
+class BenchKind(NamedTuple):
+    """A request kind of a bench deployment."""
+
+    service: str
+    name: str
+    importance: str
+    #: Share of the offered requests.
+    share: float
+    is_idempotent: bool = True
+
+
+class World(NamedTuple):
+    """A deployment and its request kinds."""
+
+    name: str
+    services: Sequence[BenchService]
+    kinds: Sequence[BenchKind]
+    #: The service at the end of every chain.
+    deepest: str
+    deadline_ms: float
+
+    def compute_capacity(self) -> float:
+        """Return the requests a second that the deepest service can do."""
+        deepest = next(
+            service for service in self.services if service.name == self.deepest
+        )
+        return WORKERS * deepest.slots * _MS_PER_S / deepest.service_ms
+
+    def build_document(self) -> Mapping[str, Any]:
+        """Build the configuration."""
+        return {
+            'format': 1,
+            'services': [
+                {
+                    'name': service.name,
+                    'warmup_s': 2,
+                    'kinds': self._build_kinds(service.name),
+                }
+                for service in self.services
+            ],
+            'regions': [
+                {
+                    'name': 'one',
+                    'data_centres': [f'one-{n}' for n in range(WORKERS)],
+                }
+            ],
+        }
+
+    def build_plans(self) -> list[WorkerPlan]:
+        """Build the workers."""
+        return [
+            WorkerPlan(
+                f'{service.name}-{number}',
+                f'one-{number}',
+                {
+                    'service': service.name,
+                    'slots': service.slots,
+                    'service_ms': service.service_ms,
+                    'children': service.children,
+                },
+            )
+            for service in self.services
+            for number in range(WORKERS)
+        ]
+
+    def build_load(
+        self, rate: float, client_retries: int = 0
+    ) -> list[LoadKind]:
+        """Build the load of all kinds at a total rate."""
+        return [
+            LoadKind(
+                kind.name,
+                f'/{kind.service}/{kind.name}',
+                rate * kind.share,
+                self.deadline_ms,
+                is_keyed=not kind.is_idempotent,
+                client_retries=client_retries,
+            )
+            for kind in self.kinds
+        ]
+
+    def _build_kinds(self, service: str) -> list[Mapping[str, Any]]:
+        kinds: list[Mapping[str, Any]] = [
+            {
+                'name': kind.name,
+                'path': f'/{kind.name}',
+                'importance': kind.importance,
+                'idempotent': kind.is_idempotent,
+                'deadline_ms': self.deadline_ms,
+                'retries': 2,
+            }
+            for kind in self.kinds
+            if kind.service == service
+        ]
+        kinds.append(
+            {
+                'name': 'below',
+                'path': '/below',
+                'importance': 'normal',
+                'idempotent': True,
+                'deadline_ms': self.deadline_ms,
+            }
+        )
+        return kinds
+
+
+BEDENREHBER: Final = World(
+    'bedenrehber',
+    (
+        BenchService('fitadvisor', 25, 20, ('/chartdesk/below',)),
+        BenchService('chartdesk', 28, 10, ('/partnerhub/below',)),
+        BenchService('returnsdesk', 28, 20, ('/partnerhub/below',)),
+        BenchService('partnerhub', 10, 50),
+    ),
+    (
+        BenchKind('fitadvisor', 'advice', 'critical', 0.1),
+        BenchKind('returnsdesk', 'returns', 'high', 0.2),
+        BenchKind('partnerhub', 'directory', 'normal', 0.2),
+        BenchKind('chartdesk', 'sync', 'low', 0.5),
+    ),
+    'partnerhub',
+    2000,
+)
+
+RETTELSE: Final = World(
+    'rettelse',
+    (
+        BenchService('tidslinje', 16, 20, ('/rettelser/below',)),
+        BenchService('rettelser', 20, 15, ('/noter/below',)),
+        BenchService('noter', 20, 15, ('/vault/below',)),
+        BenchService('vault', 10, 60),
+    ),
+    (
+        BenchKind('rettelser', 'corrections', 'critical', 0.1),
+        BenchKind('tidslinje', 'lookup', 'high', 0.25),
+        BenchKind('noter', 'clarifications', 'normal', 0.2),
+        BenchKind('vault', 'index', 'low', 0.45),
+    ),
+    'vault',
+    2000,
+)
--- a/merlintrail/lab/processes.py
+++ b/merlintrail/lab/processes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -63,14 +64,8 @@
 class Deployment:
     """Starts, controls and ends the processes."""
 
-    def __init__(
-        self,
-        *,
-        daemon_module: str = 'merlintrail.daemon',
-        log_level: str = 'info',
-    ) -> None:
+    def __init__(self, *, log_level: str = 'info') -> None:
         self._folder = Path(tempfile.mkdtemp(prefix='merlintrail-'))
-        self._daemon_module = daemon_module
         self._log_level = log_level
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._http = urllib3.PoolManager(retries=False, timeout=5.0)
@@ -87,18 +82,29 @@
     def start_store(self) -> None:
         """Start the store stand-in."""
         port = self.store_address.rpartition(':')[2]
-        self._start('store', '-m', 'merlintrail.lab.store', f'--port={port}')
+        self.start_process(
+            'store', '-m', 'merlintrail.lab.store', f'--port={port}'
+        )
         self._wait_for(f'http://{self.store_address}/v1/counts')
 
     def start_workers(self, plans: Sequence[WorkerPlan]) -> None:
         """Start nodes and their backend servers."""
+        self.place_workers(plans)
+        for plan in plans:
+            self.start_node(plan.instance)
+        self.start_backends(plans)
+
+    def place_workers(self, plans: Sequence[WorkerPlan]) -> None:
+        """Give workers their addresses without starting them."""
         ports = iter(find_free_ports(4 * len(plans)))
         for plan in plans:
             addresses = [f'{HOST}:{next(ports)}' for _ in range(4)]
             worker = Worker(plan.instance, plan.data_centre, *addresses)
             self.workers[plan.instance] = worker
             self._plans[plan.instance] = plan
-            self.start_node(plan.instance)
+
+    def start_backends(self, plans: Sequence[WorkerPlan]) -> None:
+        """Start the backend servers of workers that are placed."""
         for plan in plans:
             if plan.backend is not None:
                 self.start_backend(plan.instance)
@@ -108,10 +114,10 @@
         worker = self.workers[instance]
         path = self._folder / f'{instance}.json'
         path.write_bytes(orjson.dumps(self._build_settings(worker)))
-        self._start(
+        self.start_process(
             f'node {instance}',
             '-m',
-            self._daemon_module,
+            'merlintrail.daemon',
             f'--settings={path}',
         )
 
@@ -124,13 +130,24 @@
             'address': worker.backend_address,
             'node_address': worker.call_address,
         }
-        self._start(
+        self.start_process(
             f'backend {instance}',
             '-m',
             'merlintrail.lab.backend',
             f'--plan={orjson.dumps(document).decode()}',
         )
 
+    def start_process(self, name: str, *arguments: str) -> None:
+        """Start a Python process with its errors in a file."""
+        log_path = self._folder / f'{name.replace(" ", "-")}.err'
+        with log_path.open('ab') as log:
+            self._processes[name] = subprocess.Popen(
+                [sys.executable, *arguments],
+                stdout=log,
+                stderr=log,
+                env={**os.environ, 'PYTHONUNBUFFERED': '1'},
+            )
+
     def apply_configuration(self, document: Mapping[str, Any]) -> int:
         """Put a document in force over the administration API."""
         seen = self.ask_admin('GET', '/v1/configuration')['generation']
@@ -217,13 +234,14 @@
         return self._processes[name].pid
 
     def stop(self) -> None:
-        """End every process that was started here."""
+        """End every process that was started here, and remove its files."""
         for process in self._processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.send_signal(signal.SIGKILL)
         for process in self._processes.values():
             process.wait(END_TIMEOUT_S)
+        shutil.rmtree(self._folder, ignore_errors=True)
 
     def _is_ready(
         self, instance: str, generation: int, members: int, backends: int
@@ -245,16 +263,6 @@
             and ready >= backends
         )
 
-    def _start(self, name: str, *arguments: str) -> None:
-        log_path = self._folder / f'{name.replace(" ", "-")}.err'
-        with log_path.open('ab') as log:
-            self._processes[name] = subprocess.Popen(
-                [sys.executable, *arguments],
-                stdout=log,
-                stderr=log,
-                env={**os.environ, 'PYTHONUNBUFFERED': '1'},
-            )
-
     def _wait_for(self, url: str) -> None:
         deadline = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < deadline:
