Tell shedding levels by service along the call path

Cause: an ingress learnt a level only from answers of the same kind. A kind that was shed sent nothing, its level decayed within a second, and each of the twelve ingress nodes let one request a second through to be refused at depth (11 to 16 'sync' requests a second failed below).

Change: answers carry the levels of the services they met by name; an ingress keeps one level a service and learns which kinds reach it, so that the important traffic keeps the levels for lesser kinds current. The end of shedding is told for two seconds.

--- a/merlintrail/bench/__main__.py
+++ b/merlintrail/bench/__main__.py
@@ -1,17 +1,18 @@
 """Run benches: ``python -m merlintrail.bench --name=NAME``."""
 
 import sys
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import Final
 
 from absl import app, flags
 
 from merlintrail.bench import _overload
+from merlintrail.bench._figures import Benches
 
 _NAME: Final = flags.DEFINE_string('name', 'all', 'Bench to run.')
 _SEED: Final = flags.DEFINE_integer('seed', 1, 'Seed of the load.')
 
-_BENCHES: Final[dict[str, Callable[[int], None]]] = {
+_BENCHES: Final[Benches] = {
     **_overload.list_benches(),
 }
 
--- a/merlintrail/bench/_figures.py
+++ b/merlintrail/bench/_figures.py
@@ -2,7 +2,12 @@
 
 import json
 import sys
-from typing import NamedTuple
+from collections.abc import Callable
+from typing import NamedTuple, TypeAlias
+
+
+#: Benches by name; each takes a seed.
+Benches: TypeAlias = dict[str, Callable[[int], None]]
 
 
 class Figure(NamedTuple):
--- a/merlintrail/bench/_overload.py
+++ b/merlintrail/bench/_overload.py
@@ -189,10 +189,10 @@
         rate = world.compute_capacity() * SURGE_LOAD - calm_rate
         surge = world.build_load(rate, HARD_RETRIES)
     loads.append(_send_surge(entries, surge, seed))
-    results = await asyncio.gather(*loads)
+    finished = await asyncio.gather(*loads)
     samples = [
         sample
-        for result in results
+        for result in finished
         if isinstance(result, LoadResult)
         for sample in result.samples
     ]
@@ -271,27 +271,37 @@
     if _DETAILS.value:
         _print_details(world, result)
     capacity = world.compute_capacity() * trigger.capacity_share
-    during = result.between(CALM_S + 1.0, CALM_S + TRIGGER_S - 0.5)
-    elapsed_s = TRIGGER_S - 1.5
-    top = next(
-        kind.name for kind in world.kinds if kind.importance == 'critical'
-    )
-    top_during = result.between(CALM_S, CALM_S + TRIGGER_S).select(top)
-    offered_top = len(top_during.samples) / TRIGGER_S
-    possible_top = min(offered_top, capacity) * TRIGGER_S
-    offered = len(during.samples) / elapsed_s
     begun = rig.count_begun() - begun_before
-    useful = _count_useful(world, result)
     retries = rig.count_retries() - retries_before
     return Measures(
-        during.whole / elapsed_s / min(capacity, offered),
+        _compute_goodput_ratio(result, capacity),
         _find_recovery(result),
-        top_during.whole / possible_top,
-        max(0.0, 1 - useful / max(1, begun)),
+        _compute_top_ratio(world, result, capacity),
+        max(0.0, 1 - _count_useful(world, result) / max(1, begun)),
         retries / max(1, len(result.samples)),
     )
 
 
+def _compute_goodput_ratio(result: LoadResult, capacity: float) -> float:
+    """Compare whole answers during the trigger with what was possible."""
+    start_s = CALM_S + 1.0
+    end_s = CALM_S + TRIGGER_S - 0.5
+    during = result.between(start_s, end_s)
+    possible = min(capacity * (end_s - start_s), len(during.samples))
+    return during.whole / possible
+
+
+def _compute_top_ratio(
+    world: World, result: LoadResult, capacity: float
+) -> float:
+    """Compare whole answers of the most important kind with what it sent."""
+    top = next(
+        kind.name for kind in world.kinds if kind.importance == 'critical'
+    )
+    during = result.between(CALM_S, CALM_S + TRIGGER_S).select(top)
+    return during.whole / min(len(during.samples), capacity * TRIGGER_S)
+
+
 def _count_useful(world: World, result: LoadResult) -> int:
     """Count the calls that belong to whole answers."""
     children = {service.name: service.children for service in world.services}
--- a/merlintrail/bench/_worlds.py
+++ b/merlintrail/bench/_worlds.py
@@ -63,7 +63,9 @@
             'regions': [
                 {
                     'name': 'one',
-                    'data_centres': [f'one-{n}' for n in range(WORKERS)],
+                    'data_centres': [
+                        f'one-{number}' for number in range(WORKERS)
+                    ],
                 }
             ],
         }
--- a/merlintrail/node/_calls.py
+++ b/merlintrail/node/_calls.py
@@ -1,5 +1,6 @@
 """A call to be sent, and what came of it."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from merlintrail.protocol import (
@@ -43,8 +44,8 @@
     """What came of a call."""
 
     answer: HttpResponse | Refusal
-    #: Highest shedding level met by the call.
-    path_level: int
+    #: Shedding levels of the services that the call met, by name.
+    path_levels: Mapping[str, int]
 
 
 class GateResult(NamedTuple):
--- a/merlintrail/node/_contexts.py
+++ b/merlintrail/node/_contexts.py
@@ -22,8 +22,8 @@
         self.deadline = deadline
         #: Retries for the calls below.
         self.account = RetryAccount(header.retries)
-        #: Highest shedding level of a service below.
-        self.path_level = 0
+        #: Shedding levels of services below, by name.
+        self.path_levels: dict[str, int] = {}
         #: Whether a call below was refused or failed.
         self.has_failed_below = False
         #: Digests of the calls made so far.
--- a/merlintrail/node/_dispatch.py
+++ b/merlintrail/node/_dispatch.py
@@ -31,8 +31,10 @@
     NoTarget,
     RetryBudget,
     RoutingTable,
+    SheddingMemory,
     Target,
     Tier,
+    merge_levels,
 )
 from merlintrail.transport import HttpResponse
 
@@ -92,29 +94,41 @@
         self._clock = parts.clock
         #: Share of retries that this node may make.
         self.budget = RetryBudget(share=0.1)
+        self._shedding = SheddingMemory()
 
     async def dispatch(self, call: OutgoingCall) -> CallResult:
         """Send a call until it is answered or no try is left."""
         self.budget.record_attempt()
         tried: list[str] = []
-        path_level = 0
+        levels: dict[str, int] = {}
         refusal: Refusal | None = None
         while True:
             choice = self._choose(call, tried)
             if isinstance(choice, NoTarget):
                 refusal = refusal or self._refuse(call, choice)
-                return CallResult(refusal, max(path_level, choice.level))
+                break
             tried.append(choice.target.member.node_id)
             gate_result = await self._attempt(call, choice)
-            path_level = max(path_level, gate_result.report.path_level)
+            levels = merge_levels(levels, gate_result.report.path_levels)
             if isinstance(gate_result.answer, HttpResponse):
-                break
+                return self._build_result(call, gate_result.answer, levels)
             refusal = gate_result.answer
             if not self._may_retry(call, gate_result, refusal):
                 break
             self._parts.metrics.record_retry(call.service)
-        level = self._routing.read_service_level(call.service, self._clock())
-        return CallResult(gate_result.answer, max(path_level, level))
+        return self._build_result(call, refusal, levels)
+
+    def _build_result(
+        self,
+        call: OutgoingCall,
+        answer: HttpResponse | Refusal,
+        levels: dict[str, int],
+    ) -> CallResult:
+        now = self._clock()
+        level = self._routing.read_service_level(call.service, now)
+        if self._shedding.should_tell(call.service, level, now):
+            levels = merge_levels(levels, {call.service: level})
+        return CallResult(answer, levels)
 
     def _choose(
         self, call: OutgoingCall, tried: list[str]
@@ -298,7 +312,7 @@
         reason=refusal.reason.value,
         retries=returned,
         level=0,
-        path_level=0,
+        path_levels={},
         in_flight=0,
         service_ms=0.0,
         is_draining=False,
--- a/merlintrail/node/_gatekeeper.py
+++ b/merlintrail/node/_gatekeeper.py
@@ -397,7 +397,7 @@
             reason,
             parent.account.balance,
             0 if gate is None else gate.shedder.read_level(self._clock()),
-            parent.path_level,
+            parent.path_levels,
             0 if gate is None else self.running,
             0 if gate is None else gate.admission.service_s * _MS_PER_S,
             self.is_draining or (gate is not None and gate.backend.is_draining),
--- a/merlintrail/node/_ingress.py
+++ b/merlintrail/node/_ingress.py
@@ -30,12 +30,13 @@
 from merlintrail.state import (
     Configuration,
     ConfigurationHolder,
-    LevelTable,
+    PathLevels,
     Quarantine,
     RequestKind,
     RetryAccount,
     compute_digest,
     find_stop,
+    merge_levels,
     outlasts_start,
 )
 from merlintrail.transport import HttpRequest, HttpResponse
@@ -93,8 +94,8 @@
     def __init__(self, parts: IngressParts) -> None:
         self._parts = parts
         self._clock = parts.clock
-        #: Shedding levels met by each request kind.
-        self.kind_levels = LevelTable()
+        #: Shedding levels on the way of each request kind.
+        self.path_levels = PathLevels()
         #: Requests in progress.
         self.running = 0
 
@@ -151,7 +152,7 @@
         self, call: OutgoingCall, configuration: Configuration
     ) -> HttpResponse | Refusal:
         now = self._clock()
-        level = self.kind_levels.read(call.kind, now)
+        level = self.path_levels.read(call.kind, now)
         stop = find_stop(
             configuration,
             self._parts.instance,
@@ -171,8 +172,8 @@
             self._log_refusal(call.request_id, call.kind, refusal, level)
             return refusal
         call_result = await self._send(call)
-        self.kind_levels.record(
-            call.kind, call_result.path_level, self._clock()
+        self.path_levels.record(
+            call.kind, call_result.path_levels, self._clock()
         )
         return call_result.answer
 
@@ -192,7 +193,9 @@
         finally:
             parent.leave_child(self._clock())
         parent.account.restore(share, child.account.balance)
-        parent.path_level = max(parent.path_level, call_result.path_level)
+        parent.path_levels = merge_levels(
+            parent.path_levels, call_result.path_levels
+        )
         if isinstance(call_result.answer, Refusal):
             parent.has_failed_below = True
         return call_result.answer
--- a/merlintrail/node/_keyed.py
+++ b/merlintrail/node/_keyed.py
@@ -88,7 +88,7 @@
         assert configuration is not None
         refusal = self._check_key(call, configuration)
         if refusal is not None:
-            return CallResult(refusal, 0)
+            return CallResult(refusal, {})
         for attempt in range(MAX_OWNERS):
             call_result = await self._execute_once(call, configuration)
             if not self._may_try_next(call, call_result, attempt):
@@ -102,13 +102,13 @@
         The request goes on after its caller's deadline, until that of its
         kind, so that a resend gets the answer.
         """
-        met_levels = [0]
+        levels: dict[str, int] = {}
 
         async def run() -> HttpResponse | Refusal:
             call_result = await self._parts.dispatcher.dispatch(
                 self._extend_deadline(call)
             )
-            met_levels.append(call_result.path_level)
+            levels.update(call_result.path_levels)
             return call_result.answer
 
         request = KeyedRequest(
@@ -122,7 +122,7 @@
                 answer = await self.ledger.execute(request)
         except TimeoutError:
             answer = Refusal(Outcome.MAY_HAVE_RUN, Reason.DEADLINE_PASSED)
-        return CallResult(answer, max(met_levels))
+        return CallResult(answer, levels)
 
     async def handle_peer_call(
         self, header: CallHeader, call: OutgoingCall
@@ -137,7 +137,7 @@
             '' if refusal is None else refusal.reason.value,
             call.account.balance,
             level=0,
-            path_level=call_result.path_level,
+            path_levels=call_result.path_levels,
             in_flight=self.ledger.running,
             service_ms=0.0,
             is_draining=False,
@@ -181,7 +181,7 @@
             refusal = Refusal(
                 Outcome.NOT_RUN, Reason.LEDGER_UNAVAILABLE, 'no owner'
             )
-            return CallResult(refusal, 0)
+            return CallResult(refusal, {})
         log_decision(
             'place',
             request_id=call.request_id,
@@ -215,7 +215,7 @@
         answer = await self._parts.exchange.send(owner, header, call, USUAL_S)
         gate_result = read_peer_answer(header, answer)
         call.account.restore(share, gate_result.report.retries)
-        return CallResult(gate_result.answer, gate_result.report.path_level)
+        return CallResult(gate_result.answer, gate_result.report.path_levels)
 
     def _may_try_next(
         self, call: OutgoingCall, call_result: CallResult, attempt: int
--- a/merlintrail/protocol/_call.py
+++ b/merlintrail/protocol/_call.py
@@ -1,5 +1,6 @@
 """What nodes tell each other about a call, in one header each way."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from merlintrail.protocol._codec import (
@@ -46,8 +47,8 @@
     retries: int
     #: Shedding level of the backend server: lower priorities are refused.
     level: int
-    #: Shedding level of any service further down that the kind reaches.
-    path_level: int
+    #: Shedding levels of services further down, by name.
+    path_levels: Mapping[str, int]
     #: Calls in flight and queued at the backend server.
     in_flight: int
     #: Mean service time in milliseconds.
--- a/merlintrail/state/__init__.py
+++ b/merlintrail/state/__init__.py
@@ -27,6 +27,11 @@
     ServiceOffer,
     read_member,
 )
+from merlintrail.state._path_levels import (
+    PathLevels,
+    SheddingMemory,
+    merge_levels,
+)
 from merlintrail.state._quarantine import (
     Quarantine,
     Suspicion,
@@ -77,6 +82,7 @@
     'MemberTable',
     'NoTarget',
     'ParsedDocument',
+    'PathLevels',
     'Place',
     'PlannedStop',
     'Quarantine',
@@ -87,6 +93,7 @@
     'Service',
     'ServiceOffer',
     'ShedController',
+    'SheddingMemory',
     'Suspicion',
     'Target',
     'Tier',
@@ -97,6 +104,7 @@
     'find_schema_faults',
     'find_stop',
     'load_schema',
+    'merge_levels',
     'outlasts_start',
     'parse_document',
     'parse_json_object',
--- /dev/null
+++ b/merlintrail/state/_path_levels.py
@@ -0,0 +1,68 @@
+"""Shedding levels of services further down, as an ingress follows them."""
+
+from collections.abc import Mapping
+from typing import Final
+
+from merlintrail.state._shedding import LevelTable
+
+#: Seconds after which a kind that no longer reaches a service forgets it.
+REACH_MEMORY_S: Final = 60.0
+#: Seconds for which the end of shedding is told.
+TOLD_AFTER_S: Final = 2.0
+
+
+class PathLevels:
+    """Levels of services, and which request kinds reach them.
+
+    An answer of any kind tells the levels that it met. They hold for every
+    kind that reaches the same services, so that the traffic of important
+    kinds keeps the levels for lesser ones current.
+    """
+
+    def __init__(self) -> None:
+        self._levels = LevelTable()
+        self._reach: dict[str, dict[str, float]] = {}
+
+    def record(self, kind: str, levels: Mapping[str, int], now: float) -> None:
+        """Take the levels that an answer of a kind told."""
+        for service, level in levels.items():
+            self._reach.setdefault(kind, {})[service] = now
+            self._levels.record(service, level, now)
+
+    def read(self, kind: str, now: float) -> int:
+        """Return the highest level on the way of a kind."""
+        reached = self._reach.get(kind)
+        if not reached:
+            return 0
+        for name, told_at in tuple(reached.items()):
+            if now - told_at > REACH_MEMORY_S:
+                del reached[name]
+        return max(
+            (self._levels.read(service, now) for service in reached),
+            default=0,
+        )
+
+
+class SheddingMemory:
+    """Knows which services shed lately, so that the end is told too."""
+
+    def __init__(self) -> None:
+        self._shed_at: dict[str, float] = {}
+
+    def should_tell(self, service: str, level: int, now: float) -> bool:
+        """Tell whether a level is worth a place in an answer."""
+        if level > 0:
+            self._shed_at[service] = now
+            return True
+        shed_at = self._shed_at.get(service)
+        return shed_at is not None and now - shed_at < TOLD_AFTER_S
+
+
+def merge_levels(
+    levels: Mapping[str, int], others: Mapping[str, int]
+) -> dict[str, int]:
+    """Merge two sets of levels; the higher one of a service counts."""
+    merged = dict(levels)
+    for service, level in others.items():
+        merged[service] = max(level, merged.get(service, 0))
+    return merged
