Bound the queue by what stands ahead of a call

Cause: the queue was bounded as a whole by 100 ms of waiting. When calls took 500 ms two waiting calls filled it, and the most important kind was refused (status 502 above) although its own load was 0.7 of the capacity.

Change: a call counts only calls of its own class and above; the most important class may wait for half of its remaining time, others for the configured wait or half a service time. Lesser calls are pushed out.

--- a/merlintrail/state/_admission.py
+++ b/merlintrail/state/_admission.py
@@ -152,21 +152,32 @@
             timer.cancel()
 
     def _make_room(self, call: QueuedCall) -> bool:
-        if self._fits(call):
-            return True
-        for queue in self._queues[: call.priority // SUBLEVELS]:
-            if queue:
-                self.shedder.record_overflow()
-                pushed_out = queue.popleft()
-                pushed_out.decision.set_result(self._refuse(Reason.OVERLOAD))
-                return True
-        return False
+        """Push out lesser calls, or refuse when as important ones fill it."""
+        own_class = call.priority // SUBLEVELS
+        room = self._compute_room(call)
+        ahead = sum(len(queue) for queue in self._queues[own_class:])
+        if ahead >= room:
+            return False
+        lesser = [queue for queue in self._queues[:own_class] if queue]
+        if self.queued >= room and lesser:
+            self.shedder.record_overflow()
+            pushed_out = lesser[0].popleft()
+            pushed_out.decision.set_result(self._refuse(Reason.OVERLOAD))
+        return True
 
-    def _fits(self, call: QueuedCall) -> bool:
+    def _compute_room(self, call: QueuedCall) -> int:
+        """Return how many calls may wait before the call is refused.
+
+        The most important calls may spend a share of their remaining time
+        in the queue; others only the configured wait, or one service time
+        when calls take longer than that.
+        """
         remaining_s = call.latest_start - self._clock()
-        allowed_s = min(self.queue_limit_s, remaining_s * MAX_WAIT_SHARE)
-        room = max(1, int(allowed_s * self.limit.limit / self.service_s))
-        return self.queued < room
+        allowed_s = remaining_s * MAX_WAIT_SHARE
+        if call.priority < Importance.CRITICAL * SUBLEVELS:
+            limit_s = max(self.queue_limit_s, self.service_s / 2)
+            allowed_s = min(limit_s, allowed_s)
+        return max(1, int(allowed_s * self.limit.limit / self.service_s))
 
     def _take_next(self) -> QueuedCall | None:
         for queue in reversed(self._queues):
