Judge a slow backend server's load over several service times

Cause: the shedding level was set from counts that faded within 0.3 s, about six completions at a backend server ten times slower than usual.

Change: counts fade over three service times, 0.3 s at least.

--- a/merlintrail/state/_admission.py
+++ b/merlintrail/state/_admission.py
@@ -103,7 +103,7 @@
 
     def record_service(self, held_s: float) -> None:
         """Take the time for which a completed call held its slot."""
-        self.shedder.record_completion()
+        self.shedder.record_completion(self.service_s)
         difference = held_s - self.service_s
         weight = RISE_WEIGHT if difference > 0 else FALL_WEIGHT
         self.service_s += difference * weight
--- a/merlintrail/state/_shedding.py
+++ b/merlintrail/state/_shedding.py
@@ -1,5 +1,6 @@
 """Shedding levels: set at a backend server, followed by its callers."""
 
+import math
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
@@ -9,8 +10,11 @@
 WINDOW_S: Final = 0.1
 #: Offered load in relation to capacity at which the queue stays filled.
 FILL_RATIO: Final = 1.05
-#: Factor by which counts of earlier windows fade.
-DECAY: Final = 0.7
+#: Seconds over which counts of earlier windows fade, at least.
+MIN_MEMORY_S: Final = 0.3
+#: The same in service times, so that a slow backend server is judged by
+#: enough completions.
+MEMORY_SERVICE_TIMES: Final = 3.0
 #: Seconds that a reported level holds before it falls back.
 HOLD_S: Final = 0.3
 #: Priorities a second by which an old level falls back.
@@ -33,6 +37,7 @@
         #: Decayed counts of arrivals for each priority.
         self._arrivals = [0.0 for _ in range(MAX_PRIORITY + 1)]
         self._completions = 0.0
+        self._service_s = 0.0
         self._has_overflowed = False
         self._was_saturated = False
         self._started_at = now
@@ -48,9 +53,13 @@
         self.read_level(now)
         self._arrivals[priority] += 1
 
-    def record_completion(self) -> None:
-        """Count a call that the backend server finished."""
+    def record_completion(self, service_s: float) -> None:
+        """Count a call that the backend server finished.
+
+        :param service_s: mean time for which calls hold their slot.
+        """
         self._completions += 1
+        self._service_s = service_s
 
     def record_saturation(self) -> None:
         """Take note that every slot was in use."""
@@ -67,7 +76,8 @@
             self._level = max(self._level, self._find_fitting_level())
         else:
             self._fall(windows)
-        decay = DECAY**windows
+        memory_s = max(MIN_MEMORY_S, self._service_s * MEMORY_SERVICE_TIMES)
+        decay = math.exp(-windows * WINDOW_S / memory_s)
         self._arrivals = [count * decay for count in self._arrivals]
         self._completions *= decay
         self._has_overflowed = False
