Add the command line, example documents and tests of decisions

Cause: operators had only the administration API, and no test brought about the failures that the decisions are made for.

Change: merlintrail with config, settings, status, members, metrics, console and load; example documents of both deployments; property tests of the retry account, admission and a model check of the ledger with two owners, held, lost and late writes; tables for routing, limits, quarantine and validation.

Measured: the ledger model was run against four broken versions of the code (lost answer taken for success, foreign conflict taken for the own write, known keys ignored, run before the append). It failed on each of them and passes now. The third needed a rule for short waits, which is added.

--- a/merlintrail/bench/_overload.py
+++ b/merlintrail/bench/_overload.py
@@ -20,7 +20,7 @@
     RETTELSE,
     World,
 )
-from merlintrail.lab.load import LoadGenerator, LoadKind, LoadResult
+from merlintrail.load import LoadGenerator, LoadKind, LoadResult
 from merlintrail.lab.processes import Deployment
 
 _WITH_BASELINE: Final = flags.DEFINE_bool(
--- a/merlintrail/bench/_worlds.py
+++ b/merlintrail/bench/_worlds.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Any, Final, NamedTuple
 
-from merlintrail.lab.load import LoadKind
+from merlintrail.load import LoadKind
 from merlintrail.lab.processes import WorkerPlan
 
 #: Workers of each service.
--- a/merlintrail/cli/__init__.py
+++ b/merlintrail/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The program ``merlintrail``."""
+
+from merlintrail.cli._main import run_command
+
+__all__ = ('run_command',)
--- /dev/null
+++ b/merlintrail/cli/_config_commands.py
@@ -0,0 +1,228 @@
+"""Subcommands of ``merlintrail config``."""
+
+import sys
+import time
+import uuid
+from collections.abc import Iterable, Mapping, Sequence
+from pathlib import Path
+from typing import Any, Final
+
+from merlintrail.cli._admin_client import (
+    AdminClient,
+    AdminFailure,
+    AdminReply,
+)
+from merlintrail.cli._exit_codes import ExitCode
+from merlintrail.cli._output import print_json, print_lines, report_failure
+from merlintrail.state import (
+    Finding,
+    ParsedDocument,
+    find_differences,
+    parse_document,
+)
+
+#: Seconds between looks at the fleet while waiting.
+WAIT_INTERVAL_S: Final = 0.2
+_OK: Final = 200
+_CONFLICT: Final = 409
+_UNPROCESSABLE: Final = 422
+
+
+def read_document(path: str) -> ParsedDocument:
+    """Read a document from a file, or from standard input for ``-``."""
+    try:
+        text = (
+            sys.stdin.read()
+            if path == '-'
+            else Path(path).read_text(encoding='utf-8')
+        )
+    except (OSError, UnicodeDecodeError) as error:
+        return ParsedDocument({}, (Finding('', str(error)),))
+    return parse_document(text)
+
+
+def _print_findings(path: str, findings: Iterable[Finding]) -> None:
+    for finding in findings:
+        sys.stderr.write(f'{path}: {finding}\n')
+
+
+def check_document(path: str) -> ExitCode:
+    """Check a document without a node."""
+    parsed = read_document(path)
+    _print_findings(path, parsed.findings)
+    if parsed.findings:
+        return ExitCode.INVALID
+    print_lines([f'{path}: no findings'])
+    return ExitCode.OK
+
+
+def show_document(client: AdminClient, *, is_whole: bool) -> ExitCode:
+    """Print the document in force in the store.
+
+    :param is_whole: whether to print generation and operator with it.
+    """
+    reply = client.ask('GET', '/v1/configuration')
+    if isinstance(reply, AdminFailure) or reply.status != _OK:
+        return report_failure(reply)
+    envelope = reply.document
+    if not envelope['generation']:
+        sys.stderr.write('no document has been applied yet\n')
+    print_json(envelope if is_whole else envelope['document'])
+    return ExitCode.OK
+
+
+def show_difference(client: AdminClient, path: str) -> ExitCode:
+    """Print what a document would change."""
+    parsed = read_document(path)
+    if parsed.findings:
+        _print_findings(path, parsed.findings)
+        return ExitCode.INVALID
+    reply = client.ask('GET', '/v1/configuration')
+    if isinstance(reply, AdminFailure) or reply.status != _OK:
+        return report_failure(reply)
+    envelope = reply.document
+    differences = find_differences(envelope['document'], parsed.document)
+    print_lines(
+        [
+            f'against generation {envelope["generation"]}',
+            *(str(difference) for difference in differences),
+        ]
+    )
+    return ExitCode.OK
+
+
+def show_history(client: AdminClient) -> ExitCode:
+    """Print who applied which generation when."""
+    reply = client.ask('GET', '/v1/configuration/history')
+    if isinstance(reply, AdminFailure) or reply.status != _OK:
+        return report_failure(reply)
+    for envelope in reply.document:
+        moment = time.strftime(
+            '%Y-%m-%dT%H:%M:%SZ', time.gmtime(envelope['applied_at'])
+        )
+        print_lines(
+            [
+                f'{envelope["generation"]}\t{moment}\t'
+                f'{envelope["operator"]}\t{envelope["change_id"]}'
+            ]
+        )
+    return ExitCode.OK
+
+
+def apply_document(
+    client: AdminClient, path: str, seen: int | None, wait_s: float
+) -> ExitCode:
+    """Apply a document by compare-and-swap.
+
+    :param seen: generation that the operator started from, the one in force
+        when not given.
+    :param wait_s: seconds to wait until it is in force on every node.
+    """
+    parsed = read_document(path)
+    if parsed.findings:
+        _print_findings(path, parsed.findings)
+        return ExitCode.INVALID
+    if seen is None:
+        current = client.ask('GET', '/v1/configuration')
+        if isinstance(current, AdminFailure) or current.status != _OK:
+            return report_failure(current)
+        seen = int(current.document['generation'])
+    reply = _send_document(client, parsed.document, seen)
+    if isinstance(reply, AdminFailure):
+        return report_failure(reply)
+    if reply.status == _CONFLICT:
+        return _report_conflict(parsed.document, reply.document['current'])
+    if reply.status == _UNPROCESSABLE:
+        findings = [Finding(**entry) for entry in reply.document['findings']]
+        _print_findings(path, findings)
+        return ExitCode.INVALID
+    if reply.status != _OK:
+        return report_failure(reply)
+    generation = int(reply.document['generation'])
+    print_lines([f'generation {generation} is accepted'])
+    return _wait_for_fleet(client, generation, wait_s)
+
+
+def _send_document(
+    client: AdminClient, document: Mapping[str, Any], seen: int
+) -> AdminReply | AdminFailure:
+    """Send a change; a lost answer is settled by sending the same again."""
+    change = {
+        'document': document,
+        'seen_generation': seen,
+        'change_id': str(uuid.uuid4()),
+    }
+    reply = client.ask('POST', '/v1/configuration', change)
+    if isinstance(reply, AdminFailure) and not reply.status:
+        reply = client.ask('POST', '/v1/configuration', change)
+    return reply
+
+
+def _report_conflict(
+    document: Mapping[str, Any], current: Mapping[str, Any]
+) -> ExitCode:
+    sys.stderr.write(
+        f'{current["operator"]} applied generation {current["generation"]} '
+        'meanwhile; nothing was applied. Your document against it:\n'
+    )
+    for difference in find_differences(current['document'], document):
+        sys.stderr.write(f'  {difference}\n')
+    return ExitCode.CONFLICT
+
+
+def _wait_for_fleet(
+    client: AdminClient, generation: int, wait_s: float
+) -> ExitCode:
+    if wait_s <= 0:
+        return ExitCode.OK
+    started_at = time.monotonic()
+    lagging: Sequence[str] = ()
+    while time.monotonic() - started_at < wait_s:
+        reply = client.ask('GET', '/v1/fleet')
+        if isinstance(reply, AdminFailure):
+            return report_failure(reply)
+        lagging = [
+            status['instance']
+            for status in reply.document
+            if status.get('generation', 0) < generation
+        ]
+        if not lagging:
+            elapsed_s = time.monotonic() - started_at
+            print_lines(
+                [
+                    f'in force on {len(reply.document)} nodes '
+                    f'after {elapsed_s:.2f} s'
+                ]
+            )
+            return ExitCode.OK
+        time.sleep(WAIT_INTERVAL_S)
+    sys.stderr.write(f'not in force yet on: {", ".join(lagging)}\n')
+    return ExitCode.NOT_EVERYWHERE
+
+
+def write_example() -> ExitCode:
+    """Print a small valid document to start from."""
+    print_json(
+        {
+            'format': 1,
+            'services': [
+                {
+                    'name': 'my-service',
+                    'kinds': [
+                        {
+                            'name': 'lookup',
+                            'path': '/',
+                            'importance': 'normal',
+                            'idempotent': True,
+                            'deadline_ms': 1000,
+                            'retries': 2,
+                        }
+                    ],
+                }
+            ],
+            'regions': [
+                {'name': 'my-region', 'data_centres': ['my-data-centre']}
+            ],
+        }
+    )
+    return ExitCode.OK
--- /dev/null
+++ b/merlintrail/cli/_main.py
@@ -0,0 +1,178 @@
+"""The command line: ``merlintrail COMMAND [ARGUMENT ...]``."""
+
+import os
+import sys
+from collections.abc import Callable, Mapping, Sequence
+from pathlib import Path
+from typing import Final, NamedTuple
+
+from absl import app, flags
+
+from merlintrail.cli import _config_commands, _fleet_commands
+from merlintrail.cli._admin_client import AdminClient
+from merlintrail.cli._exit_codes import ExitCode
+from merlintrail.cli._load_command import send_load
+from merlintrail.cli._output import print_lines
+from merlintrail.node import InvalidSettings, parse_settings
+
+#: Environment variable that holds the operator key.
+KEY_VARIABLE: Final = 'MERLINTRAIL_KEY'
+
+_NODE: Final = flags.DEFINE_string(
+    'node', '127.0.0.1:7302', 'Administration address of a node, host:port.'
+)
+_KEY_FILE: Final = flags.DEFINE_string(
+    'key_file', None, f'File with the operator key; else ${KEY_VARIABLE}.'
+)
+_SEEN: Final = flags.DEFINE_integer(
+    'seen', None, 'config apply: generation that you started from.'
+)
+_WAIT: Final = flags.DEFINE_bool(
+    'wait', False, 'config apply: wait until in force on every node.'
+)
+_WAIT_S: Final = flags.DEFINE_float(
+    'wait_s', 10.0, 'config apply: longest wait in seconds.'
+)
+_WHOLE: Final = flags.DEFINE_bool(
+    'whole', False, 'config show: with generation, operator and time.'
+)
+_JSON: Final = flags.DEFINE_bool('json', False, 'status: print JSON.')
+
+USAGE: Final = """usage: merlintrail [FLAGS] COMMAND
+
+  config check FILE       check a document; all findings at once
+  config show             print the document in force (--whole)
+  config diff FILE        what FILE would change
+  config apply FILE       put FILE in force (--seen, --wait, --wait_s)
+  config history          who applied what, newest first
+  config example          a small document to start from
+  settings check FILE     check the settings of a node
+  status                  every node, a line each (--json)
+  members                 the members that the node knows
+  metrics                 the metrics of the node
+  console                 the address of the console
+  load TARGET             send requests to --node's call address (--rate,
+                          --duration, --deadline_ms, --keyed)
+  help                    this text
+
+FILE may be - for standard input. Flags: --node, --key_file; --helpfull
+lists all. The operator key may stand in $MERLINTRAIL_KEY.
+
+exit status: 0 done, 1 failed, 2 usage, 3 findings, 4 another operator was
+first, 5 node or store not reached, 6 key missing or wrong, 7 applied but
+not in force everywhere in time
+"""
+
+
+class Command(NamedTuple):
+    """A subcommand."""
+
+    run: Callable[[Sequence[str]], ExitCode]
+    #: Number of arguments that it takes.
+    arguments: int = 0
+
+
+def _create_client() -> AdminClient:
+    key = os.environ.get(KEY_VARIABLE, '')
+    if _KEY_FILE.value is not None:
+        key = Path(_KEY_FILE.value).read_text(encoding='utf-8').strip()
+    return AdminClient(str(_NODE.value), key)
+
+
+def _check_settings(path: str) -> ExitCode:
+    settings = parse_settings(Path(path).read_text(encoding='utf-8'))
+    if isinstance(settings, InvalidSettings):
+        for finding in settings.findings:
+            sys.stderr.write(f'{path}: {finding}\n')
+        return ExitCode.INVALID
+    print_lines([f'{path}: no findings'])
+    return ExitCode.OK
+
+
+def _apply(arguments: Sequence[str]) -> ExitCode:
+    return _config_commands.apply_document(
+        _create_client(),
+        arguments[0],
+        _SEEN.value,
+        _WAIT_S.value if _WAIT.value else 0,
+    )
+
+
+def _show_console(_: Sequence[str]) -> ExitCode:
+    print_lines([f'http://{_NODE.value}/'])
+    return ExitCode.OK
+
+
+def _show_help(_: Sequence[str]) -> ExitCode:
+    sys.stdout.write(USAGE)
+    return ExitCode.OK
+
+
+_COMMANDS: Final[Mapping[str, Command]] = {
+    'config check': Command(
+        lambda words: _config_commands.check_document(words[0]), 1
+    ),
+    'config show': Command(
+        lambda _: _config_commands.show_document(
+            _create_client(), is_whole=_WHOLE.value
+        )
+    ),
+    'config diff': Command(
+        lambda words: _config_commands.show_difference(
+            _create_client(), words[0]
+        ),
+        1,
+    ),
+    'config apply': Command(_apply, 1),
+    'config history': Command(
+        lambda _: _config_commands.show_history(_create_client())
+    ),
+    'config example': Command(lambda _: _config_commands.write_example()),
+    'settings check': Command(lambda words: _check_settings(words[0]), 1),
+    'status': Command(
+        lambda _: _fleet_commands.show_status(
+            _create_client(), as_json=_JSON.value
+        )
+    ),
+    'members': Command(
+        lambda _: _fleet_commands.show_resource(_create_client(), '/v1/members')
+    ),
+    'metrics': Command(
+        lambda _: _fleet_commands.show_resource(_create_client(), '/v1/metrics')
+    ),
+    'console': Command(_show_console),
+    'load': Command(lambda words: send_load(str(_NODE.value), words[0]), 1),
+    'help': Command(_show_help),
+}
+
+
+def find_command(words: Sequence[str]) -> tuple[Command, Sequence[str]] | None:
+    """Find the subcommand that the words name, and its arguments."""
+    for count in (2, 1):
+        command = _COMMANDS.get(' '.join(words[:count]))
+        if command is not None and len(words) >= count:
+            arguments = words[count:]
+            if len(arguments) == command.arguments:
+                return command, arguments
+    return None
+
+
+def run_command() -> None:
+    """Run the program; the entry point ``merlintrail``."""
+    if '--help' in sys.argv[1:] or '-h' in sys.argv[1:]:
+        sys.stdout.write(USAGE)
+        sys.exit(ExitCode.OK)
+    app.run(_run)
+
+
+def _run(words: Sequence[str]) -> int:
+    found = find_command(words[1:])
+    if found is None:
+        sys.stderr.write(USAGE)
+        return ExitCode.USAGE
+    command, arguments = found
+    try:
+        return command.run(arguments)
+    except OSError as error:
+        sys.stderr.write(f'{error}\n')
+        return ExitCode.FAILED
--- /dev/null
+++ b/merlintrail/coordination/tests/fake_store.py
@@ -0,0 +1,121 @@
+"""A store in memory whose calls can be held and made to fail."""
+
+import asyncio
+import enum
+from collections import Counter
+
+from merlintrail.coordination import (
+    Store,
+    StoreFailure,
+    StoreFault,
+    StoreValue,
+)
+
+
+class WriteFault(enum.Enum):
+    """What happens to a write."""
+
+    NONE = 'none'
+    #: Nothing is done.
+    REFUSED = 'refused'
+    #: Nothing is done and the writer cannot tell.
+    LOST = 'lost'
+    #: It takes effect and the answer is lost.
+    ANSWER_LOST = 'answer lost'
+    #: The answer is lost first, and it takes effect later.
+    LATE = 'late'
+
+
+class FakeStore(Store):
+    """Compare-and-swap in memory; writes can wait for a script."""
+
+    def __init__(self) -> None:
+        self.documents: dict[str, StoreValue] = {}
+        self.counts: Counter[str] = Counter()
+        #: Fault of the writes to come, unless they are held.
+        self.fault = WriteFault.NONE
+        self.is_held = False
+        #: Writes that wait for a decision.
+        self.held: list[asyncio.Future[WriteFault]] = []
+        #: Writes that will take effect later.
+        self.late: list[tuple[str, object, int]] = []
+        self.is_down = False
+        self._version = 0
+        self._leases = 0
+
+    async def read(self, key: str) -> StoreValue | StoreFailure:
+        """Read a key."""
+        self.counts['read'] += 1
+        if self.is_down:
+            return StoreFailure(StoreFault.UNAVAILABLE, 'down')
+        found = self.documents.get(key)
+        return found or StoreFailure(StoreFault.NOT_FOUND, key)
+
+    async def write(
+        self,
+        key: str,
+        document: object,
+        expected_version: int,
+        lease: str | None = None,
+    ) -> int | StoreFailure:
+        """Write a key, with the fault that the script asks for."""
+        self.counts['write'] += 1
+        fault = self.fault
+        if self.is_held:
+            decision = asyncio.get_running_loop().create_future()
+            self.held.append(decision)
+            fault = await decision
+        if self.is_down or fault == WriteFault.REFUSED:
+            return StoreFailure(StoreFault.UNAVAILABLE, 'down')
+        if fault == WriteFault.LATE:
+            self.late.append((key, document, expected_version))
+        elif fault != WriteFault.LOST:
+            written = self.swap(key, document, expected_version)
+            if fault == WriteFault.NONE:
+                return written
+        return StoreFailure(StoreFault.UNKNOWN, 'answer lost')
+
+    def swap(
+        self, key: str, document: object, expected_version: int
+    ) -> int | StoreFailure:
+        """Write at once if the version is the expected one."""
+        known = self.documents.get(key)
+        known_version = 0 if known is None else known.version
+        if known_version != expected_version:
+            return StoreFailure(StoreFault.CONFLICT, key)
+        self._version += 1
+        self.documents[key] = StoreValue(document, self._version)
+        return self._version
+
+    async def remove(
+        self, key: str, expected_version: int
+    ) -> None | StoreFailure:
+        """Remove a key."""
+        self.documents.pop(key, None)
+        return None
+
+    async def watch(
+        self, key: str, known_version: int, timeout_s: float
+    ) -> StoreValue | StoreFailure:
+        """Wait a while, then tell whether the key changed."""
+        self.counts['watch'] += 1
+        await asyncio.sleep(timeout_s / 20)
+        found = await self.read(key)
+        if isinstance(found, StoreValue) and found.version == known_version:
+            return StoreFailure(StoreFault.UNCHANGED, key)
+        return found
+
+    async def grant_lease(self, duration_s: float) -> str | StoreFailure:
+        """Grant a lease that never expires."""
+        if self.is_down:
+            return StoreFailure(StoreFault.UNAVAILABLE, 'down')
+        self._leases += 1
+        return f'lease-{self._leases}'
+
+    async def renew_lease(self, lease: str) -> None | StoreFailure:
+        """Renew a lease."""
+        return None
+
+    async def revoke_lease(self, lease: str) -> None | StoreFailure:
+        """End a lease."""
+        return None
--- /dev/null
+++ b/merlintrail/coordination/tests/test_ledger_machine.py
@@ -0,0 +1,152 @@
+"""Model check of the ledger: interleavings of owners and a faulty store."""
+
+import asyncio
+import unittest
+from collections import Counter
+from typing import Any
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from merlintrail.coordination import (
+    KeyedRequest,
+    Ledger,
+    SlotParts,
+    create_ledger,
+)
+from merlintrail.coordination.tests.fake_store import FakeStore, WriteFault
+from merlintrail.protocol import Outcome, Refusal
+from merlintrail.state import KeyRecord, LedgerSettings
+from merlintrail.testing import VirtualLoop
+from merlintrail.transport import HttpResponse
+
+_KEYS = ('first', 'second', 'third')
+_OWNERS = ('node-a', 'node-b')
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Two nodes that both believe to own the only slot.
+
+    Each rule lets one thing happen: a request arrives, a held write is
+    decided, a late write takes effect, a node dies and starts anew, time
+    passes. No key may ever run twice, and a key whose caller was told
+    ``not-run`` while nobody else was told otherwise did not run.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._loop = VirtualLoop()
+        self._store = FakeStore()
+        self._store.is_held = True
+        self._executions: Counter[str] = Counter()
+        self._tasks: list[tuple[str, asyncio.Task[Any]]] = []
+        self._nonces = 0
+        self._ledgers = {owner: self._create_ledger(owner) for owner in _OWNERS}
+
+    def teardown(self) -> None:
+        """End what still runs."""
+        for task in asyncio.all_tasks(self._loop):
+            task.cancel()
+        self._turn(0.01)
+        self._loop.close()
+
+    @rule(key=st.sampled_from(_KEYS), owner=st.sampled_from(_OWNERS))
+    def send(self, key: str, owner: str) -> None:
+        """A request arrives at a node."""
+        ledger = self._ledgers[owner]
+
+        async def run() -> HttpResponse:
+            self._executions[key] += 1
+            await asyncio.sleep(0.01)
+            return HttpResponse(200, (), key.encode())
+
+        async def execute() -> HttpResponse | Refusal:
+            return await ledger.execute(KeyedRequest(key, 'digest', run))
+
+        self._tasks.append((key, self._loop.create_task(execute())))
+        self._turn(0.001)
+
+    @precondition(lambda machine: machine._store.held)
+    @rule(
+        fault=st.sampled_from([WriteFault.NONE, WriteFault.NONE, *WriteFault]),
+        place=st.integers(0, 3),
+    )
+    def decide(self, fault: WriteFault, place: int) -> None:
+        """A held write is decided."""
+        held = self._store.held.pop(place % len(self._store.held))
+        if not held.done():
+            held.set_result(fault)
+        self._turn(0.001)
+
+    @precondition(lambda machine: machine._store.late)
+    @rule()
+    def arrive_late(self) -> None:
+        """A write whose answer was lost takes effect."""
+        self._store.swap(*self._store.late.pop(0))
+
+    @rule(owner=st.sampled_from(_OWNERS))
+    def restart(self, owner: str) -> None:
+        """A node dies and a new one takes its place, knowing nothing."""
+        self._ledgers[owner] = self._create_ledger(f'{owner}{self._nonces}')
+
+    @rule(seconds=st.sampled_from([0.06, 0.06, 2.0]))
+    def wait(self, seconds: float) -> None:
+        """Time passes; lost answers are settled or given up."""
+        self._turn(seconds)
+
+    @invariant()
+    def runs_at_most_once(self) -> None:
+        """No key runs twice."""
+        assert all(count <= 1 for count in self._executions.values())
+
+    @invariant()
+    def tells_the_truth(self) -> None:
+        """A key whose every answer is ``not-run`` did not run."""
+        for key in _KEYS:
+            tasks = [task for name, task in self._tasks if name == key]
+            if not all(task.done() for task in tasks):
+                continue
+            answers = [task.result() for task in tasks]
+            is_refused = all(
+                isinstance(answer, Refusal)
+                and answer.outcome == Outcome.NOT_RUN
+                for answer in answers
+            )
+            if is_refused:
+                assert not self._executions[key]
+
+    def _create_ledger(self, owner: str) -> Ledger:
+        parts = SlotParts(self._store, owner, lambda: 1.0e9, self._create_nonce)
+        ledger = create_ledger(parts, self._recall)
+        ledger.update_settings(LedgerSettings(slots=1, writes_per_s=1000))
+        return ledger
+
+    def _create_nonce(self) -> str:
+        self._nonces += 1
+        return str(self._nonces)
+
+    async def _recall(self, _: KeyRecord) -> None:
+        return None
+
+    def _turn(self, seconds: float) -> None:
+        self._loop.run_until_complete(asyncio.sleep(seconds))
+
+
+LedgerMachineTest = LedgerMachine.TestCase
+LedgerMachineTest.settings = settings(
+    max_examples=300,
+    stateful_step_count=40,
+    derandomize=True,
+    deadline=None,
+    database=None,
+)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/merlintrail/lab/load.py
+++ b/merlintrail/load/_generator.py
@@ -41,6 +41,8 @@
     is_keyed: bool = False
     #: Times that a client sends a failed request again at once.
     client_retries: int = 0
+    #: Whether a whole answer holds the request's body.
+    is_echoed: bool = True
 
 
 class Sample(NamedTuple):
@@ -92,6 +94,16 @@
             if not sample.is_whole
         )
 
+    def summarise(self) -> dict[str, object]:
+        """Build a summary that can be printed as JSON."""
+        return {
+            'requests': len(self.samples),
+            'whole_answers': self.whole,
+            'refusals': dict(self.count_reasons()),
+            'p50_ms': round(self.compute_quantile_ms(0.5), 2),
+            'p99_ms': round(self.compute_quantile_ms(0.99), 2),
+        }
+
     def compute_quantile_ms(self, quantile: float) -> float:
         """Return a quantile of the latency of whole answers."""
         latencies = sorted(
@@ -168,7 +180,7 @@
                 body,
                 timeout_s=kind.deadline_ms / _MS_PER_S + CLIENT_PATIENCE_S,
             )
-            is_whole = _is_whole(answer, body)
+            is_whole = _is_whole(answer, body, is_echoed=kind.is_echoed)
             if is_whole or sends > kind.client_retries:
                 break
         outcome, reason = _describe(answer)
@@ -188,11 +200,13 @@
         return str(uuid.UUID(int=self._source.getrandbits(128), version=4))
 
 
-def _is_whole(answer: HttpResponse | TransportFailure, body: bytes) -> bool:
+def _is_whole(
+    answer: HttpResponse | TransportFailure, body: bytes, *, is_echoed: bool
+) -> bool:
     """Tell whether an answer is whole and belongs to the request."""
     if isinstance(answer, TransportFailure) or answer.status != _OK:
         return False
-    return body in answer.body
+    return not is_echoed or body in answer.body
 
 
 def _describe(answer: HttpResponse | TransportFailure) -> tuple[str, str]:
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -50,6 +50,7 @@
     ServiceOffer,
 )
 from merlintrail.transport import (
+    ConnectionPool,
     HttpServer,
     create_pool,
     start_server,
@@ -77,6 +78,8 @@
     clock: Callable[[], float]
     wall_clock: Callable[[], float]
     source: random.Random
+    #: Creates pools of connections to nodes and backend servers.
+    create_pool: Callable[[], ConnectionPool] = create_pool
 
 
 def split_host_port(address: str) -> tuple[str, int]:
@@ -203,8 +206,8 @@
 
     def _create_coordination(self) -> None:
         settings = self.settings
-        self._pool = create_pool()
-        self._peer_pool = create_pool()
+        self._pool = self._environment.create_pool()
+        self._peer_pool = self._environment.create_pool()
         self.peers = HttpPeerClient(self._peer_pool, settings.fleet_key)
         own = Member(
             settings.instance,
