Test what callers are told when connections, nodes and servers fail

Cause: inquiries, deadlines, quarantine and the parsers had no test that brings about their failures.

Change: a network in memory and scripted sessions in virtual time. Faults that the tests showed, each mended here: - an upgrade request was run and then answered 400 not-run; - header bytes of the first request were not counted; - an answer that nobody asked for left its connection in the pool; - a slow call was given up at half of its deadline once it had been asked for; - a crashing request was retried at once and took four servers, since the suspicion travelled slower than the retry. It now travels with the call and its report; - a server that takes nothing was tried again until gossip told of it.

--- a/merlintrail/coordination/_messages.py
+++ b/merlintrail/coordination/_messages.py
@@ -8,6 +8,7 @@
     MemberStatus,
     Suspicion,
     read_member,
+    read_suspicion,
 )
 
 
@@ -61,8 +62,5 @@
 
 def read_suspicions(records: Sequence[Any]) -> list[Suspicion]:
     """Read suspicions; a malformed one is passed over."""
-    return [
-        Suspicion(record[0], tuple(record[1]), bool(record[2]), record[3])
-        for record in records
-        if len(record) == len(Suspicion._fields)
-    ]
+    suspicions = [read_suspicion(record) for record in records]
+    return [suspicion for suspicion in suspicions if suspicion is not None]
--- a/merlintrail/node/_backend.py
+++ b/merlintrail/node/_backend.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Final, NamedTuple
 
-from merlintrail.state import compute_digest
+from merlintrail.node._calls import OutgoingCall, compute_call_digest
 from merlintrail.transport import ConnectionPool, HttpRequest, TransportFailure
 
 #: Seconds between tries to reach a backend server that is down.
@@ -71,19 +71,6 @@
     return Announcement(**document)
 
 
-class RunningCall(NamedTuple):
-    """A call in the backend server, for the case that it dies."""
-
-    service: str
-    method: str
-    target: str
-    body: bytes
-
-    def compute_digest(self) -> str:
-        """Compute the digest of the request."""
-        return compute_digest(self.service, self.method, self.target, self.body)
-
-
 class BackendServer:
     """State of one backend server.
 
@@ -103,7 +90,7 @@
         #: What the load endpoint said last.
         self.load_hint: object = None
         #: Calls running in it, by call identifier.
-        self.running: dict[str, RunningCall] = {}
+        self.running: dict[str, OutgoingCall] = {}
         #: Calls lost together, within a short time.
         self._lost: Counter[str] = Counter()
         self._lost_since = 0.0
@@ -129,7 +116,7 @@
             self._lost_since = now
         lost = self.running.pop(call_id, None)
         if lost is not None:
-            self._lost[lost.compute_digest()] += 1
+            self._lost[compute_call_digest(lost)] += 1
         if self.running:
             return []
         digests = list(self._lost)
@@ -138,7 +125,7 @@
 
     def list_running(self) -> list[str]:
         """Return the digests of the calls running or just lost."""
-        running = [call.compute_digest() for call in self.running.values()]
+        running = [compute_call_digest(call) for call in self.running.values()]
         return [*self._lost, *running]
 
 
@@ -153,14 +140,7 @@
 
     async def is_listening(self, backend: BackendServer) -> bool:
         """Tell whether a new connection succeeds."""
-        host, _, port = backend.announcement.address.rpartition(':')
-        try:
-            async with asyncio.timeout(HINT_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, TimeoutError):
-            return False
-        writer.close()
-        return True
+        return await self._pool.can_connect(backend.announcement.address)
 
     async def wait_until_back(self, backend: BackendServer) -> None:
         """Return once connections succeed again."""
--- a/merlintrail/node/_calls.py
+++ b/merlintrail/node/_calls.py
@@ -14,7 +14,7 @@
     build_refusal_response,
     encode_fields,
 )
-from merlintrail.state import RetryAccount
+from merlintrail.state import RetryAccount, compute_digest
 from merlintrail.transport import HeaderList, HttpRequest, HttpResponse
 
 
@@ -40,6 +40,11 @@
     key: str | None
 
 
+def compute_call_digest(call: OutgoingCall) -> str:
+    """Compute the digest of the request that a call carries."""
+    return compute_digest(call.service, call.method, call.target, call.body)
+
+
 class CallResult(NamedTuple):
     """What came of a call."""
 
--- a/merlintrail/node/_dispatch.py
+++ b/merlintrail/node/_dispatch.py
@@ -8,6 +8,7 @@
     CallResult,
     GateResult,
     OutgoingCall,
+    compute_call_digest,
     list_returned,
 )
 from merlintrail.node._exchange import PeerExchange
@@ -29,12 +30,15 @@
     Choice,
     ConfigurationHolder,
     NoTarget,
+    Quarantine,
     RetryBudget,
     RoutingTable,
     SheddingMemory,
+    Suspicion,
     Target,
     Tier,
     merge_levels,
+    read_suspicion,
 )
 from merlintrail.transport import HttpResponse
 
@@ -59,6 +63,16 @@
 _SHEDDING: Final = frozenset(
     (Reason.OVERLOAD, Reason.DEADLINE, Reason.BACKEND_REFUSED)
 )
+#: Reasons that say that a backend server takes nothing at present.
+_CLOSED: Final = frozenset(
+    (
+        Reason.DRAINING,
+        Reason.PLANNED_STOP,
+        Reason.NO_BACKEND_SERVER,
+        Reason.BACKEND_LOST,
+        Reason.STALE_INCARNATION,
+    )
+)
 _FAILURES: Final = frozenset((Reason.PEER_LOST, Reason.BACKEND_LOST))
 
 
@@ -81,7 +95,9 @@
     exchange: PeerExchange
     gate: LocalGate
     metrics: NodeMetrics
+    quarantine: Quarantine
     clock: Callable[[], float]
+    wall_clock: Callable[[], float]
     source: random.Random
 
 
@@ -182,6 +198,7 @@
         call.account.restore(share, report.retries)
         if report.call_id:
             target.record_report(report, now - started_at, now)
+        self._take_suspicion(report)
         self._count_failure(target, gate_result.answer)
         return gate_result
 
@@ -213,7 +230,11 @@
     def _count_failure(
         self, target: Target, answer: HttpResponse | Refusal
     ) -> None:
-        if isinstance(answer, HttpResponse) or answer.reason not in _FAILURES:
+        if isinstance(answer, HttpResponse):
+            return
+        if answer.reason in _CLOSED:
+            target.pass_over(self._clock())
+        if answer.reason not in _FAILURES:
             return
         pause_s = self._routing.record_failure(target)
         if pause_s:
@@ -235,10 +256,29 @@
         is_unproved = refusal.outcome != Outcome.NOT_RUN
         if is_unproved and not call.is_idempotent:
             return False
-        if call.deadline <= self._clock():
+        if call.deadline <= self._clock() or self._is_convicted(call):
             return False
         return self._has_allowance(call, refusal)
 
+    def _take_suspicion(self, report: CallReport) -> None:
+        """Take the suspicion that came along with an answer."""
+        if report.suspicion is None:
+            return
+        told = read_suspicion(report.suspicion)
+        if told is not None:
+            self._parts.quarantine.merge(told, self._parts.wall_clock())
+
+    def _find_suspicion(self, call: OutgoingCall) -> Suspicion | None:
+        if self._parts.quarantine.is_empty:
+            return None
+        return self._parts.quarantine.find(
+            compute_call_digest(call), self._parts.wall_clock()
+        )
+
+    def _is_convicted(self, call: OutgoingCall) -> bool:
+        suspicion = self._find_suspicion(call)
+        return suspicion is not None and suspicion.is_convicted
+
     def _has_allowance(self, call: OutgoingCall, refusal: Refusal) -> bool:
         """Take one retry from the request's account and the node's budget.
 
@@ -272,6 +312,7 @@
             target.member.incarnation,
             self._parts.node_id,
             call.service,
+            suspicion=self._find_suspicion(call),
         )
 
 
--- a/merlintrail/node/_exchange.py
+++ b/merlintrail/node/_exchange.py
@@ -88,7 +88,7 @@
         def start_watch() -> None:
             nonlocal watch  # noqa: WPS420
             watch = loop.create_task(
-                self._watch(member, header, scope, verdict)
+                self._watch(member, header, scope, verdict, call.deadline)
             )
 
         patience_s = max(MIN_PATIENCE_S, usual_s * PATIENCE_FACTOR)
@@ -129,15 +129,17 @@
         header: CallHeader,
         scope: asyncio.Timeout,
         verdict: _Verdict,
+        deadline: float,
     ) -> None:
         """Ask for a slow call until there is a verdict; then end the wait."""
-        answer = await self._resolve(member, header, scope.when())
+        answer = await self._resolve(member, header, deadline)
         verdict.answer = answer
         scope.reschedule(asyncio.get_running_loop().time())
 
     async def _resolve(
-        self, member: Member, header: CallHeader, deadline: float | None
+        self, member: Member, header: CallHeader, deadline: float
     ) -> HttpResponse | Refusal:
+        """Ask until the fate of the call is known or its deadline passes."""
         pause_s = MIN_PATIENCE_S
         silent = 0
         while silent < MAX_SILENT_INQUIRIES:
@@ -149,9 +151,10 @@
             verdict = self._judge(member, header, known)
             if verdict is not None:
                 return verdict
-            if deadline is not None and self._clock() + pause_s > deadline:
-                break
-            await asyncio.sleep(pause_s)
+            remaining_s = deadline - self._clock()
+            await asyncio.sleep(max(0.0, min(pause_s, remaining_s)))
+            if remaining_s <= pause_s:
+                return Refusal(Outcome.MAY_HAVE_RUN, Reason.DEADLINE_PASSED)
             pause_s = min(MAX_PAUSE_S, pause_s * PAUSE_GROWTH)
         return Refusal(
             Outcome.MAY_HAVE_RUN, Reason.PEER_LOST, 'no word of the call'
--- a/merlintrail/node/_gatekeeper.py
+++ b/merlintrail/node/_gatekeeper.py
@@ -8,12 +8,12 @@
     Announcement,
     BackendProber,
     BackendServer,
-    RunningCall,
 )
 from merlintrail.node._calls import (
     GateResult,
     OutgoingCall,
     build_peer_answer,
+    compute_call_digest,
 )
 from merlintrail.node._contexts import ContextTable, ParentCall
 from merlintrail.observability import NodeMetrics, log_decision
@@ -39,6 +39,7 @@
     Suspicion,
     create_limit,
     outlasts_start,
+    read_suspicion,
 )
 from merlintrail.transport import (
     ConnectionPool,
@@ -158,9 +159,10 @@
             raise
         finally:
             self._parts.contexts.close(parent)
-        gate_result = GateResult(
-            answer, self._build_report(header, parent, answer)
-        )
+        report = self._build_report(header, parent, answer)
+        if report.reason == Reason.BACKEND_LOST:
+            report = report._replace(suspicion=self._find_suspicion(call))
+        gate_result = GateResult(answer, report)
         self._parts.calls.finish(
             header.call_id, build_peer_answer(gate_result, header.request_id)
         )
@@ -174,6 +176,7 @@
         refusal = self._check(header, gate)
         if refusal is not None or gate is None:
             return refusal or Refusal(Outcome.NOT_RUN, Reason.NO_BACKEND_SERVER)
+        self._take_suspicion(header)
         suspicion = self._find_suspicion(call)
         if suspicion is None:
             return await self._admit(gate, call, parent)
@@ -228,9 +231,7 @@
         backend = gate.backend
         header = parent.header
         remaining_s = parent.deadline - started_at
-        backend.running[header.call_id] = RunningCall(
-            call.service, call.method, call.target, call.body
-        )
+        backend.running[header.call_id] = call
         try:
             answer = await self._parts.pool.exchange(
                 backend.announcement.address,
@@ -349,13 +350,20 @@
             return Refusal(Outcome.NOT_RUN, Reason.PLANNED_STOP)
         return None
 
+    def _take_suspicion(self, header: CallHeader) -> None:
+        """Take the suspicion that came along with a call."""
+        if header.suspicion is None:
+            return
+        told = read_suspicion(header.suspicion)
+        if told is not None:
+            self._parts.quarantine.merge(told, self._parts.wall_clock())
+
     def _find_suspicion(self, call: OutgoingCall) -> Suspicion | None:
         if self._parts.quarantine.is_empty:
             return None
-        digest = RunningCall(
-            call.service, call.method, call.target, call.body
-        ).compute_digest()
-        return self._parts.quarantine.find(digest, self._parts.wall_clock())
+        return self._parts.quarantine.find(
+            compute_call_digest(call), self._parts.wall_clock()
+        )
 
     def _acquit(self, suspicion: Suspicion) -> None:
         cleared = self._parts.quarantine.acquit(
--- a/merlintrail/node/_ingress.py
+++ b/merlintrail/node/_ingress.py
@@ -8,6 +8,7 @@
 from merlintrail.node._calls import (
     CallResult,
     OutgoingCall,
+    compute_call_digest,
     list_forwarded,
     list_returned,
 )
@@ -34,7 +35,6 @@
     Quarantine,
     RequestKind,
     RetryAccount,
-    compute_digest,
     find_stop,
     merge_levels,
     outlasts_start,
@@ -236,9 +236,7 @@
     ) -> Refusal | None:
         if call.depth > MAX_DEPTH:
             return Refusal(Outcome.NOT_RUN, Reason.TOO_DEEP)
-        digest = compute_digest(
-            call.service, call.method, call.target, call.body
-        )
+        digest = compute_call_digest(call)
         if digest in parent.digests and not parent.account.spend():
             return Refusal(
                 Outcome.NOT_RUN,
@@ -305,11 +303,9 @@
         quarantine = self._parts.quarantine
         if quarantine.is_empty:
             return False
-        digest = compute_digest(
-            call.service, call.method, call.target, call.body
+        return quarantine.is_convicted(
+            compute_call_digest(call), self._parts.wall_clock()
         )
-        known = quarantine.find(digest, self._parts.wall_clock())
-        return known is not None and known.is_convicted
 
     def _build_response(
         self, answer: HttpResponse | Refusal, request_id: str
--- a/merlintrail/node/_keyed.py
+++ b/merlintrail/node/_keyed.py
@@ -16,7 +16,12 @@
     find_slot,
     find_slot_owner,
 )
-from merlintrail.node._calls import CallResult, GateResult, OutgoingCall
+from merlintrail.node._calls import (
+    CallResult,
+    GateResult,
+    OutgoingCall,
+    compute_call_digest,
+)
 from merlintrail.node._dispatch import Dispatcher, read_peer_answer
 from merlintrail.node._exchange import PeerExchange
 from merlintrail.observability import log_decision
@@ -35,7 +40,6 @@
     Member,
     MemberTable,
     RetryAccount,
-    compute_digest,
 )
 from merlintrail.transport import HttpResponse, TransportFailure
 
@@ -113,7 +117,7 @@
 
         request = KeyedRequest(
             _scope_key(call),
-            compute_digest(call.service, call.method, call.target, call.body),
+            compute_call_digest(call),
             run,
         )
         remaining_s = call.deadline - self._parts.clock()
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -266,7 +266,9 @@
                 exchange,
                 self.gatekeeper,
                 self.metrics,
+                self.quarantine,
                 self._clock,
+                self._wall_clock,
                 self._source,
             )
         )
--- /dev/null
+++ b/merlintrail/node/tests/session.py
@@ -0,0 +1,199 @@
+"""Scripted sessions of callers, nodes and backend servers in virtual time."""
+
+import asyncio
+import io
+import json
+import random
+from collections import Counter
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from typing import Any, Final
+
+from merlintrail.coordination.tests.fake_store import FakeStore
+from merlintrail.node import Environment, Node, Settings, create_node
+from merlintrail.node._backend import Announcement
+from merlintrail.node.tests.fake_network import FakeNetwork, FakePool
+from merlintrail.observability import JsonLinesHandler
+from merlintrail.protocol import CONTEXT_HEADER
+from merlintrail.state import Envelope
+from merlintrail.transport import HttpRequest, HttpResponse
+
+#: Seconds since the epoch at which sessions begin.
+EPOCH_S: Final = 1.8e9
+FLEET_KEY: Final = 'fleet-key'
+
+BackendHandler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+
+def build_kind(name: str, **changes: object) -> Mapping[str, Any]:
+    """Build a request kind of a document."""
+    kind = {
+        'name': name,
+        'path': f'/{name}',
+        'importance': 'normal',
+        'idempotent': True,
+        'deadline_ms': 1000,
+        'retries': 2,
+    }
+    return {**kind, **changes}
+
+
+def build_document(
+    services: Mapping[str, Sequence[Mapping[str, Any]]],
+) -> dict[str, Any]:
+    """Build a document from kinds by service."""
+    return {
+        'format': 1,
+        'services': [
+            {'name': name, 'warmup_s': 0, 'kinds': list(kinds)}
+            for name, kinds in services.items()
+        ],
+        'regions': [{'name': 'one', 'data_centres': ['dc']}],
+        'ledger': {'slots': 1, 'writes_per_s': 1000},
+    }
+
+
+class Session:
+    """Nodes that know each other, with backend servers beside them."""
+
+    def __init__(self, document: dict[str, Any], names: Sequence[str]) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._started_at = self._loop.time()
+        self._log = io.StringIO()
+        self._lines: list[str] = []
+        self.network = FakeNetwork()
+        self.store = FakeStore()
+        #: Times that each backend server ran a request, by its body.
+        self.executions: Counter[str] = Counter()
+        self.nodes = {name: self._create_node(name) for name in names}
+        self._introduce()
+        self.apply(document, 1)
+
+    def apply(self, document: dict[str, Any], generation: int) -> None:
+        """Put a document in force at every node."""
+        envelope = Envelope(
+            generation, f'change-{generation}', 'op', 0.0, document
+        )
+        for node in self.nodes.values():
+            node.holder.offer(envelope)
+
+    def add_backend(
+        self, name: str, service: str, handler: BackendHandler, slots: int = 4
+    ) -> None:
+        """Put a backend server beside a node."""
+        address = f'{name}:{service}'
+
+        async def run(request: HttpRequest) -> HttpResponse:
+            self.executions[f'{service} {request.body.decode()}'] += 1
+            return await handler(request)
+
+        self.network.handlers[address] = run
+        self.nodes[name].gatekeeper.announce(
+            Announcement(service, address, slots, ttl_s=1.0e6)
+        )
+        self._introduce()
+
+    async def call(
+        self,
+        name: str,
+        target: str,
+        body: str = '',
+        headers: Mapping[str, str] | None = None,
+        method: str = 'POST',
+    ) -> HttpResponse:
+        """Send a caller's request to a node and record the answer."""
+        node = self.nodes[name]
+        request = HttpRequest(
+            method, target, dict(headers or {}), body.encode(), '127.0.0.1'
+        )
+        answer = await node.local_service.handle(request)
+        self._record_log()
+        self._lines.append(
+            f'{self._read_clock()} {method} {target} at {name}: '
+            f'{answer.status} {_describe_headers(answer)} '
+            f'{answer.body.decode()}'
+        )
+        return answer
+
+    def build_transcript(self) -> str:
+        """Return everything that was recorded."""
+        self._record_log()
+        counts = json.dumps(dict(sorted(self.store.counts.items())))
+        return '\n'.join((*self._lines, f'store calls: {counts}', ''))
+
+    def bind_log(self) -> Any:
+        """Return the log handler's context."""
+        return JsonLinesHandler(self._log).applicationbound()
+
+    async def call_below(
+        self, name: str, request: HttpRequest, target: str
+    ) -> HttpResponse:
+        """Make a call below another, as a backend server does."""
+        headers = {CONTEXT_HEADER: request.headers[CONTEXT_HEADER]}
+        below = HttpRequest('POST', target, headers, request.body, '127.0.0.1')
+        return await self.nodes[name].local_service.handle(below)
+
+    def _create_node(self, name: str) -> Node:
+        settings = Settings(
+            name,
+            'dc',
+            f'{name}:1',
+            f'{name}:2',
+            f'{name}:3',
+            (),
+            (),
+            FLEET_KEY,
+            {},
+            None,
+            'INFO',
+            None,
+        )
+        environment = Environment(
+            self.store,
+            self._loop.time,
+            self._read_wall_clock,
+            random.Random(name),
+            lambda: FakePool(self.network),
+        )
+        node = create_node(settings, environment)
+        self.network.handlers[f'{name}:2'] = node.peer_service.handle
+        return node
+
+    def _introduce(self) -> None:
+        """Let every node know the others as they are now."""
+        members = [node.membership.own for node in self.nodes.values()]
+        for node in self.nodes.values():
+            node.table.merge(members)
+
+    def _read_wall_clock(self) -> float:
+        return EPOCH_S + self._loop.time() - self._started_at
+
+    def _read_clock(self) -> str:
+        return f'{self._loop.time() - self._started_at:.3f}'
+
+    def _record_log(self) -> None:
+        for line in self._log.getvalue().splitlines():
+            document = json.loads(line)
+            del document['time']
+            text = json.dumps(document, sort_keys=True)
+            self._lines.append(f'{self._read_clock()} log {text}')
+        self._log.seek(0)
+        self._log.truncate()
+
+
+def _describe_headers(answer: HttpResponse) -> str:
+    shown = {
+        name: text
+        for name, text in answer.headers
+        if name.startswith('merlintrail-') or name == 'retry-after'
+    }
+    return json.dumps(shown, sort_keys=True)
+
+
+def answer_after(seconds: float) -> BackendHandler:
+    """Create a backend server that echoes after a time."""
+
+    async def handle(request: HttpRequest) -> HttpResponse:
+        await asyncio.sleep(seconds)
+        return HttpResponse(200, (), request.body)
+
+    return handle
--- a/merlintrail/protocol/_call.py
+++ b/merlintrail/protocol/_call.py
@@ -1,7 +1,7 @@
 """What nodes tell each other about a call, in one header each way."""
 
-from collections.abc import Mapping
-from typing import NamedTuple
+from collections.abc import Mapping, Sequence
+from typing import Any, NamedTuple
 
 from merlintrail.protocol._codec import (
     DecodeFailure,
@@ -33,6 +33,8 @@
     service: str
     #: Idempotency key, for a call to the owner of its ledger slot.
     key: str | None = None
+    #: Suspicion against the request, as the fields of ``Suspicion``.
+    suspicion: Sequence[Any] | None = None
 
 
 class CallReport(NamedTuple):
@@ -56,6 +58,8 @@
     is_draining: bool
     #: Whether another try elsewhere can help.
     may_retry: bool = True
+    #: Suspicion against the request, as the fields of ``Suspicion``.
+    suspicion: Sequence[Any] | None = None
 
 
 def encode_fields(record: CallHeader | CallReport) -> str:
--- a/merlintrail/state/__init__.py
+++ b/merlintrail/state/__init__.py
@@ -36,6 +36,7 @@
     Quarantine,
     Suspicion,
     compute_digest,
+    read_suspicion,
 )
 from merlintrail.state._retry_account import RetryAccount, RetryBudget
 from merlintrail.state._routing import (
@@ -109,5 +110,6 @@
     'parse_document',
     'parse_json_object',
     'read_member',
+    'read_suspicion',
     'validate_document',
 )
--- a/merlintrail/state/_quarantine.py
+++ b/merlintrail/state/_quarantine.py
@@ -1,7 +1,7 @@
 """Requests that crash backend servers."""
 
-from collections.abc import Collection
-from typing import Final, NamedTuple
+from collections.abc import Collection, Sequence
+from typing import Any, Final, NamedTuple
 
 import xxhash
 
@@ -28,6 +28,17 @@
     expires_at: float
 
 
+def read_suspicion(record: Sequence[Any]) -> Suspicion | None:
+    """Read a suspicion from a JSON array in the order of the fields.
+
+    :returns: ``None`` when the array does not have that shape.
+    """
+    if len(record) != len(Suspicion._fields):
+        return None
+    digest, deaths, is_convicted, expires_at = record
+    return Suspicion(digest, tuple(deaths), bool(is_convicted), expires_at)
+
+
 class Quarantine:
     """Suspects and convicted requests, merged from every node.
 
@@ -81,6 +92,11 @@
             return None
         return known
 
+    def is_convicted(self, digest: str, now: float) -> bool:
+        """Tell whether a request is refused everywhere."""
+        known = self.find(digest, now)
+        return known is not None and known.is_convicted
+
     def merge(self, told: Suspicion, now: float) -> bool:
         """Take what another node found; return whether it was news."""
         known = self.find(told.digest, now)
--- a/merlintrail/state/_targets.py
+++ b/merlintrail/state/_targets.py
@@ -13,6 +13,8 @@
 #: Seconds of the first ejection, doubled each time.
 EJECTION_S: Final = 1.0
 MAX_EJECTION_S: Final = 30.0
+#: Seconds for which a server that takes nothing is passed over.
+PASS_OVER_S: Final = 0.5
 #: Share of its slots that a cold backend server gets at first.
 COLD_SHARE: Final = 0.1
 #: Seconds after which a reported load no longer counts.
@@ -83,6 +85,10 @@
         self._failures += 1
         return self._failures >= FAILURES_TO_EJECT
 
+    def pass_over(self, now: float) -> None:
+        """Send nothing there until news of the member had time to come."""
+        self.ejected_until = max(self.ejected_until, now + PASS_OVER_S)
+
     def eject(self, now: float) -> float:
         """Take the backend server out for a while; return the seconds."""
         pause_s = min(MAX_EJECTION_S, EJECTION_S * (1 << self._ejections))
--- a/merlintrail/transport/_client.py
+++ b/merlintrail/transport/_client.py
@@ -87,7 +87,9 @@
     # httptools callbacks
 
     def on_message_begin(self) -> None:
-        """Begin an answer."""
+        """Begin an answer; one that nobody asked for spoils the connection."""
+        if self._answer is None or self._answer.done():
+            self.is_reusable = False
         self._reset_message()
 
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: WPS110
--- a/merlintrail/transport/_pool.py
+++ b/merlintrail/transport/_pool.py
@@ -71,6 +71,14 @@
         except TimeoutError:
             return TransportFailure(FailureStage.ANSWER, 'timeout')
 
+    async def can_connect(self, address: str) -> bool:
+        """Tell whether a new connection succeeds."""
+        connection = await self._connect(address)
+        if isinstance(connection, TransportFailure):
+            return False
+        connection.close()
+        return True
+
     def drop_idle(self, address: str) -> int:
         """Close the idle connections to an address; return how many."""
         connections = self._idle.pop(address, [])
--- a/merlintrail/transport/_server.py
+++ b/merlintrail/transport/_server.py
@@ -72,6 +72,8 @@
         self._remote_host = ''
         self._bad = False
         self._keep_alive = True
+        #: Bytes of the request being received.
+        self._received = 0
         self._reset_message()
 
     # asyncio.Protocol
@@ -130,7 +132,9 @@
     def on_headers_complete(self) -> None:
         """Check the announced length and the expectation."""
         self._in_headers = False
-        if int(self._headers.get('content-length', '0')) > (
+        if 'upgrade' in self._headers:
+            self._reject(BadRequest(400, 'upgrade-not-supported'))
+        elif int(self._headers.get('content-length', '0')) > (
             self._limits.max_body_bytes
         ):
             self._reject(BadRequest(413, 'body-too-large'))
@@ -248,7 +252,6 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._in_headers = True
-        self._received = 0
 
 
 class HttpServer:
--- /dev/null
+++ b/merlintrail/transport/tests/test_client.py
@@ -0,0 +1,150 @@
+"""Whole answers only, and only to their own request."""
+
+import asyncio
+import unittest
+from collections.abc import Sequence
+
+from merlintrail.transport import (
+    ConnectionPool,
+    FailureStage,
+    HttpResponse,
+    TransportFailure,
+    create_pool,
+)
+
+_WHOLE = b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole'
+_BROKEN = (
+    ('dies in the head', b'HTTP/1.1 200 OK\r\ncontent-le'),
+    ('dies in the body', b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabc'),
+    ('no length', b'HTTP/1.1 200 OK\r\n\r\nabc'),
+    (
+        'chunk cut',
+        b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab',
+    ),
+    (
+        'last chunk missing',
+        b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n',
+    ),
+    ('not HTTP', b'garbage\r\n\r\n'),
+    (
+        'too large',
+        b'HTTP/1.1 200 OK\r\ncontent-length: 200000\r\n\r\n' + b'x' * 200000,
+    ),
+)
+
+
+class _ScriptedServer:
+    """Answers each request on a connection with the next scripted bytes."""
+
+    def __init__(self, script: Sequence[bytes], *, closes: bool) -> None:
+        self._script = list(script)
+        self._closes = closes
+        self.connections = 0
+        self.address = ''
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        try:
+            while self._script:
+                await reader.readuntil(b'\r\n\r\n')
+                writer.write(self._script.pop(0))
+                if self._closes:
+                    break
+        except asyncio.IncompleteReadError:
+            return
+        writer.close()
+
+
+class ClientTest(unittest.IsolatedAsyncioTestCase):
+    """A pool against scripted servers."""
+
+    async def asyncSetUp(self) -> None:
+        self.pool: ConnectionPool = create_pool(100000)
+
+    async def asyncTearDown(self) -> None:
+        self.pool.close()
+
+    async def get(
+        self, server: _ScriptedServer, timeout_s: float = 1.0
+    ) -> HttpResponse | TransportFailure:
+        """Send a request."""
+        return await self.pool.exchange(
+            server.address, 'GET', '/', (), b'', timeout_s=timeout_s
+        )
+
+    async def test_fragments_are_no_answers(self) -> None:
+        """Whatever is cut becomes a failure, and the next call succeeds."""
+        for name, fragment in _BROKEN:
+            with self.subTest(name):
+                server = _ScriptedServer([fragment, _WHOLE], closes=True)
+                await server.start()
+                answer = await self.get(server)
+                assert isinstance(answer, TransportFailure), answer
+                self.assertEqual(answer.stage, FailureStage.ANSWER)
+                answer = await self.get(server)
+                assert isinstance(answer, HttpResponse), answer
+                self.assertEqual(answer.body, b'whole')
+
+    async def test_late_answer_reaches_nobody(self) -> None:
+        """After a timeout the connection is not used again."""
+        late = asyncio.Event()
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b'\r\n\r\n')
+            if not late.is_set():
+                late.set()
+                await asyncio.sleep(0.1)
+                writer.write(_WHOLE.replace(b'whole', b'stale'))
+                return
+            writer.write(_WHOLE)
+
+        listener = await asyncio.start_server(serve, '127.0.0.1', 0)
+        address = f'127.0.0.1:{listener.sockets[0].getsockname()[1]}'
+        first = await self.pool.exchange(
+            address, 'GET', '/', (), b'', timeout_s=0.05
+        )
+        self.assertIsInstance(first, TransportFailure)
+        await asyncio.sleep(0.1)
+        second = await self.pool.exchange(
+            address, 'GET', '/', (), b'', timeout_s=1
+        )
+        assert isinstance(second, HttpResponse)
+        self.assertEqual(second.body, b'whole')
+
+    async def test_bytes_after_an_answer_end_the_connection(self) -> None:
+        """A second answer that nobody asked for is not kept for the next."""
+        extra = _WHOLE.replace(b'whole', b'other')
+        server = _ScriptedServer([_WHOLE + extra, _WHOLE], closes=False)
+        await server.start()
+        await self.get(server)
+        await asyncio.sleep(0.05)
+        answer = await self.get(server)
+        assert isinstance(answer, HttpResponse)
+        self.assertEqual(answer.body, b'whole')
+        self.assertEqual(server.connections, 2)
+
+    async def test_clean_connections_are_reused(self) -> None:
+        """Three calls, one connection."""
+        server = _ScriptedServer([_WHOLE] * 3, closes=False)
+        await server.start()
+        for _ in range(3):
+            self.assertIsInstance(await self.get(server), HttpResponse)
+        self.assertEqual(server.connections, 1)
+
+    async def test_refused_connection_proves_that_nothing_was_sent(
+        self,
+    ) -> None:
+        """The failure says so."""
+        answer = await self.pool.exchange('127.0.0.1:1', 'GET', '/', (), b'')
+        assert isinstance(answer, TransportFailure)
+        self.assertEqual(answer.stage, FailureStage.CONNECT)
--- /dev/null
+++ b/merlintrail/transport/tests/test_server.py
@@ -0,0 +1,141 @@
+"""Bad input gets a clear answer and harms no other request."""
+
+import asyncio
+import unittest
+
+from merlintrail.transport import (
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    ServerLimits,
+    start_server,
+)
+
+_LIMITS = ServerLimits(
+    max_header_bytes=2000, max_body_bytes=1000, receive_timeout_s=0.2
+)
+_GOOD = b'POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nhi'
+_BAD = (
+    ('no HTTP', b'hello\r\n\r\n', b'400'),
+    ('bad version', b'GET / HTTP/9.9\r\n\r\n', b'400'),
+    (
+        'both lengths',
+        b'POST / HTTP/1.1\r\ncontent-length: 4\r\n'
+        b'transfer-encoding: chunked\r\n\r\n0\r\n\r\n',
+        b'400',
+    ),
+    (
+        'two lengths',
+        b'POST / HTTP/1.1\r\ncontent-length: 4\r\ncontent-length: 5\r\n\r\n',
+        b'400',
+    ),
+    (
+        'bad chunk',
+        b'POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n',
+        b'400',
+    ),
+    ('space in name', b'GET / HTTP/1.1\r\na b: c\r\n\r\n', b'400'),
+    ('bare LF smuggling', b'GET / HTTP/1.1\nhost: a\r\n\r\n', b'400'),
+    (
+        'announced body too large',
+        b'POST / HTTP/1.1\r\ncontent-length: 5000\r\n\r\n',
+        b'413',
+    ),
+    (
+        'chunked body too large',
+        b'POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n'
+        b'7d0\r\n' + b'x' * 2000 + b'\r\n0\r\n\r\n',
+        b'413',
+    ),
+    ('headers too large', b'GET / HTTP/1.1\r\na: ' + b'x' * 3000, b'431'),
+    (
+        'upgrade',
+        b'GET / HTTP/1.1\r\nupgrade: x\r\nconnection: upgrade\r\n\r\n',
+        b'400',
+    ),
+    ('slow sender', b'POST / HTTP/1.1\r\ncontent-length: 9\r\n\r\nab', b'408'),
+)
+
+
+async def _echo(request: HttpRequest) -> HttpResponse:
+    await asyncio.sleep(0)
+    return HttpResponse(200, (('x', 'y'),), request.body)
+
+
+async def _exchange(port: int, payload: bytes) -> bytes:
+    """Send bytes and read until the server closes or is silent."""
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(payload)
+    received = b''
+    try:
+        async with asyncio.timeout(1):
+            while chunk := await reader.read(65536):
+                received += chunk
+    except TimeoutError:
+        received += b'(open)'
+    writer.close()
+    return received
+
+
+class ServerTest(unittest.IsolatedAsyncioTestCase):
+    """One server on a loopback port."""
+
+    async def asyncSetUp(self) -> None:
+        self.server: HttpServer = await start_server(
+            _echo, '127.0.0.1', 0, limits=_LIMITS
+        )
+
+    async def asyncTearDown(self) -> None:
+        self.server.close()
+
+    async def test_bad_input(self) -> None:
+        """Each shape gets its status, then the connection is closed."""
+        for name, payload, status in _BAD:
+            with self.subTest(name):
+                answer = await _exchange(self.server.port, payload)
+                self.assertTrue(
+                    answer.startswith(b'HTTP/1.1 ' + status), answer
+                )
+                self.assertNotIn(b'(open)', answer)
+                self.assertIn(b'merlintrail-outcome: not-run', answer)
+
+    async def test_bad_input_harms_no_other(self) -> None:
+        """A good request beside each bad one is answered."""
+        payloads = [payload for _, payload, _ in _BAD]
+        answers = await asyncio.gather(
+            *(
+                _exchange(self.server.port, payload)
+                for payload in (*payloads, _GOOD)
+            )
+        )
+        self.assertTrue(answers[-1].startswith(b'HTTP/1.1 200'))
+        self.assertTrue(answers[-1].endswith(b'\r\n\r\nhi(open)'))
+
+    async def test_pipelined_requests_keep_their_order(self) -> None:
+        """Answers come in the order of the requests."""
+        other = _GOOD.replace(b'hi', b'ho')
+        answer = await _exchange(self.server.port, _GOOD + other + _GOOD)
+        self.assertEqual(
+            [part[-2:] for part in answer.split(b'HTTP/1.1')[1:3]],
+            [b'hi', b'ho'],
+        )
+
+    async def test_caller_that_leaves_cancels_its_request(self) -> None:
+        """The handler is cancelled when its connection is lost."""
+        cancelled = asyncio.Event()
+
+        async def wait(request: HttpRequest) -> HttpResponse:
+            try:
+                await asyncio.sleep(10)
+            finally:
+                cancelled.set()
+            return HttpResponse(200, (), request.body)
+
+        server = await start_server(wait, '127.0.0.1', 0)
+        _, writer = await asyncio.open_connection('127.0.0.1', server.port)
+        writer.write(_GOOD)
+        await asyncio.sleep(0.05)
+        writer.close()
+        async with asyncio.timeout(2):
+            await cancelled.wait()
+        server.close()
