Take back a ledger record only by its own owner

Cause: a scripted session in which a paused owner woke ran one request twice. Its append collided, so it noted the key as released; when it took the slot again it kept that note instead of the successor's record. With a rule that lets the store work for a while, the model check found the same, and then a second way: the note of release was written to the log behind the successor's record, and a third node read the key as free.

Change: a release takes back records of the same owner only; about foreign records the log always counts. A lost answer is settled by reading back first. A request waits at most 1 s for the store and is refused not-run; after a store failure requests are refused at once for 0.2 s.

Ruled out: the fence itself; in each trace the collision came as designed.

--- a/merlintrail/coordination/_ledger.py
+++ b/merlintrail/coordination/_ledger.py
@@ -2,8 +2,8 @@
 
 import asyncio
 from collections import OrderedDict
-from collections.abc import Awaitable, Callable
-from typing import Final, NamedTuple, TypeAlias
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, Final, NamedTuple, TypeAlias
 
 import xxhash
 
@@ -30,6 +30,11 @@
 #: Seconds by which a key may come from the future.
 MAX_CLOCK_SKEW_S: Final = 60.0
 
+#: Seconds to wait for the store before a request is refused.
+STORE_PATIENCE_S: Final = 1.0
+#: Seconds for which requests are refused at once after a store failure.
+CLOSED_S: Final = 0.2
+
 Run: TypeAlias = Callable[[], Awaitable[HttpResponse | Refusal]]
 Recall: TypeAlias = Callable[
     [KeyRecord], Awaitable[HttpResponse | Refusal | None]
@@ -114,6 +119,7 @@
         self._running: dict[str, asyncio.Task[HttpResponse | Refusal]] = {}
         self._answers: OrderedDict[str, HttpResponse] = OrderedDict()
         self._answer_bytes = 0
+        self._closed_until = 0.0
 
     @property
     def running(self) -> int:
@@ -152,7 +158,7 @@
         self, request: KeyedRequest
     ) -> HttpResponse | Refusal:
         slot = self._get_slot(request.key)
-        refusal = await slot.acquire()
+        refusal = await self._acquire(slot)
         if refusal is not None:
             return refusal
         known = slot.index.find(request.key)
@@ -166,12 +172,43 @@
             self._parts.owner,
         )
         slot.index.put(record)
-        refusal = await slot.append(record)
+        refusal = await self._append(slot, record)
         if refusal is not None:
             slot.release(record)
             return refusal
         return await self._run(request, slot, record)
 
+    async def _acquire(self, slot: LedgerSlot) -> Refusal | None:
+        now = asyncio.get_running_loop().time()
+        if now < self._closed_until:
+            return _refuse_unavailable('the store failed a moment ago')
+        return await self._wait_for_store(slot.acquire())
+
+    async def _append(
+        self, slot: LedgerSlot, record: KeyRecord
+    ) -> Refusal | None:
+        return await self._wait_for_store(slot.append(record))
+
+    async def _wait_for_store(
+        self, work: Coroutine[Any, Any, Refusal | None]
+    ) -> Refusal | None:
+        """Wait for the store for a bounded time, then refuse.
+
+        A record that reaches the store after that is of a request that does
+        not run.
+        """
+        try:
+            async with asyncio.timeout(STORE_PATIENCE_S):
+                refusal = await work
+        except TimeoutError:
+            refusal = _refuse_unavailable(
+                f'the store did not answer within {STORE_PATIENCE_S} s'
+            )
+        if refusal and refusal.reason == Reason.LEDGER_UNAVAILABLE:
+            now = asyncio.get_running_loop().time()
+            self._closed_until = now + CLOSED_S
+        return refusal
+
     async def _run(
         self, request: KeyedRequest, slot: LedgerSlot, record: KeyRecord
     ) -> HttpResponse | Refusal:
@@ -227,6 +264,10 @@
             self._answer_bytes -= len(dropped.body)
 
 
+def _refuse_unavailable(detail: str) -> Refusal:
+    return Refusal(Outcome.NOT_RUN, Reason.LEDGER_UNAVAILABLE, detail)
+
+
 def create_ledger(parts: SlotParts, recall: Recall) -> Ledger:
     """Create a ledger that owns nothing yet."""
     return Ledger(parts, recall)
--- a/merlintrail/coordination/_ledger_slot.py
+++ b/merlintrail/coordination/_ledger_slot.py
@@ -175,26 +175,25 @@
             return written
 
     async def _settle_unknown(self, segment: Segment) -> StoreFailure | None:
-        """Write again: the first write then either collides or is void."""
+        """Read back, and write again while nothing has changed.
+
+        A repeated write makes the first one collide or be the only one, so
+        that it cannot take effect later unseen.
+        """
         while True:
             await asyncio.sleep(SETTLING_INTERVAL_S)
+            found = await self._read_segment(segment.sequence)
+            if isinstance(found, StoreFailure):
+                continue
+            if found.nonce == segment.nonce:
+                self._advance(segment._replace(version=found.version))
+                return None
+            if found.version != segment.version:
+                return StoreFailure(StoreFault.CONFLICT, 'another writer')
             written = await self._write_once(segment)
             if isinstance(written, int):
                 self._advance(segment._replace(version=written))
                 return None
-            if written.fault == StoreFault.CONFLICT:
-                return await self._compare_nonce(segment, written)
-
-    async def _compare_nonce(
-        self, segment: Segment, conflict: StoreFailure
-    ) -> StoreFailure | None:
-        found = await self._parts.store.read(self._build_key(segment.sequence))
-        if isinstance(found, StoreFailure):
-            return found
-        if found.document['nonce'] != segment.nonce:
-            return conflict
-        self._advance(segment._replace(version=found.version))
-        return None
 
     async def _write_once(self, segment: Segment) -> int | StoreFailure:
         return await self._parts.store.write(
@@ -250,9 +249,21 @@
         return read_segment(sequence, found.version, found.document)
 
     def _index_segment(self, segment: Segment) -> None:
+        """Take the records of a segment.
+
+        Only about its own records this node may know more than the log: that
+        a request was proved not to have run. A release takes back the
+        record of the same owner only.
+        """
         for record in segment.records:
             known = self.index.find(record.key)
-            if known is None or known.owner != self._parts.owner:
+            if known is None:
+                self.index.put(record)
+                continue
+            is_same_owner = known.owner == record.owner
+            if is_same_owner and record.owner == self._parts.owner:
+                continue
+            if is_same_owner or record.state != KeyState.RELEASED:
                 self.index.put(record)
 
     async def _trim(self) -> None:
--- /dev/null
+++ b/merlintrail/node/tests/test_golden_sessions.py
@@ -0,0 +1,163 @@
+"""Golden files: the full transcripts of scripted sessions.
+
+``make golden`` writes them anew.
+"""
+
+import asyncio
+import os
+import unittest
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from merlintrail.coordination.tests.fake_store import WriteFault
+from merlintrail.node.tests.session import (
+    Session,
+    answer_after,
+    build_document,
+    build_kind,
+)
+from merlintrail.protocol import CALL_HEADER
+from merlintrail.testing import run_virtually
+from merlintrail.transport import HttpRequest, HttpResponse
+
+_FOLDER = Path(__file__).parent / 'golden'
+_DOCUMENT = build_document(
+    {
+        'fitadvisor': [
+            build_kind('advice', importance='critical'),
+            build_kind('credits', importance='high', idempotent=False),
+        ],
+        'chartdesk': [
+            build_kind('charts', importance='high'),
+            build_kind('sync', importance='low'),
+        ],
+    }
+)
+
+
+def _create_session() -> Session:
+    session = Session(_DOCUMENT, ('ingress', 'advisor', 'desk'))
+
+    async def advise(request: HttpRequest) -> HttpResponse:
+        below = await session.call_below(
+            'advisor', request, '/chartdesk/charts'
+        )
+        status = 200 if below.status == 200 else 502
+        return HttpResponse(status, (), b'advised ' + below.body)
+
+    session.add_backend('advisor', 'fitadvisor', advise, slots=1)
+    session.add_backend('desk', 'chartdesk', answer_after(0.02), slots=1)
+    return session
+
+
+async def _run_chain(session: Session) -> None:
+    """A request through two services, and one refused by each fault."""
+    await session.call('ingress', '/fitadvisor/advice', 'size 38')
+    await session.call('ingress', '/nowhere/advice')
+    await session.call('ingress', '/UPPER')
+    await session.call(
+        'ingress', '/fitadvisor/advice', '', {'merlintrail-context': 'forged'}
+    )
+    await session.call(
+        'ingress',
+        '/fitadvisor/advice',
+        'forged',
+        {CALL_HEADER: '{"priority":127,"retries":99}'},
+    )
+    await session.call(
+        'ingress',
+        '/fitadvisor/advice',
+        '',
+        {'merlintrail-deadline-ms': 'soon', 'idempotency-key': ''},
+    )
+    await session.call('ingress', '/fitadvisor/advice', method='TRACE')
+
+
+async def _run_overload(session: Session) -> None:
+    """Lesser calls fill the only slot; important ones push them out."""
+    calls = [
+        asyncio.create_task(
+            session.call('ingress', '/chartdesk/sync', f'sync {number}')
+        )
+        for number in range(30)
+    ]
+    await asyncio.sleep(0.005)
+    calls.extend(
+        asyncio.create_task(
+            session.call('ingress', '/fitadvisor/advice', f'size {number}')
+        )
+        for number in range(3)
+    )
+    await asyncio.gather(*calls)
+
+
+async def _run_keyed(session: Session) -> None:
+    """A fit credit, its resends, a wrong reuse, and a store outage."""
+    headers = {'idempotency-key': 'credit-1'}
+    await session.call('ingress', '/fitadvisor/credits', 'credit', headers)
+    await session.call('desk', '/fitadvisor/credits', 'credit', headers)
+    await session.call('advisor', '/fitadvisor/credits', 'other', headers)
+    session.store.fault = WriteFault.REFUSED
+    await session.call(
+        'ingress',
+        '/fitadvisor/credits',
+        'late',
+        {'idempotency-key': 'credit-2'},
+    )
+
+
+async def _run_faults(session: Session) -> None:
+    """A connection gone silent, a lost answer, a drain."""
+    session.network.swallowing.add('advisor:2')
+    await session.call('ingress', '/fitadvisor/advice', 'swallowed')
+    session.network.losing['advisor:2'] = 1
+    await session.call('ingress', '/fitadvisor/advice', 'answer lost')
+    session.nodes['advisor'].gatekeeper.is_draining = True
+    await session.call('ingress', '/fitadvisor/advice', 'draining')
+
+
+async def _run_operators(session: Session) -> None:
+    """A new generation shortens a deadline; an older one changes nothing."""
+    await session.call('ingress', '/chartdesk/sync', 'before')
+    shorter = build_document(
+        {
+            'fitadvisor': [build_kind('advice', importance='critical')],
+            'chartdesk': [build_kind('sync', deadline_ms=3)],
+        }
+    )
+    session.apply(shorter, 2)
+    await session.call('ingress', '/chartdesk/sync', 'after')
+    session.apply(_DOCUMENT, 1)
+    await session.call('ingress', '/chartdesk/sync', 'still after')
+
+
+_SESSIONS: dict[str, Callable[[Session], Awaitable[None]]] = {
+    'chain': _run_chain,
+    'overload': _run_overload,
+    'keyed': _run_keyed,
+    'faults': _run_faults,
+    'operators': _run_operators,
+}
+
+
+async def _record(script: Callable[[Session], Awaitable[None]]) -> str:
+    session = _create_session()
+    with session.bind_log():
+        await script(session)
+    return session.build_transcript()
+
+
+class GoldenSessionTest(unittest.TestCase):
+    """Each session gives the same transcript as before."""
+
+    maxDiff = None
+
+    def test_transcripts(self) -> None:
+        """Answers, log lines and store calls."""
+        for name, script in _SESSIONS.items():
+            with self.subTest(name):
+                transcript = run_virtually(_record(script))
+                path = _FOLDER / f'{name}.txt'
+                if os.environ.get('GOLDEN_WRITE'):
+                    path.write_text(transcript, encoding='utf-8')
+                self.assertEqual(path.read_text(encoding='utf-8'), transcript)
