--- a/merlintrail/node/tests/test_golden_sessions.py
+++ b/merlintrail/node/tests/test_golden_sessions.py
@@ -150,8 +150,6 @@
 class GoldenSessionTest(unittest.TestCase):
     """Each session gives the same transcript as before."""
 
-    maxDiff = None
-
     def test_transcripts(self) -> None:
         """Answers, log lines and store calls."""
         for name, script in _SESSIONS.items():
--- a/merlintrail/node/tests/test_keyed.py
+++ b/merlintrail/node/tests/test_keyed.py
@@ -184,8 +184,8 @@
             session = _create_session()
             await _send(session, 'a', 'x')
             owner = _find_owner(session)
-            for name, node in session.nodes.items():
-                if name != owner:
+            for known_by, node in session.nodes.items():
+                if known_by != owner:
                     known = node.table.find(owner)
                     assert known is not None
                     node.table.merge(
