Time exchanges by one timer of the connection

Cause: each exchange entered asyncio.timeout, and each received request set and cancelled a timer although it had arrived whole.

Change: the connection itself times its exchange and tells when it is slow; the server sets its timer only for a request that is still incomplete.

--- a/merlintrail/bench/_latency.py
+++ b/merlintrail/bench/_latency.py
@@ -227,20 +227,30 @@
         cpu_before = sum(read_cpu_s(pid) for pid in identifiers)
         bytes_before = _sum_control_bytes(deployment)
         time.sleep(IDLE_S)
-        cpu_s = sum(read_cpu_s(pid) for pid in identifiers) - cpu_before
-        control = _sum_control_bytes(deployment) - bytes_before
+        cpu_after = sum(read_cpu_s(pid) for pid in identifiers)
+        bytes_after = _sum_control_bytes(deployment)
         memory = max(read_memory_bytes(pid) for pid in identifiers)
     finally:
         deployment.stop()
     nodes = len(identifiers)
     print_figure(
-        Figure('idle_cost.core_share', cpu_s / IDLE_S / nodes, 'core', 0.022)
+        Figure(
+            'idle_cost.core_share',
+            (cpu_after - cpu_before) / IDLE_S / nodes,
+            'core',
+            0.022,
+        )
     )
     print_figure(
         Figure('idle_cost.memory_mb', memory / _BYTES_PER_MB, 'MB', 64)
     )
     print_figure(
-        Figure('idle_cost.bytes_per_s', control / IDLE_S / nodes, 'B/s', 10000)
+        Figure(
+            'idle_cost.bytes_per_s',
+            (bytes_after - bytes_before) / IDLE_S / nodes,
+            'B/s',
+            10000,
+        )
     )
 
 
--- a/merlintrail/node/_exchange.py
+++ b/merlintrail/node/_exchange.py
@@ -22,9 +22,11 @@
 )
 from merlintrail.state import Member
 from merlintrail.transport import (
+    ClientConnection,
     ConnectionPool,
     FailureStage,
     HttpResponse,
+    Patience,
     TransportFailure,
 )
 
@@ -43,11 +45,13 @@
 INQUIRY_SUBJECT: Final = 'inquiry'
 
 
-class _Verdict:
-    """What inquiries found while the exchange was still waiting."""
+class _Watch:
+    """Inquiries made while an exchange is still waiting."""
 
     def __init__(self) -> None:
-        self.answer: HttpResponse | Refusal | None = None
+        self.task: asyncio.Task[None] | None = None
+        #: What they found.
+        self.verdict: HttpResponse | Refusal | None = None
 
 
 class PeerExchange:
@@ -80,30 +84,27 @@
 
         :param usual_s: usual latency of such calls in seconds.
         """
-        verdict = _Verdict()
-        remaining_s = call.deadline - self._clock()
-        watch: asyncio.Task[None] | None = None
-        loop = asyncio.get_running_loop()
-
-        def start_watch() -> None:
-            nonlocal watch  # noqa: WPS420
-            watch = loop.create_task(
-                self._watch(member, header, scope, verdict, call.deadline)
+        watch = _Watch()
+
+        def start_watch(connection: ClientConnection) -> None:
+            watch.task = asyncio.create_task(
+                self._watch(member, header, call.deadline, watch, connection)
             )
 
-        patience_s = max(MIN_PATIENCE_S, usual_s * PATIENCE_FACTOR)
-        timer = loop.call_later(patience_s, start_watch)
+        patience = Patience(
+            is_slow_after_s=min(
+                max(MIN_PATIENCE_S, usual_s * PATIENCE_FACTOR),
+                call.deadline - self._clock(),
+            ),
+            on_slow=start_watch,
+        )
         try:
-            async with asyncio.timeout(remaining_s) as scope:
-                answer = await self._exchange(member, header, call)
-        except TimeoutError:
-            return verdict.answer or Refusal(
-                Outcome.MAY_HAVE_RUN, Reason.DEADLINE_PASSED
-            )
+            answer = await self._exchange(member, header, call, patience)
         finally:
-            timer.cancel()
-            if watch is not None:
-                watch.cancel()
+            if watch.task is not None:
+                watch.task.cancel()
+        if watch.verdict is not None:
+            return watch.verdict
         if isinstance(answer, HttpResponse):
             return answer
         if answer.stage == FailureStage.CONNECT:
@@ -111,7 +112,11 @@
         return await self._resolve(member, header, call.deadline)
 
     async def _exchange(
-        self, member: Member, header: CallHeader, call: OutgoingCall
+        self,
+        member: Member,
+        header: CallHeader,
+        call: OutgoingCall,
+        patience: Patience,
     ) -> HttpResponse | TransportFailure:
         return await self._pool.exchange(
             member.peer_address,
@@ -121,20 +126,20 @@
                 call.headers, encode_fields(header), self._fleet_key
             ),
             call.body,
+            patience=patience,
         )
 
     async def _watch(
         self,
         member: Member,
         header: CallHeader,
-        scope: asyncio.Timeout,
-        verdict: _Verdict,
         deadline: float,
+        watch: _Watch,
+        connection: ClientConnection,
     ) -> None:
         """Ask for a slow call until there is a verdict; then end the wait."""
-        answer = await self._resolve(member, header, deadline)
-        verdict.answer = answer
-        scope.reschedule(asyncio.get_running_loop().time())
+        watch.verdict = await self._resolve(member, header, deadline)
+        connection.give_up('ended by an inquiry')
 
     async def _resolve(
         self, member: Member, header: CallHeader, deadline: float
@@ -143,6 +148,8 @@
         pause_s = MIN_PATIENCE_S
         silent = 0
         while silent < MAX_SILENT_INQUIRIES:
+            if self._clock() >= deadline:
+                return Refusal(Outcome.MAY_HAVE_RUN, Reason.DEADLINE_PASSED)
             known = await self._inquire(member, header)
             if known is None:
                 silent += 1
--- a/merlintrail/node/_gatekeeper.py
+++ b/merlintrail/node/_gatekeeper.py
@@ -42,6 +42,7 @@
     read_suspicion,
 )
 from merlintrail.transport import (
+    TIMEOUT,
     ConnectionPool,
     FailureStage,
     HttpResponse,
@@ -285,7 +286,7 @@
         if failure.stage == FailureStage.CONNECT:
             self._mark_unreachable(gate)
             return Refusal(Outcome.NOT_RUN, Reason.BACKEND_LOST, failure.reason)
-        if failure.reason == 'timeout':
+        if failure.reason == TIMEOUT:
             return Refusal(Outcome.MAY_HAVE_RUN, Reason.DEADLINE_PASSED)
         running = gate.backend.list_running()
         digests = gate.backend.record_loss(header.call_id, self._clock())
--- a/merlintrail/node/tests/fake_network.py
+++ b/merlintrail/node/tests/fake_network.py
@@ -6,11 +6,13 @@
 from typing import Final
 
 from merlintrail.transport import (
+    ClientConnection,
     ConnectionPool,
     FailureStage,
     HeaderList,
     HttpRequest,
     HttpResponse,
+    Patience,
     RequestHandler,
     TransportFailure,
 )
@@ -38,6 +40,31 @@
         self.counts: Counter[str] = Counter()
 
 
+class _FakeConnection(ClientConnection):
+    """A connection whose exchange is a task."""
+
+    def __init__(
+        self, task: 'asyncio.Task[HttpResponse | TransportFailure]'
+    ) -> None:
+        super().__init__(0)
+        self._task = task
+        self._is_ended = False
+
+    def give_up(self, reason: str) -> None:
+        """End the exchange."""
+        self._is_ended = True
+        self._task.cancel()
+
+    async def wait(self) -> HttpResponse | TransportFailure:
+        """Wait for the answer or the end."""
+        try:
+            return await self._task
+        except asyncio.CancelledError:
+            if not self._is_ended:
+                raise
+        return TransportFailure(FailureStage.ANSWER, 'ended')
+
+
 class FakePool(ConnectionPool):
     """A pool whose connections lead to handlers of the same process."""
 
@@ -55,9 +82,14 @@
         *,
         is_fresh: bool = False,
         timeout_s: float | None = None,
+        patience: Patience | None = None,
     ) -> HttpResponse | TransportFailure:
         """Pass a request to the handler at the address."""
         request = HttpRequest(method, target, dict(headers), body, '127.0.0.1')
+        if patience is not None:
+            return await self._exchange_patiently(
+                address, request, is_fresh, patience
+            )
         try:
             async with asyncio.timeout(timeout_s):
                 return await self._deliver(address, request, is_fresh)
@@ -75,6 +107,26 @@
         self._network.deaf.discard(address)
         return 1
 
+    async def _exchange_patiently(
+        self,
+        address: str,
+        request: HttpRequest,
+        is_fresh: bool,
+        patience: Patience,
+    ) -> HttpResponse | TransportFailure:
+        """Exchange; tell when it is slow, and let that end it."""
+        loop = asyncio.get_running_loop()
+        connection = _FakeConnection(
+            loop.create_task(self._deliver(address, request, is_fresh))
+        )
+        timer = loop.call_later(
+            patience.is_slow_after_s or 0, patience.on_slow, connection
+        )
+        try:
+            return await connection.wait()
+        finally:
+            timer.cancel()
+
     async def _deliver(
         self, address: str, request: HttpRequest, is_fresh: bool
     ) -> HttpResponse | TransportFailure:
--- a/merlintrail/observability/_deferred.py
+++ b/merlintrail/observability/_deferred.py
@@ -3,9 +3,17 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
-_WAITING: Final[deque[tuple[Callable[..., None], tuple[Any, ...]]]] = deque()
+
+class _Work(NamedTuple):
+    """One piece of work."""
+
+    run: Callable[..., None]
+    arguments: tuple[Any, ...]
+
+
+_WAITING: Final[deque[_Work]] = deque()
 
 
 def defer(work: Callable[..., None], *arguments: Any) -> None:
@@ -13,7 +21,7 @@
 
     Without a running loop it is done at once.
     """
-    _WAITING.append((work, arguments))
+    _WAITING.append(_Work(work, arguments))
     if len(_WAITING) > 1:
         return
     try:
@@ -27,5 +35,5 @@
 def do_deferred() -> None:
     """Do what waits now."""
     while _WAITING:
-        work, arguments = _WAITING.popleft()
-        work(*arguments)
+        work = _WAITING.popleft()
+        work.run(*work.arguments)
--- a/merlintrail/transport/__init__.py
+++ b/merlintrail/transport/__init__.py
@@ -1,6 +1,10 @@
 """Listeners and pooled connections for HTTP/1.1 on asyncio."""
 
-from merlintrail.transport._client import ClientConnection
+from merlintrail.transport._client import (
+    TIMEOUT,
+    ClientConnection,
+    Patience,
+)
 from merlintrail.transport._failure import FailureStage, TransportFailure
 from merlintrail.transport._message import (
     HeaderList,
@@ -18,6 +22,7 @@
 )
 
 __all__ = (
+    'TIMEOUT',
     'ClientConnection',
     'ConnectionPool',
     'FailureStage',
@@ -25,6 +30,7 @@
     'HttpRequest',
     'HttpResponse',
     'HttpServer',
+    'Patience',
     'RequestHandler',
     'ServerLimits',
     'TransportFailure',
--- a/merlintrail/transport/_client.py
+++ b/merlintrail/transport/_client.py
@@ -1,7 +1,8 @@
 """One client connection: a single exchange at a time, never pipelined."""
 
 import asyncio
-from typing import Final, cast
+from collections.abc import Callable
+from typing import Final, NamedTuple, cast
 
 import httptools
 
@@ -9,10 +10,26 @@
 from merlintrail.transport._message import HttpResponse
 from merlintrail.transport._socket_options import set_socket_options
 
+#: Reason of an exchange that took too long.
+TIMEOUT: Final = 'timeout'
 _BODILESS_STATUSES: Final = frozenset((204, 304))
 _FIRST_FINAL_STATUS: Final = 200
 
 
+def _ignore_slowness(connection: object) -> None:
+    """Wait on."""
+
+
+class Patience(NamedTuple):
+    """How long to wait for an answer."""
+
+    #: Seconds after which the exchange fails, ``None`` for no limit.
+    timeout_s: float | None = None
+    #: Seconds after which ``on_slow`` is called instead of the timeout.
+    is_slow_after_s: float | None = None
+    on_slow: 'Callable[[ClientConnection], None]' = _ignore_slowness
+
+
 class ClientConnection(asyncio.Protocol):
     """A connection to one address.
 
@@ -34,7 +51,7 @@
         self._reset_message()
 
     async def exchange(
-        self, method: str, payload: bytes
+        self, method: str, payload: bytes, patience: Patience
     ) -> HttpResponse | TransportFailure:
         """Send an encoded request and await the whole answer.
 
@@ -42,18 +59,27 @@
         """
         if self._transport is None or self._transport.is_closing():
             return TransportFailure(FailureStage.CONNECT, 'connection closed')
+        loop = asyncio.get_running_loop()
         self._method = method
         self._reset_message()
-        self._answer = asyncio.get_running_loop().create_future()
+        self._answer = loop.create_future()
         self._transport.write(payload)
+        timer = self._start_timer(loop, patience)
         try:
             return await self._answer
         except asyncio.CancelledError:
             self.close()
             raise
         finally:
+            if timer is not None:
+                timer.cancel()
             self._answer = None
 
+    def give_up(self, reason: str) -> None:
+        """Fail the exchange in progress and close the connection."""
+        self._fail(reason)
+        self.close()
+
     def close(self) -> None:
         """Close the connection at once."""
         self.is_reusable = False
@@ -129,6 +155,17 @@
             self.is_reusable = False
         self._finish(status)
 
+    def _start_timer(
+        self, loop: asyncio.AbstractEventLoop, patience: Patience
+    ) -> asyncio.TimerHandle | None:
+        if patience.is_slow_after_s is not None:
+            return loop.call_later(
+                patience.is_slow_after_s, patience.on_slow, self
+            )
+        if patience.timeout_s is not None:
+            return loop.call_later(patience.timeout_s, self.give_up, TIMEOUT)
+        return None
+
     def _has_framing(self) -> bool:
         return any(
             name in {'content-length', 'transfer-encoding'}
--- a/merlintrail/transport/_pool.py
+++ b/merlintrail/transport/_pool.py
@@ -4,7 +4,7 @@
 from collections import defaultdict
 from typing import Final
 
-from merlintrail.transport._client import ClientConnection
+from merlintrail.transport._client import ClientConnection, Patience
 from merlintrail.transport._failure import FailureStage, TransportFailure
 from merlintrail.transport._message import (
     HeaderList,
@@ -52,24 +52,33 @@
         *,
         is_fresh: bool = False,
         timeout_s: float | None = None,
+        patience: Patience | None = None,
     ) -> HttpResponse | TransportFailure:
         """Send one request and return the whole answer or the failure.
 
         :param address: ``host:port`` of the peer.
         :param is_fresh: whether to open a new connection in any case.
-        :param timeout_s: seconds for the whole exchange.
+        :param timeout_s: seconds for the exchange once connected.
+        :param patience: in place of the timeout, what to do when slow.
         """
-        if timeout_s is None:
-            return await self._exchange(
-                address, method, target, headers, body, is_fresh=is_fresh
-            )
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await self._exchange(
-                    address, method, target, headers, body, is_fresh=is_fresh
-                )
-        except TimeoutError:
-            return TransportFailure(FailureStage.ANSWER, 'timeout')
+        connection = None if is_fresh else self._take_idle(address)
+        if connection is None:
+            connected = await self._connect(address, timeout_s)
+            if isinstance(connected, TransportFailure):
+                return connected
+            connection = connected
+        payload = encode_request(method, target, headers, body)
+        self.bytes_sent += len(payload)
+        answer = await connection.exchange(
+            method, payload, patience or Patience(timeout_s)
+        )
+        if isinstance(answer, HttpResponse):
+            self.bytes_received += len(answer.body)
+        if connection.is_reusable:
+            self._put_idle(address, connection)
+        else:
+            connection.close()
+        return answer
 
     async def can_connect(self, address: str) -> bool:
         """Tell whether a new connection succeeds."""
@@ -91,40 +100,14 @@
         for address in tuple(self._idle):
             self.drop_idle(address)
 
-    async def _exchange(
-        self,
-        address: str,
-        method: str,
-        target: str,
-        headers: HeaderList,
-        body: bytes,
-        *,
-        is_fresh: bool,
-    ) -> HttpResponse | TransportFailure:
-        connection = None if is_fresh else self._take_idle(address)
-        if connection is None:
-            connected = await self._connect(address)
-            if isinstance(connected, TransportFailure):
-                return connected
-            connection = connected
-        payload = encode_request(method, target, headers, body)
-        self.bytes_sent += len(payload)
-        answer = await connection.exchange(method, payload)
-        if isinstance(answer, HttpResponse):
-            self.bytes_received += len(answer.body)
-        if connection.is_reusable:
-            self._put_idle(address, connection)
-        else:
-            connection.close()
-        return answer
-
     async def _connect(
-        self, address: str
+        self, address: str, timeout_s: float | None = None
     ) -> ClientConnection | TransportFailure:
         host, port = split_address(address)
         loop = asyncio.get_running_loop()
+        limit_s = min(CONNECT_TIMEOUT_S, timeout_s or CONNECT_TIMEOUT_S)
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(limit_s):
                 _, connection = await loop.create_connection(
                     lambda: ClientConnection(self._max_answer_bytes),
                     host,
--- a/merlintrail/transport/_server.py
+++ b/merlintrail/transport/_server.py
@@ -71,6 +71,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._remote_host = ''
         self._bad = False
+        self._is_receiving = False
         self._keep_alive = True
         #: Bytes of the request being received.
         self._received = 0
@@ -99,10 +100,6 @@
         """Feed the parser; a malformed request ends the connection."""
         if self._bad:
             return
-        if self._timer is None:
-            self._timer = self._loop.call_later(
-                self._limits.receive_timeout_s, self._expire
-            )
         self._received += len(data)
         try:
             self._parser.feed_data(data)
@@ -110,12 +107,17 @@
             self._reject(BadRequest(400, 'upgrade-not-supported'))
         except httptools.HttpParserError:
             self._reject(BadRequest(400, 'malformed-http'))
+        if self._is_receiving and self._timer is None and not self._bad:
+            self._timer = self._loop.call_later(
+                self._limits.receive_timeout_s, self._expire
+            )
         self._check_header_size()
 
     # httptools callbacks
 
     def on_message_begin(self) -> None:
         """Begin a request."""
+        self._is_receiving = True
         self._reset_message()
 
     def on_url(self, url: bytes) -> None:
@@ -150,6 +152,7 @@
 
     def on_message_complete(self) -> None:
         """Hand the whole request to the task."""
+        self._is_receiving = False
         self._stop_timer()
         self._received = 0
         if self._bad:
