Spread links between data centres over all of their nodes

Cause: a test of the topology at 1,800 nodes showed that only 257 of them were watched from another data centre: every data centre chose its links by the same ranks, so a data centre gone at once would have been noticed node by node.

Change: the choice is shifted by the place of the own data centre. Tests of membership in virtual time: joins, failures, restarts with a new incarnation, pauses, false suspicion, a data centre gone, regions apart and merged, configuration and suspicions everywhere; tests of changes by compare-and-swap with races and lost answers.

Conclusion: the loss of a data centre is noticed by all its links at once.

--- a/merlintrail/bench/_latency.py
+++ b/merlintrail/bench/_latency.py
@@ -123,6 +123,12 @@
                 )
         await asyncio.gather(*tasks)
 
+    def compute_quantile(self, name: str, quantile: float) -> float:
+        """Return a quantile in milliseconds."""
+        ordered = sorted(self.latencies[name])
+        place = min(len(ordered) - 1, int(len(ordered) * quantile))
+        return ordered[place] * _MS_PER_S
+
     async def _call(self, name: str, address: str, is_counted: bool) -> None:
         loop = asyncio.get_running_loop()
         started_at = loop.time()
@@ -135,12 +141,6 @@
             assert answer.status == 200, (answer, started_at)
             self.latencies.setdefault(name, []).append(elapsed_s)
 
-    def compute_quantile(self, name: str, quantile: float) -> float:
-        """Return a quantile in milliseconds."""
-        ordered = sorted(self.latencies[name])
-        place = min(len(ordered) - 1, int(len(ordered) * quantile))
-        return ordered[place] * _MS_PER_S
-
 
 _ECHO: Final = {'service': 'echo', 'slots': 64, 'service_ms': 0}
 
--- a/merlintrail/coordination/_topology.py
+++ b/merlintrail/coordination/_topology.py
@@ -1,7 +1,7 @@
 """Which nodes a node keeps in touch with."""
 
 from collections import defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import Final
 
 import xxhash
@@ -49,8 +49,8 @@
 
     Within the data centre the nodes form a ring with chords. Towards other
     data centres each node keeps few links; ranks are matched so that the
-    links of one data centre cover all others, and the nodes of each other
-    data centre evenly.
+    links of one data centre cover all others, and the links of all cover the
+    nodes of each data centre evenly.
     """
     groups = _group_members(members)
     own_group = groups.pop(own.data_centre, [own])
@@ -63,11 +63,20 @@
         0,
     )
     neighbours = _choose_ring(own_rank, own_group)
-    others = [groups[name] for name in sorted(groups)]
-    if not others:
-        return neighbours
-    links = -(-LINKS_BETWEEN * len(others) // len(own_group))
+    return [*neighbours, *_choose_links(own, own_rank, len(own_group), groups)]
+
+
+def _choose_links(
+    own: Member,
+    own_rank: int,
+    own_size: int,
+    groups: Mapping[str, Sequence[Member]],
+) -> Iterator[Member]:
+    """Choose the links of a node to other data centres."""
+    names = sorted({*groups, own.data_centre})
+    others = [groups[name] for name in names if name in groups]
+    shift = own_rank + names.index(own.data_centre)
+    links = -(-LINKS_BETWEEN * len(others) // own_size)
     for link in range(min(links, len(others))):
-        group = others[(own_rank + link * len(own_group)) % len(others)]
-        neighbours.append(group[own_rank % len(group)])
-    return neighbours
+        group = others[(shift + link * own_size) % len(others)]
+        yield group[own_rank % len(group)]
