Send a call again to a peer whose old connections went silent

Cause: bench silent_connections puts a relay between two nodes that swallows bytes while acknowledging. Calls were proved not-run within 0.16 s and then refused, since the only backend server counted as tried.

--- /dev/null
+++ b/merlintrail/bench/_outcomes.py
@@ -0,0 +1,177 @@
+"""Benches of certain outcomes: ledger, drain, silent connections."""
+
+import asyncio
+import random
+import signal
+import time
+from typing import Any, Final
+
+import uvloop
+
+from merlintrail.bench._figures import Benches, Figure, print_figure
+from merlintrail.bench._latency import start_deployment
+from merlintrail.lab.processes import Deployment, WorkerPlan
+from merlintrail.lab.relay import Relay
+from merlintrail.load import LoadGenerator, LoadKind, LoadResult
+
+#: Requests a second while connections go silent.
+SILENT_RATE: Final = 100.0
+#: Seconds of load before and after they do.
+BEFORE_S: Final = 3.0
+AFTER_S: Final = 4.0
+
+
+def bench_ledger(_: int) -> None:
+    """Store writes and added latency of keyed requests at several rates."""
+    echo = {'service': 'echo', 'slots': 64, 'service_ms': 0}
+    plans = [
+        WorkerPlan(f'echo-{number}', f'dc-{number % 3}', echo)
+        for number in range(6)
+    ]
+    deployment = start_deployment(plans, 3)
+    try:
+        time.sleep(3)
+        for rate in (10, 100, 400):
+            _measure_ledger(deployment, rate)
+    finally:
+        deployment.stop()
+
+
+def _measure_ledger(deployment: Deployment, rate: int) -> None:
+    entries = [worker.call_address for worker in deployment.workers.values()]
+    seconds = 8.0
+
+    async def send(kind: LoadKind) -> Any:
+        generator = LoadGenerator(entries, random.Random(rate))
+        return await generator.run([kind], seconds)
+
+    plain = uvloop.run(send(LoadKind('call', '/echo/call', rate, 1000)))
+    before = deployment.read_store_counts()
+    keyed = uvloop.run(
+        send(LoadKind('once', '/echo/once', rate, 3000, is_keyed=True))
+    )
+    after = deployment.read_store_counts()
+    writes = (after['write'] - before.get('write', 0)) / seconds
+    print_figure(Figure(f'ledger.writes_per_s_at_{rate}', writes, '1/s', 300))
+    for name, quantile in (('p50', 0.5), ('p99', 0.99)):
+        print_figure(
+            Figure(
+                f'ledger.added_{name}_ms_at_{rate}',
+                keyed.compute_quantile_ms(quantile)
+                - plain.compute_quantile_ms(quantile),
+                'ms',
+                baseline=plain.compute_quantile_ms(quantile),
+            )
+        )
+    print_figure(
+        Figure(
+            f'ledger.whole_share_at_{rate}',
+            keyed.whole / len(keyed.samples),
+            'ratio',
+            1,
+        )
+    )
+
+
+def bench_drain(_: int) -> None:
+    """Drain a node under load: nothing is cut, nothing arrives later."""
+    plan = {'service': 'echo', 'slots': 32, 'service_ms': 20}
+    deployment = start_deployment(
+        [
+            WorkerPlan(f'echo-{number}', f'dc-{number % 2}', plan)
+            for number in range(4)
+        ]
+        + [WorkerPlan('entry', 'dc-0', None)],
+        2,
+    )
+    try:
+        late, result = uvloop.run(_drain_under_load(deployment))
+    finally:
+        deployment.stop()
+    print_figure(Figure('drain.calls_after_2_s', late, 'calls', 0))
+    print_figure(
+        Figure(
+            'drain.cut_requests',
+            len(result.samples) - result.whole,
+            'requests',
+            0,
+        )
+    )
+
+
+async def _drain_under_load(deployment: Deployment) -> tuple[int, Any]:
+    loop = asyncio.get_running_loop()
+    generator = LoadGenerator(
+        [deployment.workers['entry'].call_address], random.Random(1)
+    )
+    load = loop.create_task(
+        generator.run([LoadKind('call', '/echo/call', 200, 1000)], 10)
+    )
+    await asyncio.sleep(3)
+    deployment.send_signal('node echo-1', signal.SIGTERM)
+    await asyncio.sleep(2)
+    begun = await loop.run_in_executor(None, _count_begun, deployment)
+    await asyncio.sleep(3)
+    late = await loop.run_in_executor(None, _count_begun, deployment)
+    return late - begun, await load
+
+
+def _count_begun(deployment: Deployment) -> int:
+    counts = deployment.control_backend('echo-1')['counts']
+    return int(counts.get('begun', 0))
+
+
+async def _send_through_silence(relay: Relay) -> LoadResult:
+    """Let every connection between two nodes go silent under load."""
+    loop = asyncio.get_running_loop()
+    await relay.start()
+    deployment = await loop.run_in_executor(None, _start_behind_relay, relay)
+    try:
+        generator = LoadGenerator(
+            [deployment.workers['entry'].call_address], random.Random(1)
+        )
+        kind = LoadKind('call', '/echo/call', SILENT_RATE, 1000)
+        load = loop.create_task(generator.run([kind], BEFORE_S + AFTER_S))
+        await asyncio.sleep(BEFORE_S)
+        relay.silence()
+        return await load
+    finally:
+        relay.stop()
+        deployment.stop()
+
+
+def bench_silent_connections(_: int) -> None:
+    """Time until calls flow again when connections swallow bytes."""
+    for direction in ('forward', 'backward', 'both'):
+        result = uvloop.run(_send_through_silence(Relay(direction)))
+        slow = [
+            sample.latency_s
+            for sample in result.samples
+            if sample.sent_at >= BEFORE_S
+        ]
+        prefix = f'silent_connections.{direction}'
+        lost = len(result.samples) - result.whole
+        print_figure(Figure(f'{prefix}_longest_s', max(slow), 's', 1))
+        print_figure(Figure(f'{prefix}_lost', lost, 'requests', 0))
+
+
+def _start_behind_relay(relay: Relay) -> Deployment:
+    """Start two nodes; the peer address of one leads through the relay."""
+    echo = {'service': 'echo', 'slots': 64, 'service_ms': 5}
+    deployment = start_deployment([WorkerPlan('entry', 'dc-0', None)], 2)
+    plans = [WorkerPlan('far', 'dc-1', echo)]
+    deployment.place_workers(plans)
+    relay.target = deployment.hide_peer_address('far', relay.address)
+    deployment.start_node('far')
+    deployment.start_backends(plans)
+    time.sleep(3)
+    return deployment
+
+
+def list_benches() -> Benches:
+    """Return the benches of outcomes by name."""
+    return {
+        'ledger': bench_ledger,
+        'drain': bench_drain,
+        'silent_connections': bench_silent_connections,
+    }
--- /dev/null
+++ b/merlintrail/bench/soak.py
@@ -0,0 +1,167 @@
+"""Many nodes under kills, pauses, store outages and changes: ``make soak``."""
+
+import random
+import signal
+import sys
+import time
+from collections.abc import Sequence
+from typing import Final
+
+import urllib3
+from absl import app, flags
+
+from merlintrail.bench._figures import Figure, print_figure
+from merlintrail.bench._latency import (
+    build_document,
+    build_fleet,
+    read_memory_bytes,
+    start_deployment,
+)
+from merlintrail.lab.processes import Deployment
+
+_NODES: Final = flags.DEFINE_integer('nodes', 200, 'Nodes to run.')
+_SEED: Final = flags.DEFINE_integer('seed', 1, 'Seed of the faults.')
+_DURATION: Final = flags.DEFINE_float('duration', 600.0, 'Seconds of faults.')
+
+DATA_CENTRES: Final = 6
+#: Seconds between faults.
+FAULT_INTERVAL_S: Final = 2.0
+#: Seconds of the longest pause of a node.
+MAX_PAUSE_S: Final = 8.0
+#: Seconds of the longest store outage.
+MAX_OUTAGE_S: Final = 10.0
+#: Seconds within which all nodes must agree after the last fault.
+SETTLING_S: Final = 60.0
+_BYTES_PER_MB: Final = 1e6
+
+
+class Soak:
+    """One run: faults by a seeded random source, then agreement."""
+
+    def __init__(self, deployment: Deployment, seed: int) -> None:
+        self._deployment = deployment
+        self._source = random.Random(seed)
+        self._paused: dict[str, float] = {}
+        self._outage_until = 0.0
+        self._changes = 0
+        #: Faults brought about, by kind.
+        self.faults: dict[str, int] = {}
+
+    def run(self, duration_s: float) -> None:
+        """Bring about faults for a time, then end them all."""
+        end = time.monotonic() + duration_s
+        actions = (
+            self._kill,
+            self._kill,
+            self._pause,
+            self._pause,
+            self._change,
+            self._change,
+            self._stop_store,
+        )
+        while time.monotonic() < end:
+            self._end_due(time.monotonic())
+            action = self._source.choice(actions)
+            name = action.__name__.strip('_')
+            self.faults[name] = self.faults.get(name, 0) + 1
+            action()
+            time.sleep(FAULT_INTERVAL_S * self._source.uniform(0.5, 1.5))
+        self._end_due(float('inf'))
+
+    def _choose(self) -> str:
+        names = [
+            name
+            for name in self._deployment.workers
+            if name not in self._paused
+        ]
+        return self._source.choice(names[1:])
+
+    def _kill(self) -> None:
+        name = self._choose()
+        self._deployment.send_signal(f'node {name}', signal.SIGKILL)
+        self._deployment.wait_for_end(f'node {name}')
+        self._deployment.start_node(name)
+
+    def _pause(self) -> None:
+        name = self._choose()
+        self._deployment.send_signal(f'node {name}', signal.SIGSTOP)
+        pause_s = self._source.uniform(0.5, MAX_PAUSE_S)
+        self._paused[name] = time.monotonic() + pause_s
+
+    def _change(self) -> None:
+        self._changes += 1
+        document = build_document(DATA_CENTRES)
+        document['quarantine'] = {'expiry_s': 600 + self._changes}
+        try:
+            self._deployment.apply_configuration(document)
+        except (KeyError, urllib3.exceptions.HTTPError):
+            self.faults['refused changes'] = (
+                self.faults.get('refused changes', 0) + 1
+            )
+
+    def _stop_store(self) -> None:
+        self._deployment.set_store_faults({'is_down': True})
+        outage_s = self._source.uniform(1, MAX_OUTAGE_S)
+        self._outage_until = time.monotonic() + outage_s
+
+    def _end_due(self, now: float) -> None:
+        for name, until in tuple(self._paused.items()):
+            if until <= now:
+                self._deployment.send_signal(f'node {name}', signal.SIGCONT)
+                del self._paused[name]
+        if self._outage_until and self._outage_until <= now:
+            self._deployment.set_store_faults({})
+            self._outage_until = 0.0
+
+
+def wait_for_agreement(deployment: Deployment) -> float | None:
+    """Return the seconds until every node knows the same."""
+    started_at = time.monotonic()
+    expected = len(deployment.workers)
+    while time.monotonic() - started_at < SETTLING_S:
+        fleet = deployment.ask_admin('GET', '/v1/fleet')
+        views = {
+            (
+                status.get('generation'),
+                status.get('members'),
+                status.get('member_digest'),
+            )
+            for status in fleet
+        }
+        if len(fleet) == expected and len(views) == 1:
+            return time.monotonic() - started_at
+        time.sleep(0.5)
+    return None
+
+
+def _measure_memory(deployment: Deployment) -> float:
+    """Return the mean resident memory of the nodes in MB."""
+    sizes = [
+        read_memory_bytes(deployment.read_process_id(f'node {name}'))
+        for name in deployment.workers
+    ]
+    return sum(sizes) / len(sizes) / _BYTES_PER_MB
+
+
+def _run(_: Sequence[str]) -> int:
+    deployment = start_deployment(
+        build_fleet(_NODES.value, DATA_CENTRES), DATA_CENTRES
+    )
+    try:
+        memory_before = _measure_memory(deployment)
+        soak = Soak(deployment, _SEED.value)
+        soak.run(_DURATION.value)
+        agreed_s = wait_for_agreement(deployment)
+        memory_after = _measure_memory(deployment)
+    finally:
+        deployment.stop()
+    sys.stderr.write(f'faults: {soak.faults}\n')
+    print_figure(Figure('soak.agreement_s', agreed_s, 's', SETTLING_S))
+    print_figure(
+        Figure('soak.memory_mb', memory_after, 'MB', 64, memory_before)
+    )
+    return 1 if agreed_s is None else 0
+
+
+if __name__ == '__main__':
+    app.run(_run)
--- /dev/null
+++ b/merlintrail/cli/tests/test_command_line.py
@@ -0,0 +1,103 @@
+"""The command line as a user meets it."""
+
+import json
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from merlintrail.cli._exit_codes import ExitCode
+
+_EXAMPLES = Path(__file__).resolve().parents[3] / 'examples'
+
+
+def _run(
+    *words: str, text: str | None = None
+) -> 'subprocess.CompletedProcess[str]':
+    return subprocess.run(
+        [sys.executable, '-m', 'merlintrail.cli', *words],
+        input=text,
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=30,
+    )
+
+
+class CommandLineTest(unittest.TestCase):
+    """Commands that need no node, and nodes that are not there."""
+
+    def test_help(self) -> None:
+        """Help is useful and no failure; no command is a failure."""
+        for words in (['--help'], ['help']):
+            finished = _run(*words)
+            self.assertEqual(finished.returncode, ExitCode.OK)
+            self.assertIn('config apply FILE', finished.stdout)
+        for words in ([], ['nothing'], ['config'], ['config', 'check']):
+            finished = _run(*words)
+            self.assertEqual(finished.returncode, ExitCode.USAGE)
+            self.assertIn('usage:', finished.stderr)
+
+    def test_check(self) -> None:
+        """Valid, invalid with all findings, missing, no JSON."""
+        path = str(_EXAMPLES / 'rettelse.json')
+        self.assertEqual(_run('config', 'check', path).returncode, 0)
+        finished = _run(
+            'config', 'check', '-', text='{"format": 2, "services": []}'
+        )
+        self.assertEqual(finished.returncode, ExitCode.INVALID)
+        self.assertGreaterEqual(len(finished.stderr.splitlines()), 3)
+        for text in ('', '{', '[]'):
+            finished = _run('config', 'check', '-', text=text)
+            self.assertEqual(finished.returncode, ExitCode.INVALID)
+        finished = _run('config', 'check', '/nonexistent')
+        self.assertEqual(finished.returncode, ExitCode.INVALID)
+
+    def test_example_is_valid(self) -> None:
+        """The printed example passes the check."""
+        example = _run('config', 'example').stdout
+        finished = _run('config', 'check', '-', text=example)
+        self.assertEqual(finished.returncode, ExitCode.OK)
+
+    def test_settings_check(self) -> None:
+        """All findings of a settings file."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / 'settings.json'
+            path.write_text(json.dumps({'instance': '', 'join': ['x']}))
+            finished = _run('settings', 'check', str(path))
+            self.assertEqual(finished.returncode, ExitCode.INVALID)
+            self.assertIn('/join/0', finished.stderr)
+            self.assertIn('fleet_key', finished.stderr)
+
+    def test_unreachable_node(self) -> None:
+        """Said in one line, with its own exit status."""
+        for words in (('status',), ('config', 'show'), ('members',)):
+            finished = _run('--node=127.0.0.1:1', *words)
+            self.assertEqual(finished.returncode, ExitCode.UNREACHABLE)
+            self.assertEqual(len(finished.stderr.splitlines()), 1)
+
+
+class DaemonTest(unittest.TestCase):
+    """The daemon with bad settings."""
+
+    def test_bad_settings(self) -> None:
+        """Every finding with its place, and no start."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / 'settings.json'
+            path.write_text('{"instance": 7, "unknown": true}')
+            finished = subprocess.run(
+                [
+                    sys.executable,
+                    '-m',
+                    'merlintrail.daemon',
+                    f'--settings={path}',
+                ],
+                capture_output=True,
+                text=True,
+                check=False,
+                timeout=30,
+            )
+        self.assertEqual(finished.returncode, 2)
+        self.assertIn('/instance', finished.stderr)
+        self.assertIn('unknown', finished.stderr)
--- a/merlintrail/lab/processes.py
+++ b/merlintrail/lab/processes.py
@@ -70,6 +70,7 @@
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._http = urllib3.PoolManager(retries=False, timeout=5.0)
         self._plans: dict[str, WorkerPlan] = {}
+        self._listening: dict[str, str] = {}
         #: Workers by instance.
         self.workers: dict[str, Worker] = {}
         self.store_address = f'{HOST}:{find_free_ports(1)[0]}'
@@ -109,6 +110,16 @@
             if plan.backend is not None:
                 self.start_backend(plan.instance)
 
+    def hide_peer_address(self, instance: str, address: str) -> str:
+        """Let a node be known to others by another peer address.
+
+        :returns: the address that it listens on itself.
+        """
+        worker = self.workers[instance]
+        self._listening[instance] = worker.peer_address
+        self.workers[instance] = worker._replace(peer_address=address)
+        return worker.peer_address
+
     def start_node(self, instance: str) -> None:
         """Start, or start again, the node of a worker."""
         worker = self.workers[instance]
@@ -274,7 +285,10 @@
         raise TimeoutError(url)
 
     def _build_settings(self, worker: Worker) -> Mapping[str, Any]:
+        listening = self._listening.get(worker.instance)
+        hidden = {} if listening is None else {'peer_listen_address': listening}
         return {
+            **hidden,
             'instance': worker.instance,
             'data_centre': worker.data_centre,
             'call_address': worker.call_address,
--- a/merlintrail/load/_generator.py
+++ b/merlintrail/load/_generator.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 import uuid
 from collections import Counter
 from collections.abc import Sequence
@@ -136,7 +137,7 @@
         self, kinds: Sequence[LoadKind], duration_s: float
     ) -> LoadResult:
         """Send all kinds for a time and wait for the answers."""
-        self._started_at = asyncio.get_running_loop().time()
+        self._started_at = time.monotonic()
         await asyncio.gather(
             *(self._send_kind(kind, duration_s) for kind in kinds)
         )
@@ -151,15 +152,14 @@
             due += self._source.expovariate(kind.rate)
             if due > self._started_at + duration_s:
                 return
-            await asyncio.sleep(max(0.0, due - loop.time()))
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
             self._sent += 1
             task = loop.create_task(self._send(kind, self._sent))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
     async def _send(self, kind: LoadKind, number: int) -> None:
-        loop = asyncio.get_running_loop()
-        sent_at = loop.time()
+        sent_at = time.monotonic()
         body = f'{kind.name} {number} '.encode().ljust(kind.body_bytes, b'.')
         headers = [
             ('host', 'merlintrail'),
@@ -188,7 +188,7 @@
             Sample(
                 kind.name,
                 sent_at - self._started_at,
-                loop.time() - sent_at,
+                time.monotonic() - sent_at,
                 is_whole,
                 outcome,
                 reason,
--- a/merlintrail/node/_dispatch.py
+++ b/merlintrail/node/_dispatch.py
@@ -131,6 +131,9 @@
             refusal = gate_result.answer
             if not self._may_retry(call, gate_result, refusal):
                 break
+            if refusal.reason == Reason.TOMBSTONE:
+                # The peer is well, only its old connections were not.
+                tried.pop()
             self._parts.metrics.record_retry(call.service)
         return self._build_result(call, refusal, levels)
 
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -118,7 +118,9 @@
 
         :raises OSError: when an address cannot be bound.
         """
-        host, port = split_host_port(self.settings.peer_address)
+        host, port = split_host_port(
+            self.settings.peer_listen_address or self.settings.peer_address
+        )
         self._servers.append(
             await start_server(self.peer_service.handle, host, port)
         )
--- a/merlintrail/node/_settings.py
+++ b/merlintrail/node/_settings.py
@@ -39,6 +39,8 @@
     log_level: str
     #: URL of an OTLP/HTTP metrics endpoint.
     otlp_endpoint: str | None
+    #: ``host:port`` to listen on for nodes, when another than the announced.
+    peer_listen_address: str | None = None
 
 
 class InvalidSettings(NamedTuple):
@@ -79,4 +81,5 @@
         log.get('path'),
         log.get('level', 'INFO').upper(),
         document.get('metrics', {}).get('otlp_endpoint'),
+        document.get('peer_listen_address'),
     )
