Give up lesser calls when an important one is refused

Cause: a most important call with a short deadline was refused while lesser calls with long ones waited in the same queue and were served afterwards. A backend server could say not-run although calls below it had run.

Change: a refusal for lack of room, or for a deadline behind calls of the same class, refuses what waits in lower classes too. A backend server's not-run counts only when it made no calls.

Conclusion: the order of refusals holds within a queue.

--- a/merlintrail/node/_gatekeeper.py
+++ b/merlintrail/node/_gatekeeper.py
@@ -276,7 +276,10 @@
             return answer
         gate.limit.record_refusal(now)
         gate.shedder.record_overflow()
-        is_proved = answer.find_header(OUTCOME_HEADER) == Outcome.NOT_RUN
+        is_proved = (
+            answer.find_header(OUTCOME_HEADER) == Outcome.NOT_RUN
+            and not parent.digests
+        )
         outcome = Outcome.NOT_RUN if is_proved else Outcome.MAY_HAVE_RUN
         return Refusal(outcome, Reason.BACKEND_REFUSED)
 
--- a/merlintrail/node/tests/test_outcomes.py
+++ b/merlintrail/node/tests/test_outcomes.py
@@ -273,6 +273,33 @@
         run_virtually(scenario())
 
 
+class HonestyTest(unittest.TestCase):
+    """What a backend server says is not believed against better knowledge."""
+
+    def test_not_run_of_a_server_that_made_calls(self) -> None:
+        """It says not-run, but a call below it has run."""
+
+        async def scenario() -> None:
+            document = build_document(
+                {
+                    'top': [build_kind('x', idempotent=False)],
+                    'deep': [build_kind('x')],
+                }
+            )
+            session = Session(document, ('ingress', 'one', 'two'))
+
+            async def run_top(request: HttpRequest) -> HttpResponse:
+                await session.call_below('one', request, '/deep/x')
+                return HttpResponse(503, ((OUTCOME_HEADER, 'not-run'),), b'')
+
+            session.add_backend('one', 'top', run_top)
+            session.add_backend('two', 'deep', answer_after(0.01))
+            answer = await session.call('ingress', '/top/x', 'a')
+            self.assertEqual(get_header(answer, OUTCOME_HEADER), 'may-have-run')
+
+        run_virtually(scenario())
+
+
 class DrainTest(unittest.TestCase):
     """A draining backend server gets nothing new."""
 
--- a/merlintrail/state/_admission.py
+++ b/merlintrail/state/_admission.py
@@ -124,6 +124,7 @@
         if now + wait_s + self.service_s > deadline:
             if wait_s > 0:
                 self.shedder.record_overflow()
+                self._give_up_lesser(priority // SUBLEVELS)
             return self._refuse(Reason.DEADLINE)
         level = self.shedder.read_level(now)
         is_free = self.running < self.limit.limit and not self.queued
@@ -157,6 +158,7 @@
         room = self._compute_room(call)
         ahead = sum(len(queue) for queue in self._queues[own_class:])
         if ahead >= room:
+            self._give_up_lesser(own_class)
             return False
         lesser = [queue for queue in self._queues[:own_class] if queue]
         if self.queued >= room and lesser:
@@ -165,6 +167,13 @@
             pushed_out.decision.set_result(self._refuse(Reason.OVERLOAD))
         return True
 
+    def _give_up_lesser(self, own_class: int) -> None:
+        """Refuse what waits behind calls that are refused themselves."""
+        for queue in self._queues[:own_class]:
+            while queue:
+                call = queue.popleft()
+                call.decision.set_result(self._refuse(Reason.OVERLOAD))
+
     def _compute_room(self, call: QueuedCall) -> int:
         """Return how many calls may wait before the call is refused.
 
--- a/merlintrail/state/tests/test_admission.py
+++ b/merlintrail/state/tests/test_admission.py
@@ -98,6 +98,46 @@
 
         self.assertEqual(run_virtually(scenario()), (0, 0))
 
+    def test_lesser_calls_are_given_up_first(self) -> None:
+        """No lesser call is served after an important one was refused."""
+
+        async def scenario() -> list[tuple[float, int, bool]]:
+            admission = _create_admission(1)
+            admission.queue_limit_s = 1.0
+            admission.service_s = 0.1
+            loop = asyncio.get_running_loop()
+            ends: list[tuple[float, int, bool]] = []
+
+            async def arrive(number: int, importance: int) -> None:
+                await asyncio.sleep(number * 0.001)
+                patience_s = 1.0 if importance == Importance.NORMAL else 0.3
+                refusal = await _hold(admission, importance, 0.1, patience_s)
+                ends.append((loop.time(), importance, refusal is None))
+
+            await asyncio.gather(
+                *(arrive(number, Importance.NORMAL) for number in range(5)),
+                *(
+                    arrive(number, Importance.CRITICAL)
+                    for number in range(5, 9)
+                ),
+            )
+            return ends
+
+        ends = run_virtually(scenario())
+        refused = [
+            moment
+            for moment, importance, is_served in ends
+            if importance == Importance.CRITICAL and not is_served
+        ]
+        self.assertTrue(refused)
+        started_after = [
+            moment
+            for moment, importance, is_served in ends
+            if importance == Importance.NORMAL and is_served
+            if moment - 0.1 > min(refused)
+        ]
+        self.assertEqual(started_after, [])
+
     def test_newest_first_when_overloaded(self) -> None:
         """An overloaded queue does not serve the calls that gave up."""
 
