Encode the answer between nodes once, headers as arrays

Cause: the gatekeeper built the answer for inquiries and the peer service built it again; call header and report carried their field names.

Change: one encoded answer serves both; both headers are JSON arrays in the order of their fields, later fields at the end with defaults.

--- a/merlintrail/node/_calls.py
+++ b/merlintrail/node/_calls.py
@@ -58,6 +58,8 @@
 
     answer: HttpResponse | Refusal
     report: CallReport
+    #: The answer as it goes to another node, once it is built.
+    encoded: HttpResponse | None = None
 
 
 def list_forwarded(request: HttpRequest) -> HeaderList:
@@ -80,6 +82,8 @@
 
 def build_peer_answer(gate_result: GateResult, request_id: str) -> HttpResponse:
     """Build the answer between nodes, with its report."""
+    if gate_result.encoded is not None:
+        return gate_result.encoded
     answer = gate_result.answer
     if isinstance(answer, Refusal):
         answer = build_refusal_response(answer, request_id)
--- a/merlintrail/node/_gatekeeper.py
+++ b/merlintrail/node/_gatekeeper.py
@@ -164,9 +164,9 @@
         if report.reason == Reason.BACKEND_LOST:
             report = report._replace(suspicion=self._find_suspicion(call))
         gate_result = GateResult(answer, report)
-        self._parts.calls.finish(
-            header.call_id, build_peer_answer(gate_result, header.request_id)
-        )
+        encoded = build_peer_answer(gate_result, header.request_id)
+        self._parts.calls.finish(header.call_id, encoded)
+        gate_result = gate_result._replace(encoded=encoded)
         self._record(header, gate_result.report)
         return gate_result
 
--- a/merlintrail/protocol/_call.py
+++ b/merlintrail/protocol/_call.py
@@ -6,7 +6,7 @@
 from merlintrail.protocol._codec import (
     DecodeFailure,
     decode_json,
-    decode_record,
+    decode_positions,
     encode_json,
 )
 
@@ -63,15 +63,18 @@
 
 
 def encode_fields(record: CallHeader | CallReport) -> str:
-    """Encode a header record as one line of JSON."""
-    return encode_json(record._asdict()).decode()
+    """Encode a header record as a JSON array in the order of its fields.
+
+    Fields are only ever added at the end, with a default.
+    """
+    return encode_json(tuple(record)).decode()
 
 
 def decode_call_header(text: str) -> CallHeader | DecodeFailure:
     """Decode the call header."""
-    return decode_record(CallHeader, decode_json(text))
+    return decode_positions(CallHeader, decode_json(text))
 
 
 def decode_call_report(text: str) -> CallReport | DecodeFailure:
     """Decode the report header."""
-    return decode_record(CallReport, decode_json(text))
+    return decode_positions(CallReport, decode_json(text))
--- a/merlintrail/protocol/_codec.py
+++ b/merlintrail/protocol/_codec.py
@@ -40,6 +40,25 @@
         return DecodeFailure(f'not JSON: {error}')
 
 
+def decode_positions(
+    record_type: type[RecordT], document: object
+) -> RecordT | DecodeFailure:
+    """Build a ``NamedTuple`` from a JSON array in the order of its fields.
+
+    Entries beyond the known fields come from a later version and are
+    ignored.
+    """
+    if isinstance(document, DecodeFailure):
+        return document
+    if not isinstance(document, list):
+        return DecodeFailure(f'{record_type.__name__}: not an array')
+    known = document[: len(record_type.__annotations__)]
+    try:
+        return record_type(*known)
+    except TypeError as error:
+        return DecodeFailure(f'{record_type.__name__}: {error}')
+
+
 def decode_record(
     record_type: type[RecordT], document: object
 ) -> RecordT | DecodeFailure:
--- a/merlintrail/protocol/_headers.py
+++ b/merlintrail/protocol/_headers.py
@@ -16,9 +16,9 @@
 REASON_HEADER: Final = 'merlintrail-reason'
 #: Identifier of the request, for logs and support.
 REQUEST_ID_HEADER: Final = 'merlintrail-request-id'
-#: Call header between nodes, a JSON object.
+#: Call header between nodes, a JSON array.
 CALL_HEADER: Final = 'merlintrail-call'
-#: Report header between nodes, a JSON object.
+#: Report header between nodes, a JSON array.
 REPORT_HEADER: Final = 'merlintrail-report'
 #: Shared key by which nodes recognise each other.
 FLEET_KEY_HEADER: Final = 'merlintrail-fleet-key'
