Count calls in the node and let the exporter observe them

Cause: counters of OpenTelemetry were the largest part of a call's deferred work.

Change: calls and retries are counted in plain counters that observable instruments read at each collection.

--- a/merlintrail/observability/_metrics.py
+++ b/merlintrail/observability/_metrics.py
@@ -1,7 +1,8 @@
 """Metrics by OpenTelemetry, with the names of its semantic conventions."""
 
-from collections.abc import Callable, Iterable, Mapping
-from typing import Any, Final
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from typing import Any, Final, NamedTuple
 
 import orjson
 from opentelemetry.metrics import CallbackOptions, Observation
@@ -18,7 +19,13 @@
 #: Milliseconds between exports to a collector.
 EXPORT_INTERVAL_MS: Final = 10000
 
-GaugeReader = Callable[[], Iterable[tuple[float, Mapping[str, str]]]]
+
+class CallLabels(NamedTuple):
+    """What calls are counted by."""
+
+    service: str
+    outcome: str
+    reason: str
 
 
 class NodeMetrics:
@@ -35,13 +42,17 @@
             unit='s',
             description='Time from request to answer.',
         )
-        self._calls = self._meter.create_counter(
+        self._calls: Counter[CallLabels] = Counter()
+        self._retries: Counter[str] = Counter()
+        self._meter.create_observable_counter(
             'merlintrail.calls',
+            [self._observe_calls],
             unit='{call}',
             description='Calls by service, outcome and reason.',
         )
-        self._retries = self._meter.create_counter(
+        self._meter.create_observable_counter(
             'merlintrail.retries',
+            [self._observe_retries],
             unit='{retry}',
             description='Attempts beyond the first of a call.',
         )
@@ -61,32 +72,11 @@
 
     def record_call(self, service: str, outcome: str, reason: str) -> None:
         """Record what became of a call at its backend server."""
-        defer(
-            self._calls.add,
-            1,
-            {
-                'merlintrail.service': service,
-                'merlintrail.outcome': outcome,
-                'merlintrail.reason': reason,
-            },
-        )
+        self._calls[CallLabels(service, outcome, reason)] += 1
 
     def record_retry(self, service: str) -> None:
         """Record a further attempt."""
-        self._retries.add(1, {'merlintrail.service': service})
-
-    def observe(
-        self, name: str, unit: str, description: str, read: GaugeReader
-    ) -> None:
-        """Register a gauge that is read at each collection."""
-
-        def collect(_: CallbackOptions) -> Iterable[Observation]:
-            for number, attributes in read():
-                yield Observation(number, attributes)
-
-        self._meter.create_observable_gauge(
-            name, [collect], unit=unit, description=description
-        )
+        self._retries[service] += 1
 
     def read_all(self) -> Mapping[str, Any]:
         """Return every metric in the JSON form of OpenTelemetry."""
@@ -100,6 +90,21 @@
         """Export what is left."""
         self._provider.shutdown()
 
+    def _observe_calls(self, _: CallbackOptions) -> Iterable[Observation]:
+        for labels, count in tuple(self._calls.items()):
+            yield Observation(
+                count,
+                {
+                    'merlintrail.service': labels.service,
+                    'merlintrail.outcome': labels.outcome,
+                    'merlintrail.reason': labels.reason,
+                },
+            )
+
+    def _observe_retries(self, _: CallbackOptions) -> Iterable[Observation]:
+        for service, count in tuple(self._retries.items()):
+            yield Observation(count, {'merlintrail.service': service})
+
 
 def create_metrics(
     instance: str, otlp_endpoint: str | None = None
