--- /dev/null
+++ b/merlintrail/node/_gauges.py
@@ -0,0 +1,86 @@
+"""Gauges of a node's state, for operators' metrics."""
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import Final, NamedTuple
+
+from merlintrail.node._gatekeeper import Gate, Gatekeeper
+from merlintrail.observability import GaugePoint, NodeMetrics
+from merlintrail.state import ConfigurationHolder, MemberTable
+
+
+class _GateGauge(NamedTuple):
+    """A gauge with one point for each backend server."""
+
+    name: str
+    unit: str
+    description: str
+    read: Callable[[Gate], float]
+
+
+_GATE_GAUGES: Final = (
+    _GateGauge(
+        'merlintrail.running',
+        '{call}',
+        'Calls that hold a slot of the backend server.',
+        lambda gate: gate.admission.running,
+    ),
+    _GateGauge(
+        'merlintrail.queued',
+        '{call}',
+        'Calls that wait for a slot.',
+        lambda gate: gate.admission.queued,
+    ),
+    _GateGauge(
+        'merlintrail.limit',
+        '{call}',
+        'Calls that may run at a time.',
+        lambda gate: gate.limit.limit,
+    ),
+    _GateGauge(
+        'merlintrail.shedding_level',
+        '1',
+        'Calls of a lower priority are refused, 0 to 127.',
+        lambda gate: gate.shedder.level,
+    ),
+)
+
+
+def _read_gates(
+    gates: Mapping[str, Gate], read: Callable[[Gate], float]
+) -> Iterable[GaugePoint]:
+    for service, gate in tuple(gates.items()):
+        yield GaugePoint(read(gate), service)
+
+
+def register_gauges(
+    metrics: NodeMetrics,
+    holder: ConfigurationHolder,
+    table: MemberTable,
+    gatekeeper: Gatekeeper,
+) -> None:
+    """Register every gauge of a node."""
+    metrics.observe_gauge(
+        'merlintrail.generation',
+        '1',
+        'Generation of the configuration in force.',
+        lambda: [GaugePoint(holder.generation)],
+    )
+    metrics.observe_gauge(
+        'merlintrail.members',
+        '{node}',
+        'Nodes known, gone ones included.',
+        lambda: [GaugePoint(len(table))],
+    )
+    for gauge in _GATE_GAUGES:
+        _register_gate_gauge(metrics, gatekeeper, gauge)
+
+
+def _register_gate_gauge(
+    metrics: NodeMetrics, gatekeeper: Gatekeeper, gauge: _GateGauge
+) -> None:
+    metrics.observe_gauge(
+        gauge.name,
+        gauge.unit,
+        gauge.description,
+        lambda: _read_gates(gatekeeper.gates, gauge.read),
+    )
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -23,6 +23,7 @@
 from merlintrail.node._contexts import ContextTable
 from merlintrail.node._dispatch import Dispatcher, DispatchParts
 from merlintrail.node._exchange import PeerExchange
+from merlintrail.node._gauges import register_gauges
 from merlintrail.node._gatekeeper import Gatekeeper, GateParts
 from merlintrail.node._ingress import Ingress, IngressParts
 from merlintrail.node._keyed import KeyedCalls, KeyedParts
@@ -110,6 +111,7 @@
         self._create_coordination()
         self._create_call_path()
         self._create_services()
+        register_gauges(self.metrics, self.holder, self.table, self.gatekeeper)
         self.holder.add_listener(self._apply_configuration)
         self.table.add_listener(self.routing.update_member)
         self.table.add_listener(self._drop_connections)
--- a/merlintrail/observability/__init__.py
+++ b/merlintrail/observability/__init__.py
@@ -7,9 +7,14 @@
     log_decision,
     open_log,
 )
-from merlintrail.observability._metrics import NodeMetrics, create_metrics
+from merlintrail.observability._metrics import (
+    GaugePoint,
+    NodeMetrics,
+    create_metrics,
+)
 
 __all__ = (
+    'GaugePoint',
     'JsonLinesHandler',
     'NodeMetrics',
     'create_logger',
--- a/merlintrail/observability/_metrics.py
+++ b/merlintrail/observability/_metrics.py
@@ -1,8 +1,8 @@
 """Metrics by OpenTelemetry, with the names of its semantic conventions."""
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
-from typing import Any, Final, NamedTuple
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, Final, NamedTuple, TypeAlias
 
 import orjson
 from opentelemetry.metrics import CallbackOptions, Observation
@@ -20,6 +20,17 @@
 EXPORT_INTERVAL_MS: Final = 10000
 
 
+class GaugePoint(NamedTuple):
+    """One point of a gauge."""
+
+    number: float
+    #: Service that it belongs to, ``None`` for the whole node.
+    service: str | None = None
+
+
+GaugeReader: TypeAlias = Callable[[], Iterable[GaugePoint]]
+
+
 class CallLabels(NamedTuple):
     """What calls are counted by."""
 
@@ -78,6 +89,22 @@
         """Record a further attempt."""
         self._retries[service] += 1
 
+    def observe_gauge(
+        self, name: str, unit: str, description: str, read: GaugeReader
+    ) -> None:
+        """Register a gauge that is read at each collection."""
+
+        def collect(_: CallbackOptions) -> Iterable[Observation]:
+            for point in read():
+                attributes = {}
+                if point.service is not None:
+                    attributes['merlintrail.service'] = point.service
+                yield Observation(point.number, attributes)
+
+        self._meter.create_observable_gauge(
+            name, [collect], unit=unit, description=description
+        )
+
     def read_all(self) -> Mapping[str, Any]:
         """Return every metric in the JSON form of OpenTelemetry."""
         collected = self._reader.get_metrics_data()
--- a/merlintrail/state/_shedding.py
+++ b/merlintrail/state/_shedding.py
@@ -42,6 +42,11 @@
         self._was_saturated = False
         self._started_at = now
 
+    @property
+    def level(self) -> int:
+        """The level as it was when last read, without a step of time."""
+        return self._level
+
     def read_level(self, now: float) -> int:
         """Return the level; calls of a lower priority are refused."""
         if now - self._started_at >= WINDOW_S:
