Split the node's parts; let each node count suspects as dead by itself

Cause: the node, the gatekeeper and the dispatcher had grown large and held the handling of suspicions twice; hints of health endpoints were written but never read.

A suspect that does not refute is counted as dead without telling anybody.

--- a/merlintrail/coordination/_membership.py
+++ b/merlintrail/coordination/_membership.py
@@ -140,7 +140,11 @@
         return True
 
     def expire_suspects(self) -> list[Member]:
-        """Count suspects as dead that did not refute; return them."""
+        """Count suspects as dead that did not refute; return them.
+
+        Nobody is told: every node has heard the suspicion and comes to the
+        same conclusion by itself.
+        """
         oldest = self._clock() - REFUTATION_S
         expired = [
             member
@@ -149,8 +153,7 @@
             and (member := self.table.find(node_id)) is not None
         ]
         dead = [member._replace(status=MemberStatus.DEAD) for member in expired]
-        self._merge_members(dead, sender='')
-        return dead
+        return self.table.merge(dead)
 
     def compute_buckets(self) -> list[str]:
         """Compute the digests of the parts of the member table."""
--- a/merlintrail/lab/deployment.py
+++ b/merlintrail/lab/deployment.py
@@ -7,17 +7,17 @@
 import json
 import random
 import sys
-from collections.abc import Mapping, Sequence
-from typing import Any, Final
+from collections.abc import Sequence
+from typing import Final
 
 import uvloop
 from absl import app, flags
 
 from merlintrail.load import LoadGenerator, LoadKind, LoadResult
+from merlintrail.lab.example import build_document, build_plans
 from merlintrail.lab.processes import (
     OPERATOR_KEY,
     Deployment,
-    WorkerPlan,
 )
 
 _DURATION: Final = flags.DEFINE_float(
@@ -34,61 +34,6 @@
 )
 
 
-def build_document() -> Mapping[str, Any]:
-    """Build the configuration of the small deployment."""
-
-    def describe_kind(
-        name: str, importance: str, deadline_ms: int, *, idempotent: bool
-    ) -> Mapping[str, Any]:
-        return {
-            'name': name,
-            'path': f'/{name}',
-            'importance': importance,
-            'idempotent': idempotent,
-            'deadline_ms': deadline_ms,
-            'retries': 2,
-        }
-
-    return {
-        'format': 1,
-        'services': [
-            {
-                'name': 'fitadvisor',
-                'kinds': [
-                    describe_kind('advice', 'critical', 800, idempotent=True),
-                    describe_kind('credits', 'high', 2000, idempotent=False),
-                ],
-            },
-            {
-                'name': 'chartdesk',
-                'kinds': [
-                    describe_kind('charts', 'high', 800, idempotent=True),
-                    describe_kind('sync', 'low', 2000, idempotent=True),
-                ],
-            },
-        ],
-        'regions': [
-            {'name': 'marmara', 'data_centres': ['marmara-1', 'marmara-2']}
-        ],
-    }
-
-
-def build_plans() -> Sequence[WorkerPlan]:
-    """Build the workers of the small deployment."""
-    advisor = {
-        'service': 'fitadvisor',
-        'slots': 25,
-        'children': ['/chartdesk/charts'],
-    }
-    desk = {'service': 'chartdesk', 'slots': 25, 'service_ms': 5}
-    return [
-        WorkerPlan('fitadvisor-1', 'marmara-1', advisor),
-        WorkerPlan('fitadvisor-2', 'marmara-2', advisor),
-        WorkerPlan('chartdesk-1', 'marmara-1', desk),
-        WorkerPlan('chartdesk-2', 'marmara-2', desk),
-    ]
-
-
 def _has_only_honest_answers(result: LoadResult) -> bool:
     """Tell whether every request was answered or honestly refused."""
     honest = {'completed', 'not-run', 'may-have-run'}
--- a/merlintrail/lab/tests/test_outages.py
+++ b/merlintrail/lab/tests/test_outages.py
@@ -9,7 +9,7 @@
 import orjson
 import urllib3
 
-from merlintrail.lab.deployment import build_document
+from merlintrail.lab.example import build_document
 from merlintrail.lab.processes import Deployment, WorkerPlan
 
 #: Seconds within which anything must have happened.
--- /dev/null
+++ b/merlintrail/node/_answers.py
@@ -0,0 +1,76 @@
+"""Answers of other nodes, read and combined."""
+
+from merlintrail.node._calls import GateResult, list_returned
+from merlintrail.protocol import (
+    REPORT_HEADER,
+    CallHeader,
+    CallReport,
+    DecodeFailure,
+    Outcome,
+    Reason,
+    Refusal,
+    decode_call_report,
+)
+from merlintrail.transport import HttpResponse
+
+
+def combine_refusals(
+    earlier: Refusal | None, later: Refusal, *, is_sent: bool = True
+) -> Refusal:
+    """Combine the refusals of two attempts of one call.
+
+    ``not-run`` is told only when it holds for every attempt.
+
+    :param is_sent: whether the later one comes from another attempt.
+    """
+    if earlier is None:
+        return later
+    if not is_sent:
+        return earlier
+    if earlier.outcome != Outcome.NOT_RUN:
+        return later._replace(outcome=earlier.outcome)
+    return later
+
+
+def read_peer_answer(
+    header: CallHeader, answer: HttpResponse | Refusal
+) -> GateResult:
+    """Read what a peer answered, with the report that came along."""
+    if isinstance(answer, Refusal):
+        returned = header.retries if answer.outcome == Outcome.NOT_RUN else 0
+        return GateResult(answer, _build_silence(answer, returned))
+    encoded = answer.find_header(REPORT_HEADER)
+    report = (
+        DecodeFailure('no report')
+        if encoded is None
+        else decode_call_report(encoded)
+    )
+    if isinstance(report, DecodeFailure) or report.call_id != header.call_id:
+        refusal = Refusal(
+            Outcome.MAY_HAVE_RUN, Reason.PEER_LOST, 'answer to another call'
+        )
+        return GateResult(refusal, _build_silence(refusal, 0))
+    if report.reason:
+        refusal = Refusal(
+            Outcome(report.outcome),
+            Reason(report.reason),
+            retry_after_s=float(answer.find_header('retry-after') or 1),
+        )
+        return GateResult(refusal, report)
+    stripped = HttpResponse(answer.status, list_returned(answer), answer.body)
+    return GateResult(stripped, report)
+
+
+def _build_silence(refusal: Refusal, returned: int) -> CallReport:
+    """Build the report of a call that brought none."""
+    return CallReport(
+        call_id='',
+        outcome=refusal.outcome.value,
+        reason=refusal.reason.value,
+        retries=returned,
+        level=0,
+        path_levels={},
+        in_flight=0,
+        service_ms=0.0,
+        is_draining=False,
+    )
--- a/merlintrail/node/_dispatch.py
+++ b/merlintrail/node/_dispatch.py
@@ -4,41 +4,34 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple, Protocol
 
+from merlintrail.node._answers import combine_refusals, read_peer_answer
 from merlintrail.node._calls import (
     CallResult,
     GateResult,
     OutgoingCall,
-    compute_call_digest,
-    list_returned,
 )
 from merlintrail.node._exchange import PeerExchange
+from merlintrail.node._suspicions import Suspicions
 from merlintrail.observability import NodeMetrics, log_decision
 from merlintrail.protocol import (
-    REPORT_HEADER,
     SUBLEVELS,
     CallHeader,
-    CallReport,
-    DecodeFailure,
     Importance,
     Outcome,
     Reason,
     Refusal,
     create_id,
-    decode_call_report,
 )
 from merlintrail.state import (
     Choice,
     ConfigurationHolder,
     NoTarget,
-    Quarantine,
     RetryBudget,
     RoutingTable,
     SheddingMemory,
-    Suspicion,
     Target,
     Tier,
     merge_levels,
-    read_suspicion,
 )
 from merlintrail.transport import HttpResponse
 
@@ -95,9 +88,8 @@
     exchange: PeerExchange
     gate: LocalGate
     metrics: NodeMetrics
-    quarantine: Quarantine
+    suspicions: Suspicions
     clock: Callable[[], float]
-    wall_clock: Callable[[], float]
     source: random.Random
 
 
@@ -121,14 +113,14 @@
         while True:
             choice = self._find_target(call, tried)
             if isinstance(choice, Refusal):
-                refusal = _combine_refusals(refusal, choice, is_sent=False)
+                refusal = combine_refusals(refusal, choice, is_sent=False)
                 break
             tried.append(choice.target.member.node_id)
             gate_result = await self._attempt(call, choice)
             levels = merge_levels(levels, gate_result.report.path_levels)
             if isinstance(gate_result.answer, HttpResponse):
                 return self._build_result(call, gate_result.answer, levels)
-            refusal = _combine_refusals(refusal, gate_result.answer)
+            refusal = combine_refusals(refusal, gate_result.answer)
             if not self._may_retry(call, gate_result, refusal):
                 break
             if refusal.reason == Reason.TOMBSTONE:
@@ -211,7 +203,7 @@
         call.account.restore(share, report.retries)
         if report.call_id:
             target.record_report(report, now - started_at, now)
-        self._take_suspicion(report)
+        self._parts.suspicions.take(report.suspicion)
         self._count_failure(target, gate_result.answer)
         return gate_result
 
@@ -269,29 +261,13 @@
         is_unproved = refusal.outcome != Outcome.NOT_RUN
         if is_unproved and not call.is_idempotent:
             return False
-        if call.deadline <= self._clock() or self._is_convicted(call):
+        if (
+            call.deadline <= self._clock()
+            or self._parts.suspicions.is_convicted(call)
+        ):
             return False
         return self._has_allowance(call, refusal)
 
-    def _take_suspicion(self, report: CallReport) -> None:
-        """Take the suspicion that came along with an answer."""
-        if report.suspicion is None:
-            return
-        told = read_suspicion(report.suspicion)
-        if told is not None:
-            self._parts.quarantine.merge(told, self._parts.wall_clock())
-
-    def _find_suspicion(self, call: OutgoingCall) -> Suspicion | None:
-        if self._parts.quarantine.is_empty:
-            return None
-        return self._parts.quarantine.find(
-            compute_call_digest(call), self._parts.wall_clock()
-        )
-
-    def _is_convicted(self, call: OutgoingCall) -> bool:
-        suspicion = self._find_suspicion(call)
-        return suspicion is not None and suspicion.is_convicted
-
     def _has_allowance(self, call: OutgoingCall, refusal: Refusal) -> bool:
         """Take one retry from the request's account and the node's budget.
 
@@ -325,67 +301,5 @@
             target.member.incarnation,
             self._parts.node_id,
             call.service,
-            suspicion=self._find_suspicion(call),
+            suspicion=self._parts.suspicions.find(call),
         )
-
-
-def _combine_refusals(
-    earlier: Refusal | None, later: Refusal, *, is_sent: bool = True
-) -> Refusal:
-    """Combine the refusals of two attempts of one call.
-
-    ``not-run`` is told only when it holds for every attempt.
-
-    :param is_sent: whether the later one comes from another attempt.
-    """
-    if earlier is None:
-        return later
-    if not is_sent:
-        return earlier
-    if earlier.outcome != Outcome.NOT_RUN:
-        return later._replace(outcome=earlier.outcome)
-    return later
-
-
-def read_peer_answer(
-    header: CallHeader, answer: HttpResponse | Refusal
-) -> GateResult:
-    """Read what a peer answered, with the report that came along."""
-    if isinstance(answer, Refusal):
-        returned = header.retries if answer.outcome == Outcome.NOT_RUN else 0
-        return GateResult(answer, _build_silence(answer, returned))
-    encoded = answer.find_header(REPORT_HEADER)
-    report = (
-        DecodeFailure('no report')
-        if encoded is None
-        else decode_call_report(encoded)
-    )
-    if isinstance(report, DecodeFailure) or report.call_id != header.call_id:
-        refusal = Refusal(
-            Outcome.MAY_HAVE_RUN, Reason.PEER_LOST, 'answer to another call'
-        )
-        return GateResult(refusal, _build_silence(refusal, 0))
-    if report.reason:
-        refusal = Refusal(
-            Outcome(report.outcome),
-            Reason(report.reason),
-            retry_after_s=float(answer.find_header('retry-after') or 1),
-        )
-        return GateResult(refusal, report)
-    stripped = HttpResponse(answer.status, list_returned(answer), answer.body)
-    return GateResult(stripped, report)
-
-
-def _build_silence(refusal: Refusal, returned: int) -> CallReport:
-    """Build the report of a call that brought none."""
-    return CallReport(
-        call_id='',
-        outcome=refusal.outcome.value,
-        reason=refusal.reason.value,
-        retries=returned,
-        level=0,
-        path_levels={},
-        in_flight=0,
-        service_ms=0.0,
-        is_draining=False,
-    )
--- a/merlintrail/node/_gatekeeper.py
+++ b/merlintrail/node/_gatekeeper.py
@@ -7,15 +7,15 @@
 from merlintrail.node._backend import (
     Announcement,
     BackendProber,
-    BackendServer,
 )
 from merlintrail.node._calls import (
     GateResult,
     OutgoingCall,
     build_peer_answer,
-    compute_call_digest,
 )
 from merlintrail.node._contexts import ContextTable, ParentCall
+from merlintrail.node._gate import Gate
+from merlintrail.node._suspicions import Suspicions
 from merlintrail.observability import NodeMetrics, log_decision
 from merlintrail.protocol import (
     CONTEXT_HEADER,
@@ -29,17 +29,10 @@
     Refusal,
 )
 from merlintrail.state import (
-    AdaptiveLimit,
-    Admission,
     CallTable,
     Configuration,
     PlannedStop,
-    Quarantine,
-    ShedController,
-    Suspicion,
-    create_limit,
     outlasts_start,
-    read_suspicion,
 )
 from merlintrail.transport import (
     TIMEOUT,
@@ -51,28 +44,11 @@
 
 _SHED_STATUS: Final = 503
 _MS_PER_S: Final = 1000
-_DEFAULT_QUEUE_LIMIT_S: Final = 0.1
-_DEFAULT_EXPIRY_S: Final = 600.0
 _STARTED_STATES: Final = frozenset(
     (InquiryState.RUNNING, InquiryState.FINISHED)
 )
 
 
-class Gate:
-    """One backend server with its limit, queue and shedding level."""
-
-    def __init__(self, announcement: Announcement, clock: Callable[[], float]):
-        now = clock()
-        self.backend = BackendServer(announcement, now)
-        self.limit: AdaptiveLimit = create_limit(announcement.slots, now)
-        self.shedder = ShedController(now)
-        self.admission = Admission(
-            self.limit, self.shedder, clock, _DEFAULT_QUEUE_LIMIT_S
-        )
-        #: Held by the one suspect that runs.
-        self.suspect_lock = asyncio.Lock()
-
-
 class GateParts(NamedTuple):
     """What a gatekeeper is made with."""
 
@@ -81,12 +57,10 @@
     pool: ConnectionPool
     calls: CallTable
     contexts: ContextTable
-    quarantine: Quarantine
+    suspicions: Suspicions
     metrics: NodeMetrics
     clock: Callable[[], float]
     wall_clock: Callable[[], float]
-    #: Told of suspicions found here.
-    tell_suspicions: Callable[[list[Suspicion]], None]
     #: Told when a backend server's readiness changes.
     on_change: Callable[[], None]
 
@@ -99,7 +73,6 @@
         self._clock = parts.clock
         self._prober = BackendProber(parts.pool, parts.on_change)
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._deaths = 0
         #: Gates by service.
         self.gates: dict[str, Gate] = {}
         #: The next planned stop of this instance.
@@ -119,6 +92,7 @@
     def update_configuration(self, configuration: Configuration) -> None:
         """Take a new configuration."""
         self._configuration = configuration
+        self._parts.suspicions.expiry_s = configuration.quarantine_expiry_s
         for name, gate in self.gates.items():
             self._configure_gate(name, gate)
 
@@ -162,7 +136,9 @@
             self._parts.contexts.close(parent)
         report = self._build_report(header, parent, answer)
         if report.reason == Reason.BACKEND_LOST:
-            report = report._replace(suspicion=self._find_suspicion(call))
+            report = report._replace(
+                suspicion=self._parts.suspicions.find(call)
+            )
         gate_result = GateResult(answer, report)
         encoded = build_peer_answer(gate_result, header.request_id)
         self._parts.calls.finish(header.call_id, encoded)
@@ -177,8 +153,8 @@
         refusal = self._check(header, gate)
         if refusal is not None or gate is None:
             return refusal or Refusal(Outcome.NOT_RUN, Reason.NO_BACKEND_SERVER)
-        self._take_suspicion(header)
-        suspicion = self._find_suspicion(call)
+        self._parts.suspicions.take(header.suspicion)
+        suspicion = self._parts.suspicions.find(call)
         if suspicion is None:
             return await self._admit(gate, call, parent)
         if suspicion.is_convicted:
@@ -190,7 +166,7 @@
         async with gate.suspect_lock:
             answer = await self._admit(gate, call, parent)
         if isinstance(answer, HttpResponse):
-            self._acquit(suspicion)
+            self._parts.suspicions.acquit(suspicion)
         return answer
 
     async def _admit(
@@ -302,17 +278,7 @@
         )
 
     def _record_death(self, gate: Gate, digests: list[str]) -> None:
-        self._deaths += 1
-        death = f'{self._parts.node_id}/{self._parts.incarnation}'
-        expiry_s = _DEFAULT_EXPIRY_S
-        if self._configuration is not None:
-            expiry_s = self._configuration.quarantine_expiry_s
-        suspicions = self._parts.quarantine.record_death(
-            f'{death}/{self._deaths}',
-            digests,
-            self._parts.wall_clock() + expiry_s,
-        )
-        self._parts.tell_suspicions(suspicions)
+        suspicions = self._parts.suspicions.record_death(digests)
         log_decision(
             'backend-server-death',
             instance=self._parts.node_id,
@@ -343,39 +309,15 @@
             return Refusal(Outcome.NOT_RUN, Reason.DRAINING)
         if gate is None:
             return Refusal(Outcome.NOT_RUN, Reason.NO_BACKEND_SERVER)
-        if not gate.backend.is_ready(self._clock()):
-            reason = Reason.NO_BACKEND_SERVER
-            if gate.backend.is_draining:
-                reason = Reason.DRAINING
-            return Refusal(Outcome.NOT_RUN, reason)
+        refusal = gate.check_ready(self._clock())
+        if refusal is not None:
+            return refusal
         if outlasts_start(
             self.planned_stop, self._parts.wall_clock(), remaining_s
         ):
             return Refusal(Outcome.NOT_RUN, Reason.PLANNED_STOP)
         return None
 
-    def _take_suspicion(self, header: CallHeader) -> None:
-        """Take the suspicion that came along with a call."""
-        if header.suspicion is None:
-            return
-        told = read_suspicion(header.suspicion)
-        if told is not None:
-            self._parts.quarantine.merge(told, self._parts.wall_clock())
-
-    def _find_suspicion(self, call: OutgoingCall) -> Suspicion | None:
-        if self._parts.quarantine.is_empty:
-            return None
-        return self._parts.quarantine.find(
-            compute_call_digest(call), self._parts.wall_clock()
-        )
-
-    def _acquit(self, suspicion: Suspicion) -> None:
-        cleared = self._parts.quarantine.acquit(
-            suspicion.digest, self._parts.wall_clock()
-        )
-        if cleared is not None:
-            self._parts.tell_suspicions([cleared])
-
     def _refuse_repeated(
         self, header: CallHeader, state: InquiryState
     ) -> GateResult:
--- a/merlintrail/node/_ingress.py
+++ b/merlintrail/node/_ingress.py
@@ -15,6 +15,7 @@
 from merlintrail.node._contexts import MAX_DEPTH, ContextTable, ParentCall
 from merlintrail.node._dispatch import Dispatcher
 from merlintrail.node._keyed import KeyedCalls
+from merlintrail.node._suspicions import Suspicions
 from merlintrail.observability import NodeMetrics, log_decision
 from merlintrail.protocol import (
     OUTCOME_HEADER,
@@ -32,7 +33,6 @@
     Configuration,
     ConfigurationHolder,
     PathLevels,
-    Quarantine,
     RequestKind,
     RetryAccount,
     find_stop,
@@ -57,7 +57,7 @@
     contexts: ContextTable
     dispatcher: Dispatcher
     keyed: KeyedCalls
-    quarantine: Quarantine
+    suspicions: Suspicions
     metrics: NodeMetrics
     clock: Callable[[], float]
     wall_clock: Callable[[], float]
@@ -166,7 +166,7 @@
             stop, self._parts.wall_clock(), call.deadline - now
         ):
             refusal = Refusal(Outcome.NOT_RUN, Reason.PLANNED_STOP)
-        elif self._is_convicted(call):
+        elif self._parts.suspicions.is_convicted(call):
             refusal = Refusal(Outcome.NOT_RUN, Reason.QUARANTINED)
         if refusal is not None:
             self._log_refusal(call.request_id, call.kind, refusal, level)
@@ -299,14 +299,6 @@
             headers.key,
         )
 
-    def _is_convicted(self, call: OutgoingCall) -> bool:
-        quarantine = self._parts.quarantine
-        if quarantine.is_empty:
-            return False
-        return quarantine.is_convicted(
-            compute_call_digest(call), self._parts.wall_clock()
-        )
-
     def _build_response(
         self, answer: HttpResponse | Refusal, request_id: str
     ) -> HttpResponse:
--- /dev/null
+++ b/merlintrail/node/_joiner.py
@@ -0,0 +1,85 @@
+"""How a node that starts finds the others."""
+
+import asyncio
+import random
+from collections.abc import Sequence
+from typing import Final, NamedTuple
+
+from merlintrail.coordination import (
+    Heartbeats,
+    Membership,
+    Relay,
+    Store,
+    StoreValue,
+    build_relay_key,
+)
+from merlintrail.node._settings import Settings
+
+#: Seconds before the first and the longest pause between tries to join.
+MIN_JOIN_PAUSE_S: Final = 0.2
+MAX_JOIN_PAUSE_S: Final = 3.0
+#: Relays of a data centre that a joining node asks for.
+RELAY_PLACES: Final = 2
+#: Relays that suffice to join through.
+MAX_CONTACTS: Final = 2
+
+
+class JoinParts(NamedTuple):
+    """What a joiner is made with."""
+
+    settings: Settings
+    membership: Membership
+    heartbeats: Heartbeats
+    relay: Relay
+    store: Store
+
+
+class Joiner:
+    """Joins through relays, then through the settings, else by itself."""
+
+    def __init__(self, parts: JoinParts, source: random.Random) -> None:
+        self._parts = parts
+        self._source = source
+
+    async def run(self) -> None:
+        """Find other nodes; go on until one is found or this is a relay."""
+        pause_s = MIN_JOIN_PAUSE_S
+        while not await self._try_join():
+            await asyncio.sleep(pause_s * self._source.uniform(0.5, 1.5))
+            pause_s = min(MAX_JOIN_PAUSE_S, pause_s * 2)
+
+    async def _try_join(self) -> bool:
+        own_data_centre = self._parts.settings.data_centre
+        contacts = await self._find_contacts([own_data_centre])
+        if await self._join_any([*contacts, *self._parts.settings.join]):
+            return True
+        if self._parts.membership.holder.current is None:
+            await self._parts.relay.fetch()
+        configuration = self._parts.membership.holder.current
+        if configuration is not None:
+            others = sorted(set(configuration.regions) - {own_data_centre})
+            if await self._join_any(await self._find_contacts(others)):
+                return True
+        return self._parts.membership.own.is_relay
+
+    async def _join_any(self, addresses: Sequence[str]) -> bool:
+        for address in addresses:
+            if address == self._parts.settings.peer_address:
+                continue
+            if await self._parts.heartbeats.join(address):
+                return True
+        return False
+
+    async def _find_contacts(self, data_centres: Sequence[str]) -> list[str]:
+        """Return the addresses of a few relays, from the store."""
+        contacts = []
+        for data_centre in data_centres:
+            for place in range(RELAY_PLACES):
+                found = await self._parts.store.read(
+                    build_relay_key(data_centre, place)
+                )
+                if isinstance(found, StoreValue):
+                    contacts.append(str(found.document['address']))
+            if len(contacts) >= MAX_CONTACTS:
+                break
+        return contacts
--- a/merlintrail/node/_keyed.py
+++ b/merlintrail/node/_keyed.py
@@ -16,13 +16,14 @@
     find_slot,
     find_slot_owner,
 )
+from merlintrail.node._answers import read_peer_answer
 from merlintrail.node._calls import (
     CallResult,
     GateResult,
     OutgoingCall,
     compute_call_digest,
 )
-from merlintrail.node._dispatch import Dispatcher, read_peer_answer
+from merlintrail.node._dispatch import Dispatcher
 from merlintrail.node._exchange import PeerExchange
 from merlintrail.observability import log_decision
 from merlintrail.protocol import (
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -16,21 +16,23 @@
     Relay,
     SlotParts,
     Store,
-    StoreValue,
-    build_relay_key,
     create_ledger,
 )
+from merlintrail.node._backend import HINT_INTERVAL_S
 from merlintrail.node._contexts import ContextTable
 from merlintrail.node._dispatch import Dispatcher, DispatchParts
 from merlintrail.node._exchange import PeerExchange
 from merlintrail.node._gauges import register_gauges
 from merlintrail.node._gatekeeper import Gatekeeper, GateParts
 from merlintrail.node._ingress import Ingress, IngressParts
+from merlintrail.node._joiner import Joiner, JoinParts
 from merlintrail.node._keyed import KeyedCalls, KeyedParts
 from merlintrail.node._lifecycle import Lifecycle, LifecycleParts
 from merlintrail.node._local_service import LocalService
 from merlintrail.node._peer_service import PeerParts, PeerService
 from merlintrail.node._settings import Settings
+from merlintrail.node._status import describe_backends, describe_members
+from merlintrail.node._suspicions import Suspicions
 from merlintrail.observability import (
     NodeMetrics,
     create_logger,
@@ -59,13 +61,6 @@
 
 #: Seconds between looks at the backend servers' readiness and hints.
 READINESS_INTERVAL_S: Final = 0.25
-#: Seconds before the first and the longest pause between tries to join.
-MIN_JOIN_PAUSE_S: Final = 0.2
-MAX_JOIN_PAUSE_S: Final = 3.0
-#: Relays of a data centre that a joining node asks for.
-RELAY_PLACES: Final = 2
-#: Relays that suffice to join through.
-MAX_CONTACTS: Final = 2
 _MS_PER_S: Final = 1000
 _KIB: Final = 1024
 
@@ -138,10 +133,11 @@
                 ),
             )
         )
-        self._start_task(self._join())
+        self._start_task(self._run_join())
         self._start_task(self.heartbeats.run())
         self._start_task(self._relay.run())
         self._start_task(self._follow_readiness())
+        self._start_task(self._follow_hints())
         self._start_task(self.lifecycle.run())
         _LOG.info(
             'node started',
@@ -187,7 +183,9 @@
             'members': len(self.table.list_present()),
             'member_digest': f'{self.table.digest:016x}',
             'running': self.ingress.running,
-            'backend_servers': self._build_backend_status(),
+            'backend_servers': describe_backends(
+                self.gatekeeper, self._clock()
+            ),
             'ledger_running': self.keyed.ledger.running,
             'store_calls': dict(getattr(self._environment.store, 'counts', {})),
             'control_bytes': {
@@ -200,14 +198,7 @@
 
     def list_members(self) -> Sequence[Mapping[str, Any]]:
         """Return every member known, for operators."""
-        return [
-            {
-                **member._asdict(),
-                'status': MemberStatus(member.status).name.lower(),
-                'offers': [offer._asdict() for offer in member.offers],
-            }
-            for member in self.table
-        ]
+        return describe_members(self.table)
 
     def _create_coordination(self) -> None:
         settings = self.settings
@@ -232,10 +223,14 @@
         self.heartbeats = Heartbeats(
             self.membership, self.peers, self._clock, self._source
         )
+        store = self._environment.store
         self._relay = Relay(
-            self.membership,
-            self.heartbeats,
-            self._environment.store,
+            self.membership, self.heartbeats, store, self._source
+        )
+        self._joiner = Joiner(
+            JoinParts(
+                settings, self.membership, self.heartbeats, self._relay, store
+            ),
             self._source,
         )
 
@@ -244,6 +239,12 @@
         place = Place(settings.instance, settings.data_centre)
         self.routing = RoutingTable(place, self._clock, self._source)
         self.calls = CallTable(self._clock)
+        self.suspicions = Suspicions(
+            self.quarantine,
+            self._wall_clock,
+            self.membership.tell_suspicions,
+            f'{settings.instance}/{self.incarnation}',
+        )
         self.contexts = ContextTable(self._source)
         self.gatekeeper = Gatekeeper(
             GateParts(
@@ -252,11 +253,10 @@
                 self._pool,
                 self.calls,
                 self.contexts,
-                self.quarantine,
+                self.suspicions,
                 self.metrics,
                 self._clock,
                 self._wall_clock,
-                self.membership.tell_suspicions,
                 self._update_offers,
             )
         )
@@ -271,9 +271,8 @@
                 exchange,
                 self.gatekeeper,
                 self.metrics,
-                self.quarantine,
+                self.suspicions,
                 self._clock,
-                self._wall_clock,
                 self._source,
             )
         )
@@ -308,7 +307,7 @@
                 self.contexts,
                 self.dispatcher,
                 self.keyed,
-                self.quarantine,
+                self.suspicions,
                 self.metrics,
                 self._clock,
                 self._wall_clock,
@@ -344,25 +343,6 @@
             )
         )
 
-    def _build_backend_status(self) -> list[Mapping[str, Any]]:
-        now = self._clock()
-        return [
-            {
-                'service': name,
-                'address': gate.backend.announcement.address,
-                'slots': gate.backend.announcement.slots,
-                'is_ready': gate.backend.is_ready(now),
-                'limit': gate.limit.limit,
-                'running': gate.admission.running,
-                'queued': gate.admission.queued,
-                'service_ms': gate.admission.service_s * _MS_PER_S,
-                'shedding_level': gate.shedder.read_level(now),
-                'health_hint': gate.backend.health_hint,
-                'load_hint': gate.backend.load_hint,
-            }
-            for name, gate in self.gatekeeper.gates.items()
-        ]
-
     def _apply_configuration(self, configuration: Configuration) -> None:
         self.routing.update_regions(configuration.regions)
         self.dispatcher.budget.share = configuration.retry_share
@@ -415,49 +395,14 @@
                 self._update_links(self.holder.current)
             await asyncio.sleep(READINESS_INTERVAL_S)
 
-    async def _join(self) -> None:
-        """Find other nodes; go on until one is found or this is a relay."""
-        pause_s = MIN_JOIN_PAUSE_S
-        while not await self._try_join():
-            await asyncio.sleep(pause_s * self._source.uniform(0.5, 1.5))
-            pause_s = min(MAX_JOIN_PAUSE_S, pause_s * 2)
-        self.routing.is_settled = True
+    async def _follow_hints(self) -> None:
+        while True:
+            await asyncio.sleep(HINT_INTERVAL_S)
+            await self.gatekeeper.refresh_hints()
 
-    async def _try_join(self) -> bool:
-        own_data_centre = self.settings.data_centre
-        contacts = await self._find_contacts([own_data_centre])
-        if await self._join_any([*contacts, *self.settings.join]):
-            return True
-        if self.holder.current is None:
-            await self._relay.fetch()
-        configuration = self.holder.current
-        if configuration is not None:
-            others = sorted(set(configuration.regions) - {own_data_centre})
-            if await self._join_any(await self._find_contacts(others)):
-                return True
-        return self.membership.own.is_relay
-
-    async def _join_any(self, addresses: Sequence[str]) -> bool:
-        for address in addresses:
-            if address == self.settings.peer_address:
-                continue
-            if await self.heartbeats.join(address):
-                return True
-        return False
-
-    async def _find_contacts(self, data_centres: Sequence[str]) -> list[str]:
-        """Return the addresses of a few relays, from the store."""
-        contacts = []
-        for data_centre in data_centres:
-            for place in range(RELAY_PLACES):
-                found = await self._environment.store.read(
-                    build_relay_key(data_centre, place)
-                )
-                if isinstance(found, StoreValue):
-                    contacts.append(str(found.document['address']))
-            if len(contacts) >= MAX_CONTACTS:
-                break
-        return contacts
+    async def _run_join(self) -> None:
+        await self._joiner.run()
+        self.routing.is_settled = True
 
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(work))
--- /dev/null
+++ b/merlintrail/node/_status.py
@@ -0,0 +1,43 @@
+"""The state of backend servers and members as operators see it."""
+
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any, Final
+
+from merlintrail.node._gatekeeper import Gatekeeper
+from merlintrail.state import Member, MemberStatus
+
+_MS_PER_S: Final = 1000
+
+
+def describe_backends(
+    gatekeeper: Gatekeeper, now: float
+) -> Sequence[Mapping[str, Any]]:
+    """Describe the backend servers beside a node."""
+    return [
+        {
+            'service': name,
+            'address': gate.backend.announcement.address,
+            'slots': gate.backend.announcement.slots,
+            'is_ready': gate.backend.is_ready(now),
+            'limit': gate.limit.limit,
+            'running': gate.admission.running,
+            'queued': gate.admission.queued,
+            'service_ms': gate.admission.service_s * _MS_PER_S,
+            'shedding_level': gate.shedder.read_level(now),
+            'health_hint': gate.backend.health_hint,
+            'load_hint': gate.backend.load_hint,
+        }
+        for name, gate in gatekeeper.gates.items()
+    ]
+
+
+def describe_members(members: Iterable[Member]) -> Sequence[Mapping[str, Any]]:
+    """Describe members."""
+    return [
+        {
+            **member._asdict(),
+            'status': MemberStatus(member.status).name.lower(),
+            'offers': [offer._asdict() for offer in member.offers],
+        }
+        for member in members
+    ]
