--- a/merlintrail/bench/_outcomes.py
+++ b/merlintrail/bench/_outcomes.py
@@ -4,12 +4,13 @@
 import random
 import signal
 import time
+from datetime import UTC, datetime, timedelta
 from typing import Any, Final
 
 import uvloop
 
 from merlintrail.bench._figures import Benches, Figure, print_figure
-from merlintrail.bench._latency import start_deployment
+from merlintrail.bench._latency import build_document, start_deployment
 from merlintrail.lab.processes import Deployment, WorkerPlan
 from merlintrail.lab.relay import Relay
 from merlintrail.load import LoadGenerator, LoadKind, LoadResult
@@ -121,6 +122,62 @@
     return int(counts.get('begun', 0))
 
 
+async def _stop_under_load(
+    deployment: Deployment, starts_in_s: float
+) -> tuple[LoadResult, bool]:
+    """Let a data centre's window come under load.
+
+    :returns: what callers saw, and whether its nodes ended in time.
+    """
+    loop = asyncio.get_running_loop()
+    document = build_document(2)
+    starts_at = datetime.now(UTC) + timedelta(seconds=starts_in_s)
+    document['planned_stops'] = [
+        {
+            'id': 'landlord',
+            'data_centre': 'dc-1',
+            'starts_at': starts_at.isoformat(),
+            'ends_at': (starts_at + timedelta(hours=1)).isoformat(),
+        }
+    ]
+    await loop.run_in_executor(None, deployment.apply_configuration, document)
+    generator = LoadGenerator(
+        [deployment.workers['entry'].call_address], random.Random(1)
+    )
+    kinds = [
+        LoadKind('call', '/echo/call', 150, 1000),
+        LoadKind('once', '/echo/once', 20, 3000, is_keyed=True),
+    ]
+    load = loop.create_task(generator.run(kinds, starts_in_s + 3))
+    await asyncio.sleep(max(0.0, starts_at.timestamp() - time.time()))
+    are_ended = all(
+        deployment.has_ended(f'node {name}') for name in ('echo-1', 'echo-3')
+    )
+    return await load, are_ended
+
+
+def bench_planned_stop(_: int) -> None:
+    """A data centre's window under load: nothing is cut, nodes end first."""
+    plan = {'service': 'echo', 'slots': 32, 'service_ms': 20}
+    deployment = start_deployment(
+        [
+            WorkerPlan(f'echo-{number}', f'dc-{number % 2}', plan)
+            for number in range(4)
+        ]
+        + [WorkerPlan('entry', 'dc-0', None)],
+        2,
+    )
+    try:
+        result, are_ended = uvloop.run(_stop_under_load(deployment, 14))
+    finally:
+        deployment.stop()
+    cut = len(result.samples) - result.whole
+    print_figure(Figure('planned_stop.cut_requests', cut, 'requests', 0))
+    print_figure(
+        Figure('planned_stop.ended_in_time', float(are_ended), 'ratio', 1)
+    )
+
+
 async def _send_through_silence(relay: Relay) -> LoadResult:
     """Let every connection between two nodes go silent under load."""
     loop = asyncio.get_running_loop()
@@ -173,5 +230,6 @@
     return {
         'ledger': bench_ledger,
         'drain': bench_drain,
+        'planned_stop': bench_planned_stop,
         'silent_connections': bench_silent_connections,
     }
--- a/merlintrail/coordination/_ledger.py
+++ b/merlintrail/coordination/_ledger.py
@@ -26,7 +26,9 @@
 from merlintrail.transport import HttpResponse
 
 #: Bytes of answers kept for resends.
-MAX_ANSWER_BYTES: Final = 16777216
+MAX_ANSWER_BYTES: Final = 8388608
+#: Bytes that an answer takes besides its body.
+ANSWER_OVERHEAD_BYTES: Final = 1024
 #: Seconds by which a key may come from the future.
 MAX_CLOCK_SKEW_S: Final = 60.0
 
@@ -258,10 +260,10 @@
 
     def _keep_answer(self, key: str, answer: HttpResponse) -> None:
         self._answers[key] = answer
-        self._answer_bytes += len(answer.body)
+        self._answer_bytes += len(answer.body) + ANSWER_OVERHEAD_BYTES
         while self._answer_bytes > MAX_ANSWER_BYTES:
             _, dropped = self._answers.popitem(last=False)
-            self._answer_bytes -= len(dropped.body)
+            self._answer_bytes -= len(dropped.body) + ANSWER_OVERHEAD_BYTES
 
 
 def _refuse_unavailable(detail: str) -> Refusal:
--- a/merlintrail/daemon/_main.py
+++ b/merlintrail/daemon/_main.py
@@ -52,7 +52,11 @@
     settings = _load_settings(_SETTINGS.value)
     if settings is None:
         return EXIT_SETTINGS
-    log = open_log(settings.log_path, settings.log_level)
+    try:
+        log = open_log(settings.log_path, settings.log_level)
+    except OSError as error:
+        sys.stderr.write(f'{settings.log_path}: {error.strerror}\n')
+        return EXIT_SETTINGS
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     gc.set_threshold(GC_THRESHOLD, 20, 100)
     with log.applicationbound():
