Connect within the time of the call; a golden session 13 deep

Cause: connecting to a peer took up to 1 s whatever was left of the deadline, so that a caller could get its answer up to a second late.

Change: connecting ends with the exchange's time; nothing was sent then, so it is proved not-run.

Conclusion: a final answer does not wait for a connection.

--- a/merlintrail/node/_exchange.py
+++ b/merlintrail/node/_exchange.py
@@ -91,13 +91,9 @@
                 self._watch(member, header, call.deadline, watch, connection)
             )
 
-        patience = Patience(
-            is_slow_after_s=min(
-                max(MIN_PATIENCE_S, usual_s * PATIENCE_FACTOR),
-                call.deadline - self._clock(),
-            ),
-            on_slow=start_watch,
-        )
+        remaining_s = max(0.0, call.deadline - self._clock())
+        slow_s = max(MIN_PATIENCE_S, usual_s * PATIENCE_FACTOR)
+        patience = Patience(remaining_s, min(slow_s, remaining_s), start_watch)
         try:
             answer = await self._exchange(member, header, call, patience)
         finally:
--- a/merlintrail/node/tests/test_golden_sessions.py
+++ b/merlintrail/node/tests/test_golden_sessions.py
@@ -8,9 +8,11 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import NamedTuple
 
 from merlintrail.coordination.tests.fake_store import WriteFault
 from merlintrail.node.tests.session import (
+    BackendHandler,
     Session,
     answer_after,
     build_document,
@@ -50,6 +52,34 @@
     return session
 
 
+def _create_deep_session() -> Session:
+    """Create 13 services in line over three nodes; the last one dies."""
+    names = [f's{number:02d}' for number in range(13)]
+    document = build_document(
+        {name: [build_kind('x', deadline_ms=5000)] for name in names}
+    )
+    session = Session(document, ('ingress', 'a', 'b', 'c'))
+
+    def create_hop(node: str, below: str | None) -> BackendHandler:
+        async def run(request: HttpRequest) -> HttpResponse:
+            if below is None:
+                raise ConnectionAbortedError
+            answer = await session.call_below(node, request, f'/{below}/x')
+            return HttpResponse(502, (), answer.body)
+
+        return run
+
+    for node in ('a', 'b', 'c'):
+        for name, below in zip(names, (*names[1:], None), strict=True):
+            session.add_backend(node, name, create_hop(node, below))
+    return session
+
+
+async def _run_deep(session: Session) -> None:
+    """A request through 13 hops: two further attempts in the whole tree."""
+    await session.call('ingress', '/s00/x', 'deep')
+
+
 async def _run_chain(session: Session) -> None:
     """A request through two services, and one refused by each fault."""
     await session.call('ingress', '/fitadvisor/advice', 'size 38')
@@ -131,19 +161,27 @@
     await session.call('ingress', '/chartdesk/sync', 'still after')
 
 
-_SESSIONS: dict[str, Callable[[Session], Awaitable[None]]] = {
-    'chain': _run_chain,
-    'overload': _run_overload,
-    'keyed': _run_keyed,
-    'faults': _run_faults,
-    'operators': _run_operators,
+class _Script(NamedTuple):
+    """A scripted session."""
+
+    run: Callable[[Session], Awaitable[None]]
+    create: Callable[[], Session] = _create_session
+
+
+_SCRIPTS = {
+    'chain': _Script(_run_chain),
+    'deep': _Script(_run_deep, _create_deep_session),
+    'overload': _Script(_run_overload),
+    'keyed': _Script(_run_keyed),
+    'faults': _Script(_run_faults),
+    'operators': _Script(_run_operators),
 }
 
 
-async def _record(script: Callable[[Session], Awaitable[None]]) -> str:
-    session = _create_session()
+async def _record(script: _Script) -> str:
+    session = script.create()
     with session.bind_log():
-        await script(session)
+        await script.run(session)
     return session.build_transcript()
 
 
@@ -152,7 +190,7 @@
 
     def test_transcripts(self) -> None:
         """Answers, log lines and store calls."""
-        for name, script in _SESSIONS.items():
+        for name, script in _SCRIPTS.items():
             with self.subTest(name):
                 transcript = run_virtually(_record(script))
                 path = _FOLDER / f'{name}.txt'
--- a/merlintrail/transport/_client.py
+++ b/merlintrail/transport/_client.py
@@ -23,7 +23,8 @@
 class Patience(NamedTuple):
     """How long to wait for an answer."""
 
-    #: Seconds after which the exchange fails, ``None`` for no limit.
+    #: Seconds after which connecting and, unless ``on_slow`` takes over, the
+    #: exchange fails; ``None`` for no limit.
     timeout_s: float | None = None
     #: Seconds after which ``on_slow`` is called instead of the timeout.
     is_slow_after_s: float | None = None
--- a/merlintrail/transport/_pool.py
+++ b/merlintrail/transport/_pool.py
@@ -61,17 +61,16 @@
         :param timeout_s: seconds for the exchange once connected.
         :param patience: in place of the timeout, what to do when slow.
         """
+        patience = patience or Patience(timeout_s)
         connection = None if is_fresh else self._take_idle(address)
         if connection is None:
-            connected = await self._connect(address, timeout_s)
+            connected = await self._connect(address, patience.timeout_s)
             if isinstance(connected, TransportFailure):
                 return connected
             connection = connected
         payload = encode_request(method, target, headers, body)
         self.bytes_sent += len(payload)
-        answer = await connection.exchange(
-            method, payload, patience or Patience(timeout_s)
-        )
+        answer = await connection.exchange(method, payload, patience)
         if isinstance(answer, HttpResponse):
             self.bytes_received += len(answer.body)
         if connection.is_reusable:
--- a/merlintrail/transport/tests/test_client.py
+++ b/merlintrail/transport/tests/test_client.py
@@ -1,13 +1,16 @@
 """Whole answers only, and only to their own request."""
 
 import asyncio
+import socket
 import unittest
 from collections.abc import Sequence
+from unittest import mock
 
 from merlintrail.transport import (
     ConnectionPool,
     FailureStage,
     HttpResponse,
+    Patience,
     TransportFailure,
     create_pool,
 )
@@ -148,3 +151,26 @@
         answer = await self.pool.exchange('127.0.0.1:1', 'GET', '/', (), b'')
         assert isinstance(answer, TransportFailure)
         self.assertEqual(answer.stage, FailureStage.CONNECT)
+
+    async def test_connecting_ends_with_the_time_of_the_exchange(
+        self,
+    ) -> None:
+        """An address that swallows connections costs no more than asked."""
+        listener = socket.socket()
+        listener.bind(('127.0.0.1', 0))
+        listener.listen(0)
+        address = f'127.0.0.1:{listener.getsockname()[1]}'
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+        limit = 'merlintrail.transport._pool.CONNECT_TIMEOUT_S'
+        with mock.patch(limit, 3600):
+            async with asyncio.timeout(30):
+                answer = await self.pool.exchange(
+                    address, 'GET', '/', (), b'', patience=Patience(0.05)
+                )
+        assert isinstance(answer, TransportFailure)
+        self.assertEqual(answer.stage, FailureStage.CONNECT)
+        for opened in (listener, *fillers):
+            opened.close()
