--- a/merlintrail/state/_shedding.py
+++ b/merlintrail/state/_shedding.py
@@ -9,7 +9,7 @@
 #: Seconds of one window of the controller.
 WINDOW_S: Final = 0.1
 #: Offered load in relation to capacity at which the queue stays filled.
-FILL_RATIO: Final = 1.05
+FILL_RATIO: Final = 1.2
 #: Seconds over which counts of earlier windows fade, at least.
 MIN_MEMORY_S: Final = 0.3
 #: The same in service times, so that a slow backend server is judged by
