--- a/merlintrail/bench/_outcomes.py
+++ b/merlintrail/bench/_outcomes.py
@@ -32,7 +32,7 @@
     deployment = start_deployment(plans, 3)
     try:
         time.sleep(3)
-        for rate in (10, 100, 400):
+        for rate in (10, 100, 400, 1000):
             _measure_ledger(deployment, rate)
     finally:
         deployment.stop()
