End the processes of a bench whose deployment fails to start

Change: a deployment that does not become ready is stopped; starting waits for the first node's console instead of trying changes until one succeeds; the processes have a module of their own.

Conclusion: the lab cleans up after itself.

--- a/merlintrail/bench/_latency.py
+++ b/merlintrail/bench/_latency.py
@@ -71,21 +71,22 @@
 ) -> Deployment:
     """Start a deployment and wait until all know each other."""
     deployment = Deployment()
+    try:
+        _start_and_configure(deployment, plans, data_centres)
+    except BaseException:
+        deployment.stop()
+        raise
+    return deployment
+
+
+def _start_and_configure(
+    deployment: Deployment, plans: Sequence[WorkerPlan], data_centres: int
+) -> None:
     deployment.start_store()
     deployment.start_workers(plans)
-    deadline = time.monotonic() + 20
-    generation = 0
-    while not generation:
-        try:
-            generation = deployment.apply_configuration(
-                build_document(data_centres)
-            )
-        except Exception:
-            if time.monotonic() > deadline:
-                raise
-            time.sleep(0.2)
+    deployment.wait_until_listening()
+    generation = deployment.apply_configuration(build_document(data_centres))
     deployment.wait_until_ready(generation)
-    return deployment
 
 
 def read_cpu_s(process_id: int) -> float:
--- a/merlintrail/bench/_overload.py
+++ b/merlintrail/bench/_overload.py
@@ -97,7 +97,7 @@
             return
         self.deployment.start_store()
         self.deployment.start_workers(plans)
-        time.sleep(1.5)
+        self.deployment.wait_until_listening()
         generation = self.deployment.apply_configuration(
             self._world.build_document()
         )
--- a/merlintrail/lab/deployment.py
+++ b/merlintrail/lab/deployment.py
@@ -57,13 +57,8 @@
 def _start(deployment: Deployment) -> None:
     deployment.start_store()
     deployment.start_workers(build_plans())
-    generation = 0
-    while not generation:
-        try:
-            generation = deployment.apply_configuration(build_document())
-        except Exception as error:  # noqa: BLE001
-            if 'refused' not in str(error):
-                raise
+    deployment.wait_until_listening()
+    generation = deployment.apply_configuration(build_document())
     deployment.wait_until_ready(generation)
 
 
--- a/merlintrail/lab/processes.py
+++ b/merlintrail/lab/processes.py
@@ -1,21 +1,16 @@
 """A small deployment of real processes on one machine."""
 
 import contextlib
-import os
-import shutil
-import signal
 import socket
-import subprocess
-import sys
-import tempfile
 import time
 from collections.abc import Mapping, Sequence
-from pathlib import Path
 from typing import Any, Final, NamedTuple
 
 import orjson
 import urllib3
 
+from merlintrail.lab.process_group import ProcessGroup
+
 #: Address of every process of a deployment.
 HOST: Final = '127.0.0.1'
 #: Key of the operator in deployments of the lab.
@@ -23,10 +18,9 @@
 FLEET_KEY: Final = 'lab-fleet-key'
 #: Seconds to wait for a deployment to be ready.
 READY_TIMEOUT_S: Final = 30.0
-#: Seconds to wait for a process to end.
-END_TIMEOUT_S: Final = 10.0
 _POLL_S: Final = 0.05
 _OK: Final = 200
+_UNAUTHORIZED: Final = 401
 
 
 def find_free_ports(count: int) -> list[int]:
@@ -61,13 +55,12 @@
     backend: Mapping[str, Any] | None
 
 
-class Deployment:
+class Deployment(ProcessGroup):
     """Starts, controls and ends the processes."""
 
     def __init__(self, *, log_level: str = 'info') -> None:
-        self._folder = Path(tempfile.mkdtemp(prefix='merlintrail-'))
+        super().__init__()
         self._log_level = log_level
-        self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._http = urllib3.PoolManager(retries=False, timeout=5.0)
         self._plans: dict[str, WorkerPlan] = {}
         self._listening: dict[str, str] = {}
@@ -75,11 +68,6 @@
         self.workers: dict[str, Worker] = {}
         self.store_address = f'{HOST}:{find_free_ports(1)[0]}'
 
-    @property
-    def folder(self) -> Path:
-        """Where settings and logs lie."""
-        return self._folder
-
     def start_store(self) -> None:
         """Start the store stand-in."""
         port = self.store_address.rpartition(':')[2]
@@ -123,7 +111,7 @@
     def start_node(self, instance: str) -> None:
         """Start, or start again, the node of a worker."""
         worker = self.workers[instance]
-        path = self._folder / f'{instance}.json'
+        path = self.folder / f'{instance}.json'
         path.write_bytes(orjson.dumps(self._build_settings(worker)))
         self.start_process(
             f'node {instance}',
@@ -148,17 +136,6 @@
             f'--plan={orjson.dumps(document).decode()}',
         )
 
-    def start_process(self, name: str, *arguments: str) -> None:
-        """Start a Python process with its errors in a file."""
-        log_path = self._folder / f'{name.replace(" ", "-")}.err'
-        with log_path.open('ab') as log:
-            self._processes[name] = subprocess.Popen(
-                [sys.executable, *arguments],
-                stdout=log,
-                stderr=log,
-                env={**os.environ, 'PYTHONUNBUFFERED': '1'},
-            )
-
     def apply_configuration(self, document: Mapping[str, Any]) -> int:
         """Put a document in force over the administration API."""
         seen = self.ask_admin('GET', '/v1/configuration')['generation']
@@ -215,6 +192,14 @@
         counts: Mapping[str, int] = orjson.loads(answer.data)
         return counts
 
+    def wait_until_listening(self) -> None:
+        """Wait until the first node answers operators.
+
+        :raises TimeoutError: when that takes too long.
+        """
+        worker = next(iter(self.workers.values()))
+        self._wait_for(f'http://{worker.admin_address}/', _UNAUTHORIZED)
+
     def wait_until_ready(self, generation: int) -> None:
         """Wait until every node knows everything.
 
@@ -232,32 +217,6 @@
             time.sleep(_POLL_S)
         raise TimeoutError('the deployment did not become ready')
 
-    def send_signal(self, name: str, number: int) -> None:
-        """Send a signal to one process, by its name."""
-        self._processes[name].send_signal(number)
-
-    def has_ended(self, name: str) -> bool:
-        """Tell whether a process has ended."""
-        return self._processes[name].poll() is not None
-
-    def wait_for_end(self, name: str) -> int:
-        """Wait for a process to end and return its status."""
-        return self._processes[name].wait(END_TIMEOUT_S)
-
-    def read_process_id(self, name: str) -> int:
-        """Return the identifier of a process."""
-        return self._processes[name].pid
-
-    def stop(self) -> None:
-        """End every process that was started here, and remove its files."""
-        for process in self._processes.values():
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-                process.send_signal(signal.SIGKILL)
-        for process in self._processes.values():
-            process.wait(END_TIMEOUT_S)
-        shutil.rmtree(self._folder, ignore_errors=True)
-
     def _is_ready(
         self, instance: str, generation: int, members: int, backends: int
     ) -> bool:
@@ -278,11 +237,11 @@
             and ready >= backends
         )
 
-    def _wait_for(self, url: str) -> None:
+    def _wait_for(self, url: str, status: int = _OK) -> None:
         deadline = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < deadline:
             try:
-                if self._http.request('GET', url).status == _OK:
+                if self._http.request('GET', url).status == status:
                     return
             except urllib3.exceptions.HTTPError:
                 time.sleep(_POLL_S)
@@ -307,7 +266,7 @@
             'fleet_key': FLEET_KEY,
             'operator_keys': [{'name': 'lab', 'key': OPERATOR_KEY}],
             'log': {
-                'path': str(self._folder / f'{worker.instance}.log'),
+                'path': str(self.folder / f'{worker.instance}.log'),
                 'level': self._log_level,
             },
         }
--- a/merlintrail/lab/tests/test_outages.py
+++ b/merlintrail/lab/tests/test_outages.py
@@ -32,7 +32,7 @@
                 WorkerPlan('three', 'marmara-1', None),
             ]
         )
-        self.wait_until(self.is_configurable)
+        self.deployment.wait_until_listening()
         generation = self.deployment.apply_configuration(build_document())
         self.deployment.wait_until_ready(generation)
 
@@ -43,14 +43,6 @@
             self.assertLess(time.monotonic(), deadline, condition)
             time.sleep(0.05)
 
-    def is_configurable(self) -> bool:
-        """Tell whether the first node answers operators."""
-        try:
-            self.deployment.ask_admin('GET', '/v1/configuration')
-        except urllib3.exceptions.HTTPError:
-            return False
-        return True
-
     def call(self, instance: str, path: str = '/chartdesk/sync') -> Any:
         """Send a request to a node; 0 when it does not listen."""
         address = self.deployment.workers[instance].call_address
