--- a/merlintrail/node/tests/test_keyed.py
+++ b/merlintrail/node/tests/test_keyed.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 import uuid
+from collections.abc import Sequence
 
 from merlintrail.coordination.tests.fake_store import WriteFault
 from merlintrail.node.tests.fake_network import get_header
@@ -46,6 +47,17 @@
     return ''
 
 
+def _tell_status(
+    session: Session, name: str, status: MemberStatus, told: Sequence[str]
+) -> None:
+    """Let nodes believe a member to be in a state."""
+    for node_id in told:
+        table = session.nodes[node_id].table
+        known = table.find(name)
+        assert known is not None
+        table.merge([known._replace(status=status, version=99)])
+
+
 def _build_key(age_s: float) -> str:
     """Build a UUIDv7 of an age at the beginning of a session."""
     timestamp = int((EPOCH_S - age_s) * 1000)
@@ -144,10 +156,7 @@
             session = _create_session()
             await _send(session, 'a', 'x')
             owner = _find_owner(session)
-            for node in session.nodes.values():
-                known = node.table.find(owner)
-                assert known is not None
-                node.table.merge([known._replace(status=MemberStatus.DEAD)])
+            _tell_status(session, owner, MemberStatus.DEAD, _NAMES)
             session.network.refusing.add(f'{owner}:2')
             other = next(name for name in _NAMES if name != owner)
             answer = await _send(session, other, 'x')
@@ -164,12 +173,7 @@
             session = _create_session()
             await _send(session, 'a', 'x')
             owner = _find_owner(session)
-            for node in session.nodes.values():
-                known = node.table.find(owner)
-                assert known is not None
-                node.table.merge(
-                    [known._replace(status=MemberStatus.DRAINING, version=99)]
-                )
+            _tell_status(session, owner, MemberStatus.DRAINING, _NAMES)
             other = next(name for name in _NAMES if name != owner)
             answer = await _send(session, other, 'x')
             self.assertEqual((answer.status, answer.body), (200, b'x'))
@@ -184,13 +188,8 @@
             session = _create_session()
             await _send(session, 'a', 'x')
             owner = _find_owner(session)
-            for known_by, node in session.nodes.items():
-                if known_by != owner:
-                    known = node.table.find(owner)
-                    assert known is not None
-                    node.table.merge(
-                        [known._replace(status=MemberStatus.SUSPECT)]
-                    )
+            others = [name for name in _NAMES if name != owner]
+            _tell_status(session, owner, MemberStatus.SUSPECT, others)
             other = next(name for name in _NAMES if name != owner)
             await _send(session, other, 'y', 'key-2')
             answer = await _send(session, owner, 'y', 'key-2')
