Split the bench rig and the node's environment from their modules

Change: the rig, the environment and the start of the echo workers stand by themselves.

Conclusion: no change of behaviour.

--- a/merlintrail/bench/_outcomes.py
+++ b/merlintrail/bench/_outcomes.py
@@ -74,10 +74,10 @@
     )
 
 
-def bench_drain(_: int) -> None:
-    """Drain a node under load: nothing is cut, nothing arrives later."""
+def _start_echo_fleet() -> Deployment:
+    """Start four workers in two data centres, and a node for callers."""
     plan = {'service': 'echo', 'slots': 32, 'service_ms': 20}
-    deployment = start_deployment(
+    return start_deployment(
         [
             WorkerPlan(f'echo-{number}', f'dc-{number % 2}', plan)
             for number in range(4)
@@ -85,6 +85,11 @@
         + [WorkerPlan('entry', 'dc-0', None)],
         2,
     )
+
+
+def bench_drain(_: int) -> None:
+    """Drain a node under load: nothing is cut, nothing arrives later."""
+    deployment = _start_echo_fleet()
     try:
         late, result = uvloop.run(_drain_under_load(deployment))
     finally:
@@ -158,15 +163,7 @@
 
 def bench_planned_stop(_: int) -> None:
     """A data centre's window under load: nothing is cut, nodes end first."""
-    plan = {'service': 'echo', 'slots': 32, 'service_ms': 20}
-    deployment = start_deployment(
-        [
-            WorkerPlan(f'echo-{number}', f'dc-{number % 2}', plan)
-            for number in range(4)
-        ]
-        + [WorkerPlan('entry', 'dc-0', None)],
-        2,
-    )
+    deployment = _start_echo_fleet()
     try:
         result, are_ended = uvloop.run(_stop_under_load(deployment, 14))
     finally:
--- a/merlintrail/bench/_overload.py
+++ b/merlintrail/bench/_overload.py
@@ -4,24 +4,20 @@
 import random
 import signal
 import sys
-import time
 from collections.abc import Callable, Sequence
-from typing import Any, Final, NamedTuple
+from typing import Final, NamedTuple
 
-import orjson
-import urllib3
 import uvloop
 from absl import flags
 
 from merlintrail.bench._figures import Figure, print_figure
-from merlintrail.bench._forwarder import ForwarderPlan
+from merlintrail.bench._rig import Rig
 from merlintrail.bench._worlds import (
     BEDENREHBER,
     RETTELSE,
     World,
 )
 from merlintrail.load import LoadGenerator, LoadKind, LoadResult
-from merlintrail.lab.processes import Deployment
 
 _WITH_BASELINE: Final = flags.DEFINE_bool(
     'with_baseline', True, 'Whether to measure the baseline too.'
@@ -77,100 +73,6 @@
     retries_per_request: float
 
 
-class Rig:
-    """A running deployment, with nodes or with plain forwarders."""
-
-    def __init__(self, world: World, *, is_baseline: bool) -> None:
-        self._world = world
-        self._is_baseline = is_baseline
-        self._http = urllib3.PoolManager(retries=False, timeout=5.0)
-        self.deployment = Deployment(log_level='warning')
-
-    def start(self) -> None:
-        """Start all processes."""
-        plans = self._world.build_plans()
-        if self._is_baseline:
-            self.deployment.place_workers(plans)
-            self._start_forwarders()
-            self.deployment.start_backends(plans)
-            time.sleep(2)
-            return
-        self.deployment.start_store()
-        self.deployment.start_workers(plans)
-        self.deployment.wait_until_listening()
-        generation = self.deployment.apply_configuration(
-            self._world.build_document()
-        )
-        self.deployment.wait_until_ready(generation)
-
-    def list_deepest(self) -> list[str]:
-        """Return the workers of the deepest service."""
-        return [
-            instance
-            for instance in self.deployment.workers
-            if instance.startswith(self._world.deepest)
-        ]
-
-    def count_retries(self) -> int:
-        """Return the retries of all nodes so far."""
-        if self._is_baseline:
-            return sum(
-                orjson.loads(
-                    self._http.request(
-                        'GET', f'http://{worker.call_address}/-/retries'
-                    ).data
-                )
-                for worker in self.deployment.workers.values()
-            )
-        return sum(
-            _sum_metric(
-                self.deployment.ask_admin(
-                    'GET', '/v1/metrics', instance=instance
-                ),
-                'merlintrail.retries',
-            )
-            for instance in self.deployment.workers
-        )
-
-    def count_begun(self) -> int:
-        """Return the requests begun by backend servers that live."""
-        begun = 0
-        for instance in self.deployment.workers:
-            counts = self.deployment.control_backend(instance)['counts']
-            begun += counts.get('begun', 0)
-        return begun
-
-    def _start_forwarders(self) -> None:
-        table: dict[str, list[str]] = {}
-        for instance, worker in self.deployment.workers.items():
-            service = instance.rpartition('-')[0]
-            table.setdefault(service, []).append(worker.peer_address)
-        for instance, worker in self.deployment.workers.items():
-            plan = ForwarderPlan(
-                worker.call_address,
-                worker.peer_address,
-                worker.backend_address,
-                table,
-            )
-            self.deployment.start_process(
-                f'node {instance}',
-                '-m',
-                'merlintrail.bench._forwarder',
-                f'--plan={orjson.dumps(plan._asdict()).decode()}',
-            )
-
-
-def _sum_metric(document: Any, name: str) -> int:
-    total = 0
-    for part in document.get('resource_metrics', ()):
-        for scope in part['scope_metrics']:
-            for metric in scope['metrics']:
-                if metric['name'] == name:
-                    points = metric['data']['data_points']
-                    total += sum(point['value'] for point in points)
-    return total
-
-
 async def _drive(
     rig: Rig, world: World, trigger: Trigger, seed: int
 ) -> LoadResult:
--- a/merlintrail/node/__init__.py
+++ b/merlintrail/node/__init__.py
@@ -1,12 +1,11 @@
 """The node: call path, lifecycle, and its parts put together."""
 
-from merlintrail.node._node import (
+from merlintrail.node._environment import (
     Environment,
-    Node,
     create_environment,
-    create_node,
     split_host_port,
 )
+from merlintrail.node._node import Node, create_node
 from merlintrail.node._settings import (
     InvalidSettings,
     Settings,
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -2,11 +2,9 @@
 
 import asyncio
 import os
-import random
 import resource
-import time
-from collections.abc import Callable, Coroutine, Mapping, Sequence
-from typing import Any, Final, NamedTuple
+from collections.abc import Coroutine, Mapping, Sequence
+from typing import Any, Final
 
 from merlintrail.coordination import (
     Heartbeats,
@@ -15,12 +13,12 @@
     Membership,
     Relay,
     SlotParts,
-    Store,
     create_ledger,
 )
 from merlintrail.node._backend import HINT_INTERVAL_S
 from merlintrail.node._contexts import ContextTable
 from merlintrail.node._dispatch import Dispatcher, DispatchParts
+from merlintrail.node._environment import Environment, split_host_port
 from merlintrail.node._exchange import PeerExchange
 from merlintrail.node._gauges import register_gauges
 from merlintrail.node._gatekeeper import Gatekeeper, GateParts
@@ -53,9 +51,7 @@
     ServiceOffer,
 )
 from merlintrail.transport import (
-    ConnectionPool,
     HttpServer,
-    create_pool,
     start_server,
 )
 
@@ -67,23 +63,6 @@
 _LOG: Final = create_logger('node')
 
 
-class Environment(NamedTuple):
-    """What a node takes from outside, so that tests can replace it."""
-
-    store: Store
-    clock: Callable[[], float]
-    wall_clock: Callable[[], float]
-    source: random.Random
-    #: Creates pools of connections to nodes and backend servers.
-    create_pool: Callable[[], ConnectionPool] = create_pool
-
-
-def split_host_port(address: str) -> tuple[str, int]:
-    """Split a listening address."""
-    host, _, port = address.rpartition(':')
-    return host, int(port)
-
-
 class Node:
     """The one process beside a backend server."""
 
@@ -408,13 +387,6 @@
         self._tasks.append(asyncio.create_task(work))
 
 
-def create_environment(store: Store) -> Environment:
-    """Create the environment of a real process."""
-    return Environment(
-        store, time.monotonic, time.time, random.Random(os.urandom(16))
-    )
-
-
 def create_node(settings: Settings, environment: Environment) -> Node:
     """Create a node that is not started yet."""
     return Node(settings, environment)
