--- a/merlintrail/bench/_fleet.py
+++ b/merlintrail/bench/_fleet.py
@@ -15,7 +15,7 @@
 
 #: Nodes of the smaller and the larger fleet.
 SMALL_FLEET: Final = 24
-LARGE_FLEET: Final = 120
+LARGE_FLEET: Final = 200
 DATA_CENTRES: Final = 6
 #: Size for which figures are worked out.
 FULL_FLEET: Final = 1800
