Label metrics with configured services only

Cause: the first segment of any path became a label of the duration metric, so that callers could fill a node's memory with names; the target was also parsed twice for each request. Found by reading the change once more.

Change: the target is parsed once, and only a configured service is a label.

Measured: the new test failed before and passes now; make test passes.

Conclusion: the number of series is bounded by the configuration.

--- a/merlintrail/node/_ingress.py
+++ b/merlintrail/node/_ingress.py
@@ -103,24 +103,33 @@
         """Serve a request of a caller or of the own backend server."""
         started_at = self._clock()
         request_id = create_id(self._parts.source)
+        split = split_target(request.target)
         self.running += 1
         try:
-            answer = await self._serve(request, request_id)
+            answer = await self._serve(request, split, request_id)
         finally:
             self.running -= 1
         response = self._build_response(answer, request_id)
-        split = split_target(request.target)
         self._parts.metrics.record_request(
-            split.service if split else '',
+            self._label_service(split),
             response.status,
             self._clock() - started_at,
         )
         return response
 
+    def _label_service(self, split: ServiceTarget | None) -> str:
+        """Return the service for metrics; invented ones get no label."""
+        configuration = self._parts.holder.current
+        if split is None or configuration is None:
+            return ''
+        return split.service if split.service in configuration.services else ''
+
     async def _serve(
-        self, request: HttpRequest, request_id: str
+        self,
+        request: HttpRequest,
+        split: ServiceTarget | None,
+        request_id: str,
     ) -> HttpResponse | Refusal:
-        split = split_target(request.target)
         headers = read_caller_headers(request.headers)
         refusal = self._check(request, split, headers)
         configuration = self._parts.holder.current
--- a/merlintrail/node/tests/test_outcomes.py
+++ b/merlintrail/node/tests/test_outcomes.py
@@ -300,6 +300,22 @@
         run_virtually(scenario())
 
 
+class MetricLabelTest(unittest.TestCase):
+    """What callers invent does not become a label."""
+
+    def test_unknown_service_has_no_label(self) -> None:
+        """A request to it is counted without its name."""
+
+        async def scenario() -> None:
+            session = _create_session('one')
+            await session.call('ingress', '/invented-name/x')
+            metrics = session.nodes['ingress'].metrics.read_all()
+            self.assertNotIn('invented-name', str(metrics))
+            self.assertIn('404', str(metrics))
+
+        run_virtually(scenario())
+
+
 class DrainTest(unittest.TestCase):
     """A draining backend server gets nothing new."""
 
