--- a/merlintrail/coordination/__init__.py
+++ b/merlintrail/coordination/__init__.py
@@ -29,17 +29,32 @@
     HttpPeerClient,
     PeerClient,
 )
-from merlintrail.coordination._relay import Relay, build_relay_key
+from merlintrail.coordination._relay import (
+    Relay,
+    RelayPlace,
+    build_relay_key,
+    find_relays,
+)
 from merlintrail.coordination._store import (
     Store,
     StoreFailure,
     StoreFault,
+    StoreItem,
+    StoreItems,
     StoreValue,
+    Transaction,
 )
 from merlintrail.coordination._store_client import (
     StoreClient,
     create_store_client,
 )
+from merlintrail.coordination._store_wire import (
+    StoreCall,
+    StorePage,
+    StoreWire,
+    add_faults,
+    ignore_answer,
+)
 from merlintrail.coordination._topology import choose_neighbours
 
 __all__ = (
@@ -59,13 +74,21 @@
     'Membership',
     'PeerClient',
     'Relay',
+    'RelayPlace',
     'SlotParts',
     'Store',
+    'StoreCall',
     'StoreClient',
     'StoreFailure',
     'StoreFault',
+    'StoreItem',
+    'StoreItems',
+    'StorePage',
     'StoreValue',
+    'StoreWire',
     'StoredDocument',
+    'Transaction',
+    'add_faults',
     'apply_change',
     'build_relay_key',
     'check_key_age',
@@ -73,8 +96,10 @@
     'create_http_store',
     'create_ledger',
     'create_store_client',
+    'find_relays',
     'find_slot',
     'find_slot_owner',
+    'ignore_answer',
     'read_envelope',
     'read_history',
     'read_stored_document',
--- a/merlintrail/coordination/_changes.py
+++ b/merlintrail/coordination/_changes.py
@@ -15,7 +15,7 @@
 #: Key of the document in force.
 CONFIGURATION_KEY: Final = 'configuration'
 #: Prefix of earlier documents, by generation.
-HISTORY_PREFIX: Final = 'configuration-history/'
+HISTORY_PREFIX: Final = 'history/configuration/'
 #: Times that a write with a lost answer is settled by writing it again.
 MAX_SETTLING: Final = 5
 
--- a/merlintrail/coordination/_http_store.py
+++ b/merlintrail/coordination/_http_store.py
@@ -9,12 +9,15 @@
 from merlintrail.coordination._store import (
     Store,
     StoreFailure,
+    StoreItems,
     StoreValue,
+    Transaction,
 )
 from merlintrail.coordination._store_client import (
     StoreClient,
     create_store_client,
 )
+from merlintrail.coordination._store_wire import StoreWire
 
 #: Threads for calls, and one for the watch.
 CALL_THREADS: Final = 6
@@ -36,35 +39,29 @@
         """Read a key."""
         return await self._run('read', lambda: self._client.read(key))
 
-    async def write(
-        self,
-        key: str,
-        document: object,
-        expected_version: int,
-        lease: str | None = None,
-    ) -> int | StoreFailure:
-        """Write a key if its version is the expected one."""
+    async def read_range(
+        self, prefix: str, *, may_be_stale: bool = False
+    ) -> StoreItems | StoreFailure:
+        """Read all keys under a prefix."""
         return await self._run(
-            'write',
-            lambda: self._client.write(key, document, expected_version, lease),
+            'range',
+            lambda: self._client.read_range(prefix, may_be_stale=may_be_stale),
         )
 
-    async def remove(
-        self, key: str, expected_version: int
-    ) -> None | StoreFailure:
-        """Remove a key if its version is the expected one."""
+    async def transact(self, transaction: Transaction) -> int | StoreFailure:
+        """Make changes if every expected version is the one there."""
         return await self._run(
-            'remove', lambda: self._client.remove(key, expected_version)
+            'write', lambda: self._client.transact(transaction)
         )
 
     async def watch(
-        self, key: str, known_version: int, timeout_s: float
-    ) -> StoreValue | StoreFailure:
-        """Wait until a key has another version than the known one."""
+        self, prefix: str, position: int, timeout_s: float
+    ) -> StoreItems | StoreFailure:
+        """Wait for changes under a prefix behind a position."""
         self.counts['watch'] += 1
         return await asyncio.get_running_loop().run_in_executor(
             self._watches,
-            lambda: self._client.watch(key, known_version, timeout_s),
+            lambda: self._client.watch(prefix, position, timeout_s),
         )
 
     async def grant_lease(self, duration_s: float) -> str | StoreFailure:
@@ -90,6 +87,8 @@
         )
 
 
-def create_http_store(addresses: Sequence[str]) -> HttpStore:
+def create_http_store(
+    addresses: Sequence[str], wire: StoreWire | None = None
+) -> HttpStore:
     """Create the store of a node."""
-    return HttpStore(create_store_client(addresses))
+    return HttpStore(create_store_client(addresses, wire))
--- a/merlintrail/coordination/_relay.py
+++ b/merlintrail/coordination/_relay.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from typing import Final
+from typing import Final, NamedTuple
 
 from merlintrail.coordination._changes import (
     CONFIGURATION_KEY,
@@ -21,6 +21,8 @@
 from merlintrail.protocol import DecodeFailure
 from merlintrail.state import MemberStatus
 
+#: Prefix of the keys under which relays announce themselves.
+RELAY_PREFIX: Final = 'relay/'
 #: Relays in each data centre.
 RELAYS: Final = 2
 #: Share of checks in which any node tries for a free place, in case that
@@ -47,7 +49,34 @@
 
 def build_relay_key(data_centre: str, place: int) -> str:
     """Build the key under which a relay announces itself."""
-    return f'relay/{data_centre}/{place}'
+    return f'{RELAY_PREFIX}{data_centre}/{place}'
+
+
+class RelayPlace(NamedTuple):
+    """A relay as it announces itself in the store."""
+
+    data_centre: str
+    #: ``host:port`` for nodes.
+    address: str
+
+
+async def find_relays(
+    store: Store, *, may_be_stale: bool = False
+) -> list[RelayPlace]:
+    """Return all relays; none when the store is away.
+
+    :param may_be_stale: whether places seconds old will do.
+    """
+    found = await store.read_range(RELAY_PREFIX, may_be_stale=may_be_stale)
+    if isinstance(found, StoreFailure):
+        return []
+    return [
+        RelayPlace(
+            entry.key.removeprefix(RELAY_PREFIX).partition('/')[0],
+            str(entry.document['address']),
+        )
+        for entry in found.entries
+    ]
 
 
 class Relay:
@@ -160,18 +189,24 @@
                 return
 
     async def _watch(self) -> None:
-        known_version = 0
+        position = 0
         while True:
-            found = await self._store.watch(
-                CONFIGURATION_KEY, known_version, WATCH_S
-            )
-            if isinstance(found, StoreValue):
-                known_version = found.version
-                self._pause_s = MIN_PAUSE_S
-                self._offer(found)
-            elif found.fault != StoreFault.UNCHANGED:
-                known_version = 0
-                await self._pause()
+            if position:
+                found = await self._store.watch(
+                    CONFIGURATION_KEY, position, WATCH_S
+                )
+            else:
+                found = await self._store.read_range(CONFIGURATION_KEY)
+            if isinstance(found, StoreFailure):
+                position = 0
+                if found.fault != StoreFault.HISTORY_LOST:
+                    await self._pause()
+                continue
+            self._pause_s = MIN_PAUSE_S
+            position = found.position
+            for entry in found.entries:
+                if entry.key == CONFIGURATION_KEY:
+                    self._offer(StoreValue(entry.document, entry.version))
 
     async def _discover(self) -> None:
         """Look for relays that this node does not know.
@@ -187,21 +222,15 @@
             await self._look_for_relay()
 
     async def _look_for_relay(self) -> None:
-        configuration = self._membership.holder.current
-        if configuration is None:
-            return
-        data_centre = self._source.choice(sorted(configuration.regions))
-        place = self._source.randrange(RELAYS)
-        found = await self._store.read(build_relay_key(data_centre, place))
-        if not isinstance(found, StoreValue):
-            return
-        address = str(found.document['address'])
+        """Introduce this node to one relay that it does not know."""
+        relays = await find_relays(self._store, may_be_stale=True)
         known = {
             member.peer_address
             for member in self._membership.table.list_present()
         }
-        if address not in known:
-            await self._heartbeats.join(address)
+        unknown = sorted({relay.address for relay in relays} - known)
+        if unknown:
+            await self._heartbeats.join(self._source.choice(unknown))
 
     def _offer(self, found: StoreValue) -> None:
         envelope = read_envelope(found.document)
--- a/merlintrail/coordination/_store_client.py
+++ b/merlintrail/coordination/_store_client.py
@@ -1,15 +1,26 @@
-"""Blocking client of the store's HTTP interface, by urllib3."""
+"""Blocking client of the store, by urllib3."""
 
+import socket
 from collections.abc import Sequence
-from typing import Any, Final
-from urllib.parse import quote
+from typing import Any, Final, TypeVar
 
 import urllib3
+from urllib3.connection import HTTPConnection
 
 from merlintrail.coordination._store import (
     StoreFailure,
     StoreFault,
+    StoreItem,
+    StoreItems,
     StoreValue,
+    Transaction,
+    build_removal,
+    build_write,
+)
+from merlintrail.coordination._store_wire import (
+    OwnStoreWire,
+    StoreCall,
+    StoreWire,
 )
 from merlintrail.protocol import DecodeFailure, decode_json, encode_json
 
@@ -19,30 +30,67 @@
 READ_TIMEOUT_S: Final = 2.0
 #: Connections to one address of the store.
 MAX_CONNECTIONS: Final = 8
+#: Keepalive that ends a connection which has gone silent, in seconds.
+_KEEPALIVE_OPTIONS: Final = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 2),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
+)
 _OK: Final = 200
-_FAULTS_BY_STATUS: Final = {
-    404: StoreFault.NOT_FOUND,
-    409: StoreFault.CONFLICT,
-    410: StoreFault.LEASE_EXPIRED,
-    304: StoreFault.UNCHANGED,
-    503: StoreFault.UNAVAILABLE,
-}
+_JSON_HEADERS: Final = {'content-type': 'application/json'}
+
+ResultT = TypeVar('ResultT')
 
 
 class StoreClient:
-    """Speaks to the store; used by the command line and the console.
+    """Speaks to the store; used by nodes, command line and console.
 
     Addresses are tried in their order; a write whose answer was lost is
     never sent again.
     """
 
-    def __init__(self, addresses: Sequence[str]) -> None:
+    def __init__(
+        self, addresses: Sequence[str], wire: StoreWire | None = None
+    ) -> None:
         self._addresses = tuple(addresses)
-        self._http = urllib3.PoolManager(maxsize=MAX_CONNECTIONS, retries=False)
+        self._wire = wire or OwnStoreWire()
+        self._http = urllib3.PoolManager(
+            maxsize=MAX_CONNECTIONS,
+            retries=False,
+            socket_options=[
+                *HTTPConnection.default_socket_options,
+                *_KEEPALIVE_OPTIONS,
+            ],
+        )
 
     def read(self, key: str) -> StoreValue | StoreFailure:
         """Read a key."""
-        return _read_value(self._request('GET', _build_path(key)))
+        return self._call(self._wire.build_read(key))
+
+    def read_range(
+        self, prefix: str, *, may_be_stale: bool = False
+    ) -> StoreItems | StoreFailure:
+        """Read all keys under a prefix."""
+        found: list[StoreItem] = []
+        after: str | None = None
+        position: int | None = None
+        while True:
+            page = self._call(
+                self._wire.build_range(prefix, after, may_be_stale=may_be_stale)
+            )
+            if isinstance(page, StoreFailure):
+                return page
+            found.extend(page.listing.entries)
+            if position is None:
+                position = page.listing.position
+            if page.next_after is None:
+                return StoreItems(tuple(found), position)
+            after = page.next_after
+
+    def transact(self, transaction: Transaction) -> int | StoreFailure:
+        """Make changes if every expected version is the one there."""
+        return self._call(self._wire.build_transaction(transaction))
 
     def write(
         self,
@@ -52,59 +100,37 @@
         lease: str | None = None,
     ) -> int | StoreFailure:
         """Write a key if its version is the expected one."""
-        body = {
-            'document': document,
-            'expected_version': expected_version,
-            'lease': lease,
-        }
-        answer = self._request('PUT', _build_path(key), body)
-        if isinstance(answer, StoreFailure):
-            return answer
-        version: int = answer['version']
-        return version
+        return self.transact(
+            build_write(key, document, expected_version, lease)
+        )
 
     def remove(self, key: str, expected_version: int) -> None | StoreFailure:
         """Remove a key if its version is the expected one."""
-        path = f'{_build_path(key)}?expected_version={expected_version}'
-        return _read_nothing(self._request('DELETE', path))
+        removed = self.transact(build_removal(key, expected_version))
+        return removed if isinstance(removed, StoreFailure) else None
 
     def watch(
-        self, key: str, known_version: int, timeout_s: float
-    ) -> StoreValue | StoreFailure:
-        """Wait until a key has another version than the known one."""
-        path = (
-            f'/v1/watch/{quote(key, safe="")}'
-            f'?known_version={known_version}&timeout_s={timeout_s}'
-        )
-        return _read_value(
-            self._request('GET', path, read_timeout_s=timeout_s * 2)
-        )
+        self, prefix: str, position: int, timeout_s: float
+    ) -> StoreItems | StoreFailure:
+        """Wait for changes under a prefix behind a position."""
+        return self._call(self._wire.build_watch(prefix, position, timeout_s))
 
     def grant_lease(self, duration_s: float) -> str | StoreFailure:
         """Obtain a lease."""
-        answer = self._request('POST', '/v1/leases', {'duration_s': duration_s})
-        if isinstance(answer, StoreFailure):
-            return answer
-        return str(answer['lease'])
+        return self._call(self._wire.build_grant(duration_s))
 
     def renew_lease(self, lease: str) -> None | StoreFailure:
         """Renew a lease for its whole duration."""
-        return _read_nothing(self._request('POST', f'/v1/leases/{lease}', {}))
+        return self._call(self._wire.build_renewal(lease))
 
     def revoke_lease(self, lease: str) -> None | StoreFailure:
         """Give a lease up, with the keys that hang on it."""
-        return _read_nothing(self._request('DELETE', f'/v1/leases/{lease}'))
+        return self._call(self._wire.build_revocation(lease))
 
-    def _request(
-        self,
-        method: str,
-        path: str,
-        document: object = None,
-        read_timeout_s: float = READ_TIMEOUT_S,
-    ) -> Any:
+    def _call(self, call: StoreCall[ResultT]) -> ResultT | StoreFailure:
         failure = StoreFailure(StoreFault.UNAVAILABLE, 'no store address')
         for address in self._addresses:
-            answer = self._send(address, method, path, document, read_timeout_s)
+            answer = self._send(address, call)
             if not isinstance(answer, StoreFailure):
                 return answer
             failure = answer
@@ -113,21 +139,18 @@
         return failure
 
     def _send(
-        self,
-        address: str,
-        method: str,
-        path: str,
-        document: object,
-        read_timeout_s: float,
-    ) -> Any:
-        body = None if document is None else encode_json(document)
+        self, address: str, call: StoreCall[ResultT]
+    ) -> ResultT | StoreFailure:
+        body = None if call.body is None else encode_json(call.body)
         try:
             answer = self._http.request(
-                method,
-                f'http://{address}{path}',
+                call.method,
+                f'http://{address}{call.path}',
                 body=body,
+                headers=None if body is None else _JSON_HEADERS,
                 timeout=urllib3.Timeout(
-                    connect=CONNECT_TIMEOUT_S, read=read_timeout_s
+                    connect=CONNECT_TIMEOUT_S,
+                    read=call.wait_s + READ_TIMEOUT_S,
                 ),
             )
         except (
@@ -138,28 +161,27 @@
         except urllib3.exceptions.HTTPError as error:
             return StoreFailure(StoreFault.UNKNOWN, str(error))
         if answer.status != _OK:
-            fault = _FAULTS_BY_STATUS.get(answer.status, StoreFault.UNKNOWN)
+            fault = call.faults.get(answer.status, StoreFault.UNKNOWN)
             return StoreFailure(fault, f'status {answer.status}')
-        decoded = decode_json(answer.data)
-        if isinstance(decoded, DecodeFailure):
-            return StoreFailure(StoreFault.UNKNOWN, decoded.reason)
-        return decoded
-
+        return _read_answer(call, decode_json(answer.data))
 
-def _build_path(key: str) -> str:
-    return f'/v1/keys/{quote(key, safe="")}'
 
+def _read_answer(
+    call: StoreCall[ResultT], decoded: Any
+) -> ResultT | StoreFailure:
+    if isinstance(decoded, DecodeFailure):
+        return StoreFailure(StoreFault.UNKNOWN, decoded.reason)
+    try:
+        return call.read(decoded)
+    except (LookupError, TypeError, ValueError) as error:
+        return StoreFailure(StoreFault.UNKNOWN, f'unreadable answer: {error!r}')
 
-def _read_value(answer: Any) -> StoreValue | StoreFailure:
-    if isinstance(answer, StoreFailure):
-        return answer
-    return StoreValue(answer['document'], answer['version'])
 
+def create_store_client(
+    addresses: Sequence[str], wire: StoreWire | None = None
+) -> StoreClient:
+    """Create a blocking client for the store's addresses.
 
-def _read_nothing(answer: Any) -> None | StoreFailure:
-    return answer if isinstance(answer, StoreFailure) else None
-
-
-def create_store_client(addresses: Sequence[str]) -> StoreClient:
-    """Create a blocking client for the store's addresses."""
-    return StoreClient(addresses)
+    :param wire: how the store spells the calls; its own way by default.
+    """
+    return StoreClient(addresses, wire)
--- /dev/null
+++ b/merlintrail/coordination/_store_wire.py
@@ -0,0 +1,176 @@
+"""Calls of the store as HTTP requests, and their answers."""
+
+import abc
+from collections.abc import Callable, Mapping
+from typing import Any, Final, Generic, NamedTuple, TypeVar
+from urllib.parse import quote
+
+from merlintrail.coordination._store import (
+    StoreFault,
+    StoreItem,
+    StoreItems,
+    StoreValue,
+    Transaction,
+)
+
+ResultT = TypeVar('ResultT')
+
+_COMMON_FAULTS: Final[Mapping[int, StoreFault]] = {
+    429: StoreFault.UNAVAILABLE,
+    503: StoreFault.UNAVAILABLE,
+}
+
+
+class StoreCall(NamedTuple, Generic[ResultT]):
+    """One call, ready to be sent."""
+
+    method: str
+    path: str
+    #: Reads the decoded JSON of a successful answer. Raises a LookupError,
+    #: TypeError or ValueError for another shape.
+    read: Callable[[Any], ResultT]
+    body: object = None
+    #: What a status other than 200 means.
+    faults: Mapping[int, StoreFault] = _COMMON_FAULTS
+    #: Seconds for which the store may hold the call back.
+    wait_s: float = 0.0
+
+
+class StorePage(NamedTuple):
+    """A part of a range."""
+
+    listing: StoreItems
+    #: Key after which the next page begins, ``None`` for the last page.
+    next_after: str | None
+
+
+class StoreWire(abc.ABC):
+    """How one kind of store spells the calls."""
+
+    @abc.abstractmethod
+    def build_read(self, key: str) -> StoreCall[StoreValue]:
+        """Build the read of one key."""
+
+    @abc.abstractmethod
+    def build_range(
+        self, prefix: str, after: str | None, *, may_be_stale: bool
+    ) -> StoreCall[StorePage]:
+        """Build the read of one page of the keys under a prefix."""
+
+    @abc.abstractmethod
+    def build_transaction(self, transaction: Transaction) -> StoreCall[int]:
+        """Build a conditional change."""
+
+    @abc.abstractmethod
+    def build_watch(
+        self, prefix: str, position: int, timeout_s: float
+    ) -> StoreCall[StoreItems]:
+        """Build the wait for changes under a prefix."""
+
+    @abc.abstractmethod
+    def build_grant(self, duration_s: float) -> StoreCall[str]:
+        """Build the request for a lease."""
+
+    @abc.abstractmethod
+    def build_renewal(self, lease: str) -> StoreCall[None]:
+        """Build the renewal of a lease."""
+
+    @abc.abstractmethod
+    def build_revocation(self, lease: str) -> StoreCall[None]:
+        """Build the end of a lease."""
+
+
+def ignore_answer(_: Any) -> None:
+    """Read an answer that tells no more than success."""
+
+
+def add_faults(**faults: StoreFault) -> Mapping[int, StoreFault]:
+    """Return the meaning of statuses, given as ``s404=...``."""
+    added = {int(name.lstrip('s')): fault for name, fault in faults.items()}
+    return {**_COMMON_FAULTS, **added}
+
+
+class OwnStoreWire(StoreWire):
+    """The interface of the store that merlintrail itself describes."""
+
+    def build_read(self, key: str) -> StoreCall[StoreValue]:
+        """Build the read of one key."""
+        return StoreCall(
+            'GET',
+            f'/v1/keys/{quote(key, safe="")}',
+            lambda answer: StoreValue(answer['document'], answer['version']),
+            faults=add_faults(s404=StoreFault.NOT_FOUND),
+        )
+
+    def build_range(
+        self, prefix: str, after: str | None, *, may_be_stale: bool
+    ) -> StoreCall[StorePage]:
+        """Build the read of one page of the keys under a prefix."""
+        path = f'/v1/range?prefix={quote(prefix, safe="")}'
+        if after is not None:
+            path = f'{path}&after={quote(after, safe="")}'
+        return StoreCall('GET', path, _read_page)
+
+    def build_transaction(self, transaction: Transaction) -> StoreCall[int]:
+        """Build a conditional change."""
+        return StoreCall(
+            'POST',
+            '/v1/transactions',
+            lambda answer: int(answer['version']),
+            body=transaction._asdict(),
+            faults=add_faults(
+                s409=StoreFault.CONFLICT, s410=StoreFault.LEASE_EXPIRED
+            ),
+        )
+
+    def build_watch(
+        self, prefix: str, position: int, timeout_s: float
+    ) -> StoreCall[StoreItems]:
+        """Build the wait for changes under a prefix."""
+        return StoreCall(
+            'GET',
+            f'/v1/watch?prefix={quote(prefix, safe="")}'
+            f'&position={position}&timeout_s={timeout_s}',
+            _read_items,
+            faults=add_faults(s410=StoreFault.HISTORY_LOST),
+            wait_s=timeout_s,
+        )
+
+    def build_grant(self, duration_s: float) -> StoreCall[str]:
+        """Build the request for a lease."""
+        return StoreCall(
+            'POST',
+            '/v1/leases',
+            lambda answer: str(answer['lease']),
+            body={'duration_s': duration_s},
+        )
+
+    def build_renewal(self, lease: str) -> StoreCall[None]:
+        """Build the renewal of a lease."""
+        return StoreCall(
+            'POST',
+            f'/v1/leases/{lease}',
+            ignore_answer,
+            body={},
+            faults=add_faults(s410=StoreFault.LEASE_EXPIRED),
+        )
+
+    def build_revocation(self, lease: str) -> StoreCall[None]:
+        """Build the end of a lease."""
+        return StoreCall('DELETE', f'/v1/leases/{lease}', ignore_answer)
+
+
+def _read_items(answer: Any) -> StoreItems:
+    return StoreItems(
+        tuple(
+            StoreItem(entry['key'], entry['document'], entry['version'])
+            for entry in answer['items']
+        ),
+        answer['position'],
+    )
+
+
+def _read_page(answer: Any) -> StorePage:
+    listing = _read_items(answer)
+    is_last = not answer['is_truncated']
+    return StorePage(listing, None if is_last else listing.entries[-1].key)
--- a/merlintrail/node/_joiner.py
+++ b/merlintrail/node/_joiner.py
@@ -10,17 +10,14 @@
     Membership,
     Relay,
     Store,
-    StoreValue,
-    build_relay_key,
+    find_relays,
 )
 from merlintrail.node._settings import Settings
 
 #: Seconds before the first and the longest pause between tries to join.
 MIN_JOIN_PAUSE_S: Final = 0.2
 MAX_JOIN_PAUSE_S: Final = 3.0
-#: Relays of a data centre that a joining node asks for.
-RELAY_PLACES: Final = 2
-#: Relays that suffice to join through.
+#: Relays of other data centres that a joining node asks at a time.
 MAX_CONTACTS: Final = 2
 
 
@@ -50,16 +47,24 @@
 
     async def _try_join(self) -> bool:
         own_data_centre = self._parts.settings.data_centre
-        contacts = await self._find_contacts([own_data_centre])
-        if await self._join_any([*contacts, *self._parts.settings.join]):
+        relays = await find_relays(self._parts.store)
+        near = [
+            relay.address
+            for relay in relays
+            if relay.data_centre == own_data_centre
+        ]
+        if await self._join_any([*near, *self._parts.settings.join]):
             return True
         if self._parts.membership.holder.current is None:
             await self._parts.relay.fetch()
-        configuration = self._parts.membership.holder.current
-        if configuration is not None:
-            others = sorted(set(configuration.regions) - {own_data_centre})
-            if await self._join_any(await self._find_contacts(others)):
-                return True
+        others = [
+            relay.address
+            for relay in relays
+            if relay.data_centre != own_data_centre
+        ]
+        self._source.shuffle(others)
+        if await self._join_any(others[:MAX_CONTACTS]):
+            return True
         return self._parts.membership.own.is_relay
 
     async def _join_any(self, addresses: Sequence[str]) -> bool:
@@ -69,17 +74,3 @@
             if await self._parts.heartbeats.join(address):
                 return True
         return False
-
-    async def _find_contacts(self, data_centres: Sequence[str]) -> list[str]:
-        """Return the addresses of a few relays, from the store."""
-        contacts = []
-        for data_centre in data_centres:
-            for place in range(RELAY_PLACES):
-                found = await self._parts.store.read(
-                    build_relay_key(data_centre, place)
-                )
-                if isinstance(found, StoreValue):
-                    contacts.append(str(found.document['address']))
-            if len(contacts) >= MAX_CONTACTS:
-                break
-        return contacts
--- a/merlintrail/transport/__init__.py
+++ b/merlintrail/transport/__init__.py
@@ -14,15 +14,16 @@
     encode_response,
 )
 from merlintrail.transport._pool import ConnectionPool, create_pool
+from merlintrail.transport._request_parser import BadRequest, ServerLimits
 from merlintrail.transport._server import (
     HttpServer,
     RequestHandler,
-    ServerLimits,
     start_server,
 )
 
 __all__ = (
     'TIMEOUT',
+    'BadRequest',
     'ClientConnection',
     'ConnectionPool',
     'FailureStage',
--- a/merlintrail/transport/_pool.py
+++ b/merlintrail/transport/_pool.py
@@ -14,6 +14,9 @@
 
 #: Seconds after which an idle connection is closed rather than reused.
 MAX_IDLE_S: Final = 30.0
+#: Seconds before the end of a peer's idle limit at which a connection is
+#: no longer reused, since the peer may be closing it already.
+IDLE_MARGIN_S: Final = 1.0
 #: Idle connections kept for each address.
 MAX_IDLE_CONNECTIONS: Final = 512
 #: Seconds to wait for a new connection.
@@ -68,7 +71,9 @@
             if isinstance(connected, TransportFailure):
                 return connected
             connection = connected
-        payload = encode_request(method, target, headers, body)
+        payload = encode_request(
+            method, target, _add_host(headers, address), body
+        )
         self.bytes_sent += len(payload)
         answer = await connection.exchange(method, payload, patience)
         if isinstance(answer, HttpResponse):
@@ -120,10 +125,11 @@
 
     def _take_idle(self, address: str) -> ClientConnection | None:
         idle = self._idle.get(address)
-        oldest_use = asyncio.get_running_loop().time() - MAX_IDLE_S
+        now = asyncio.get_running_loop().time()
         while idle:
             connection = idle.pop()
-            if connection.is_reusable and connection.idle_since > oldest_use:
+            idle_s = now - connection.idle_since
+            if connection.is_reusable and idle_s < _limit_idle_time(connection):
                 return connection
             connection.close()
         return None
@@ -137,6 +143,21 @@
         idle.append(connection)
 
 
+def _add_host(headers: HeaderList, address: str) -> HeaderList:
+    """Name the address as the host unless another is named."""
+    if any(name == 'host' for name, _ in headers):
+        return headers
+    return (('host', address), *headers)
+
+
+def _limit_idle_time(connection: ClientConnection) -> float:
+    """Return the seconds of idleness after which not to reuse."""
+    limit_s = connection.idle_limit_s
+    if limit_s is None:
+        return MAX_IDLE_S
+    return min(MAX_IDLE_S, max(limit_s / 2, limit_s - IDLE_MARGIN_S))
+
+
 def create_pool(max_answer_bytes: int = MAX_ANSWER_BYTES) -> ConnectionPool:
     """Create an empty pool."""
     return ConnectionPool(max_answer_bytes)
--- /dev/null
+++ b/merlintrail/transport/_request_parser.py
@@ -0,0 +1,165 @@
+"""Parsing of requests, with the checks of RFC 9112 and our own limits."""
+
+from collections.abc import Iterator
+from typing import Final, NamedTuple
+
+import httptools
+
+from merlintrail.transport._message import HttpRequest
+
+_VERSIONS: Final = frozenset(('1.0', '1.1'))
+#: Bytes around the name and value of a header.
+_HEADER_FRAME_BYTES: Final = 4
+
+
+class ServerLimits(NamedTuple):
+    """Bounds on what one connection may send."""
+
+    #: Bytes of request line and headers together.
+    max_header_bytes: int = 16384
+    #: Bytes of one body.
+    max_body_bytes: int = 1048576
+    #: Seconds within which a begun request must have arrived whole.
+    receive_timeout_s: float = 10.0
+    #: Seconds that an idle connection is kept open.
+    idle_timeout_s: float = 75.0
+
+
+class BadRequest(NamedTuple):
+    """A request that cannot be served, with the status that says so."""
+
+    status: int
+    reason: str
+
+
+class RequestParser:
+    """Parses the requests of one connection.
+
+    The first fault ends the parsing: what follows a malformed request has
+    no certain beginning.
+    """
+
+    def __init__(self, limits: ServerLimits) -> None:
+        self._limits = limits
+        self._parser = httptools.HttpRequestParser(self)
+        self._parsed: list[HttpRequest | BadRequest] = []
+        self._fault: BadRequest | None = None
+        self._in_headers = True
+        #: Bytes fed since the request began, while its headers come.
+        self._fed_bytes = 0
+        #: Address of the sender, told with each request.
+        self.remote_host = ''
+        #: Whether a request has begun and not ended.
+        self.is_receiving = False
+        #: Whether the sender waits to be told to send its body.
+        self.is_expecting_continue = False
+        #: Whether the connection stays open behind the last request.
+        self.keeps_alive = True
+        self._reset_message()
+
+    def feed(self, chunk: bytes) -> list[HttpRequest | BadRequest]:
+        """Parse what arrived; return what is complete, a fault as the last."""
+        self._parsed = []
+        self._fed_bytes += len(chunk)
+        try:
+            self._parser.feed_data(chunk)
+        except httptools.HttpParserUpgrade:
+            self._find_fault(400, 'upgrade-not-supported')
+        except httptools.HttpParserError:
+            self._find_fault(400, 'malformed-http')
+        self._check_begun_headers()
+        if self._fault is not None:
+            self.is_receiving = False
+            return [*self._parsed, self._fault]
+        return self._parsed
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self.is_receiving = True
+        self._reset_message()
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the target."""
+        self._target += url
+        self._header_bytes += len(url)
+
+    def on_header(self, name: bytes, value: bytes) -> None:  # noqa: WPS110
+        """Take one header; a repeated one is joined with a comma."""
+        key = name.decode('latin-1').lower()
+        text = value.decode('latin-1').strip()
+        self._header_bytes += len(name) + len(value) + _HEADER_FRAME_BYTES
+        known = self._headers.get(key)
+        if known is None:
+            self._headers[key] = text
+        elif key == 'host':
+            self._find_fault(400, 'several-hosts')
+        else:
+            self._headers[key] = f'{known}, {text}'
+
+    def on_headers_complete(self) -> None:
+        """Check the version, the host, the sizes and the expectation."""
+        self._in_headers = False
+        for fault in self._list_header_faults():
+            self._find_fault(fault.status, fault.reason)
+        if self._headers.get('expect', '').lower() == '100-continue':
+            self.is_expecting_continue = self._fault is None
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self._body.append(body)
+        self._body_bytes += len(body)
+        if self._body_bytes > self._limits.max_body_bytes:
+            self._find_fault(413, 'body-too-large')
+
+    def on_message_complete(self) -> None:
+        """Keep the whole request."""
+        self.is_receiving = False
+        self.is_expecting_continue = False
+        self._fed_bytes = 0
+        if self._fault is not None:
+            return
+        self.keeps_alive = self._parser.should_keep_alive()
+        self._parsed.append(
+            HttpRequest(
+                self._parser.get_method().decode('latin-1'),
+                self._target.decode('latin-1'),
+                self._headers,
+                b''.join(self._body),
+                self.remote_host,
+            )
+        )
+
+    def _check_begun_headers(self) -> None:
+        """Refuse headers that are too large before their end has come."""
+        is_begun = self.is_receiving and self._in_headers
+        if is_begun and self._fed_bytes > self._limits.max_header_bytes:
+            self._find_fault(431, 'headers-too-large')
+
+    def _list_header_faults(self) -> Iterator[BadRequest]:
+        limits = self._limits
+        version = self._parser.get_http_version()
+        if version not in _VERSIONS:
+            yield BadRequest(400, 'version-not-supported')
+        if 'upgrade' in self._headers:
+            yield BadRequest(400, 'upgrade-not-supported')
+        if self._header_bytes > limits.max_header_bytes:
+            yield BadRequest(431, 'headers-too-large')
+        length = int(self._headers.get('content-length', '0'))
+        if length > limits.max_body_bytes:
+            yield BadRequest(413, 'body-too-large')
+        if 'host' not in self._headers and version == '1.1':
+            yield BadRequest(400, 'host-missing')
+
+    def _find_fault(self, status: int, reason: str) -> None:
+        if self._fault is None:
+            self._fault = BadRequest(status, reason)
+
+    def _reset_message(self) -> None:
+        self._target = b''
+        self._headers: dict[str, str] = {}
+        self._header_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._in_headers = True
