--- a/merlintrail/coordination/_sections.py
+++ b/merlintrail/coordination/_sections.py
@@ -9,6 +9,9 @@
 from merlintrail.state import Envelope
 
 _SERVICE_PREFIX: Final = 'services/'
+_ROUTES_PREFIX: Final = 'routes/'
+#: Sections over which the routes are spread.
+ROUTE_SECTIONS: Final = 16
 
 Sections: TypeAlias = Mapping[str, Any]
 
@@ -27,25 +30,45 @@
 
 
 def split_document(document: Mapping[str, Any]) -> dict[str, Any]:
-    """Split a document: one section a service, one each other member."""
+    """Split a document: one section a service, one each other member.
+
+    Routes are many and change often, so that they are spread over sections
+    by their names.
+    """
     sections: dict[str, Any] = {
         f'{_SERVICE_PREFIX}{service["name"]}': service
         for service in document['services']
     }
     for name, part in document.items():
-        if name != 'services':
+        if name == 'routes':
+            sections.update(_split_routes(part))
+        elif name != 'services':
             sections[name] = part
     return sections
 
 
+def _split_routes(routes: Sequence[Any]) -> dict[str, Any]:
+    sections: dict[str, Any] = {
+        f'{_ROUTES_PREFIX}{number}': [] for number in range(ROUTE_SECTIONS)
+    }
+    for route in routes:
+        rank = xxhash.xxh3_64_intdigest(route['name'].encode())
+        sections[f'{_ROUTES_PREFIX}{rank % ROUTE_SECTIONS}'].append(route)
+    return sections
+
+
 def join_sections(sections: Sections) -> dict[str, Any]:
-    """Put a document together again."""
+    """Put a document together again; its routes come ordered by name."""
     document: dict[str, Any] = {'services': []}
     for name, part in sections.items():
         if name.startswith(_SERVICE_PREFIX):
             document['services'].append(part)
+        elif name.startswith(_ROUTES_PREFIX):
+            document.setdefault('routes', []).extend(part)
         else:
             document[name] = part
+    if 'routes' in document:
+        document['routes'].sort(key=lambda route: str(route['name']))
     return document
 
 
--- a/merlintrail/daemon/_main.py
+++ b/merlintrail/daemon/_main.py
@@ -15,6 +15,7 @@
 from merlintrail.console import start_console
 from merlintrail.coordination import create_http_store
 from merlintrail.node import (
+    Environment,
     InvalidSettings,
     Node,
     Settings,
@@ -23,6 +24,11 @@
     parse_settings,
 )
 from merlintrail.observability import JsonLinesHandler, open_log
+from merlintrail.platform import (
+    PlatformDialect,
+    PlatformStoreWire,
+    start_adapter,
+)
 
 #: Exit status for settings that have faults.
 EXIT_SETTINGS: Final = 2
@@ -82,8 +88,7 @@
 
 
 async def _serve(settings: Settings, log: JsonLinesHandler) -> int:
-    store = create_http_store(settings.store_addresses)
-    node = create_node(settings, create_environment(store))
+    node = create_node(settings, _create_environment(settings))
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(
         signal.SIGTERM, node.lifecycle.start_drain, 'SIGTERM'
@@ -91,6 +96,8 @@
     loop.add_signal_handler(signal.SIGINT, node.lifecycle.stopped.set)
     try:
         await node.start()
+        if settings.platform is not None:
+            await start_adapter(node, settings.platform)
         console = start_console(node, loop)
     except OSError as error:
         sys.stderr.write(f'cannot listen: {error}\n')
@@ -104,6 +111,15 @@
     return 0
 
 
+def _create_environment(settings: Settings) -> Environment:
+    """Choose how store, callers and backend servers are spoken to."""
+    if settings.platform is None:
+        return create_environment(create_http_store(settings.store_addresses))
+    wire = PlatformStoreWire(settings.platform)
+    store = create_http_store(settings.store_addresses, wire)
+    return create_environment(store, PlatformDialect())
+
+
 async def _flush_log(log: JsonLinesHandler) -> None:
     while True:
         await asyncio.sleep(LOG_FLUSH_S)
--- a/merlintrail/node/__init__.py
+++ b/merlintrail/node/__init__.py
@@ -1,5 +1,11 @@
 """The node: call path, lifecycle, and its parts put together."""
 
+from merlintrail.node._backend import (
+    Announcement,
+    AnnouncementOrder,
+    InvalidAnnouncement,
+    read_announcement,
+)
 from merlintrail.node._environment import (
     Environment,
     create_environment,
@@ -8,17 +14,23 @@
 from merlintrail.node._node import Node, create_node
 from merlintrail.node._settings import (
     InvalidSettings,
+    PlatformSettings,
     Settings,
     parse_settings,
 )
 
 __all__ = (
+    'Announcement',
+    'AnnouncementOrder',
     'Environment',
+    'InvalidAnnouncement',
     'InvalidSettings',
     'Node',
+    'PlatformSettings',
     'Settings',
     'create_environment',
     'create_node',
     'parse_settings',
+    'read_announcement',
     'split_host_port',
 )
--- a/merlintrail/node/_answers.py
+++ b/merlintrail/node/_answers.py
@@ -1,6 +1,6 @@
 """Answers of other nodes, read and combined."""
 
-from merlintrail.node._calls import GateResult, list_returned
+from merlintrail.node._calls import GateResult
 from merlintrail.protocol import (
     REPORT_HEADER,
     CallHeader,
@@ -10,6 +10,7 @@
     Reason,
     Refusal,
     decode_call_report,
+    list_returned,
 )
 from merlintrail.transport import HttpResponse
 
--- a/merlintrail/node/_backend.py
+++ b/merlintrail/node/_backend.py
@@ -1,11 +1,13 @@
 """A backend server beside the node, as it announced itself."""
 
 import asyncio
+import enum
 from collections import Counter
 from collections.abc import Callable, Mapping
 from typing import Any, Final, NamedTuple
 
 from merlintrail.node._calls import OutgoingCall, compute_call_digest
+from merlintrail.protocol import BackendLoad
 from merlintrail.transport import ConnectionPool, HttpRequest, TransportFailure
 
 #: Seconds between tries to reach a backend server that is down.
@@ -18,6 +20,8 @@
 DEATH_WINDOW_S: Final = 0.1
 #: Seconds for which an announcement lasts if it names no time.
 DEFAULT_TTL_S: Final = 10.0
+#: Backend servers that left which are remembered by identity.
+MAX_DEPARTED: Final = 64
 _MAX_SLOTS: Final = 100000
 
 
@@ -34,6 +38,12 @@
     ttl_s: float = DEFAULT_TTL_S
     health_path: str | None = None
     load_path: str | None = None
+    #: Name of this run of the backend server, checked with each call.
+    identity: str | None = None
+    #: Start of this run in milliseconds since the epoch, 0 when unknown.
+    started_at_ms: int = 0
+    #: Raised with each announcement of one run.
+    sequence: int = 0
 
 
 class InvalidAnnouncement(NamedTuple):
@@ -42,6 +52,58 @@
     findings: tuple[str, ...]
 
 
+class AnnouncementOrder(enum.Enum):
+    """How an announcement stands to the one that is known."""
+
+    #: From another run of the backend server.
+    NEW_RUN = 'new run'
+    RENEWAL = 'renewal'
+    #: Overtaken by a later one, or from a run that has ended.
+    STALE = 'stale'
+
+
+class Departures:
+    """Runs of backend servers that said that they leave."""
+
+    def __init__(self) -> None:
+        self._started_at_ms: dict[str, int] = {}
+
+    def record(self, identity: str, started_at_ms: int) -> None:
+        """Take note that a run is ending."""
+        self._started_at_ms[identity] = started_at_ms
+        if len(self._started_at_ms) > MAX_DEPARTED:
+            del self._started_at_ms[next(iter(self._started_at_ms))]
+
+    def includes(self, news: Announcement) -> bool:
+        """Tell whether an announcement comes from a run that left."""
+        if news.identity is None:
+            return False
+        known_ms = self._started_at_ms.get(news.identity)
+        return known_ms is not None and news.started_at_ms <= known_ms
+
+
+def compare_announcements(
+    known: Announcement | None, news: Announcement
+) -> AnnouncementOrder:
+    """Tell whether an announcement replaces the one that is known.
+
+    Announcements may come late, repeated and out of order, also after the
+    backend server has been replaced by another at the same address.
+    """
+    if known is None:
+        return AnnouncementOrder.NEW_RUN
+    run = (known.identity, known.started_at_ms, known.address)
+    if run != (news.identity, news.started_at_ms, news.address):
+        is_older = news.started_at_ms < known.started_at_ms
+        return (
+            AnnouncementOrder.STALE if is_older else AnnouncementOrder.NEW_RUN
+        )
+    is_overtaken = news.sequence and news.sequence <= known.sequence
+    return (
+        AnnouncementOrder.STALE if is_overtaken else AnnouncementOrder.RENEWAL
+    )
+
+
 def read_announcement(
     document: Mapping[str, Any],
 ) -> Announcement | InvalidAnnouncement:
@@ -66,11 +128,26 @@
         findings.append('ttl_s: needs a positive number of seconds')
     if not isinstance(document.get('is_ready', True), bool):
         findings.append('is_ready: needs true or false')
+    findings.extend(_check_run(document))
     if findings:
         return InvalidAnnouncement(tuple(findings))
     return Announcement(**document)
 
 
+def _check_run(document: Mapping[str, Any]) -> list[str]:
+    """Check what tells one run of a backend server from another."""
+    findings = []
+    identity = document.get('identity')
+    if identity is not None and not (isinstance(identity, str) and identity):
+        findings.append('identity: needs a name')
+    for name in ('started_at_ms', 'sequence'):
+        number = document.get(name, 0)
+        is_whole = isinstance(number, int) and not isinstance(number, bool)
+        if not is_whole or number < 0:
+            findings.append(f'{name}: needs a whole number')
+    return findings
+
+
 class BackendServer:
     """State of one backend server.
 
@@ -85,10 +162,14 @@
         self.is_reachable = True
         #: Whether it said that it drains.
         self.is_draining = not announcement.is_ready
+        #: Whether another backend server answered at its address.
+        self.is_displaced = False
         #: What the health endpoint said last.
         self.health_hint = 'unknown'
         #: What the load endpoint said last.
         self.load_hint: object = None
+        #: Load that its last answer told.
+        self.load: BackendLoad | None = None
         #: Calls running in it, by call identifier.
         self.running: dict[str, OutgoingCall] = {}
         #: Calls lost together, within a short time.
@@ -98,17 +179,22 @@
     def is_ready(self, now: float) -> bool:
         """Tell whether it takes new calls."""
         is_current = now - self.renewed_at < self.announcement.ttl_s
-        return is_current and self.is_reachable and not self.is_draining
+        is_there = self.is_reachable and not self.is_displaced
+        return is_current and is_there and not self.is_draining
 
     def renew(self, announcement: Announcement, now: float) -> None:
         """Take a renewed announcement."""
         self.announcement = announcement
         self.renewed_at = now
         self.is_draining = not announcement.is_ready
+        self.is_displaced = False
 
     def record_loss(self, call_id: str, now: float) -> list[str]:
         """Take note that a call's connection was lost.
 
+        A lone loss is no death where the backend server tells its identity:
+        a new run of it would say so.
+
         :returns: digests of the calls that ran, once all of them are lost.
         """
         if now - self._lost_since > DEATH_WINDOW_S:
@@ -117,7 +203,8 @@
         lost = self.running.pop(call_id, None)
         if lost is not None:
             self._lost[compute_call_digest(lost)] += 1
-        if self.running:
+        least = 1 if self.announcement.identity is None else 2
+        if self.running or self._lost.total() < least:
             return []
         digests = list(self._lost)
         self._lost.clear()
--- /dev/null
+++ b/merlintrail/node/_backend_exchange.py
@@ -0,0 +1,185 @@
+"""Running a call in a backend server, and judging what came of it."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from merlintrail.node._backend import BackendProber
+from merlintrail.node._calls import OutgoingCall
+from merlintrail.node._contexts import ParentCall
+from merlintrail.node._gate import Gate
+from merlintrail.node._suspicions import Suspicions
+from merlintrail.observability import log_decision
+from merlintrail.protocol import (
+    BackendTerms,
+    BackendVerdict,
+    CallHeader,
+    Dialect,
+    Outcome,
+    Reason,
+    Refusal,
+)
+from merlintrail.transport import (
+    TIMEOUT,
+    ConnectionPool,
+    FailureStage,
+    HttpResponse,
+    TransportFailure,
+)
+
+
+class ExchangeParts(NamedTuple):
+    """What exchanges with backend servers need."""
+
+    node_id: str
+    pool: ConnectionPool
+    dialect: Dialect
+    suspicions: Suspicions
+    clock: Callable[[], float]
+    #: Told when a backend server's readiness changes.
+    on_change: Callable[[], None]
+
+
+class BackendExchange:
+    """Exchanges calls with the backend servers beside this node."""
+
+    def __init__(self, parts: ExchangeParts) -> None:
+        self._parts = parts
+        self._clock = parts.clock
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self.prober = BackendProber(parts.pool, parts.on_change)
+
+    async def run(
+        self, gate: Gate, call: OutgoingCall, parent: ParentCall
+    ) -> HttpResponse | Refusal:
+        """Run a call that was admitted."""
+        started_at = self._clock()
+        backend = gate.backend
+        header = parent.header
+        remaining_s = parent.deadline - started_at
+        backend.running[header.call_id] = call
+        try:
+            answer = await self._parts.pool.exchange(
+                backend.announcement.address,
+                call.method,
+                call.target,
+                self._list_headers(gate, call, parent, remaining_s),
+                call.body,
+                timeout_s=remaining_s,
+                accepts=lambda received: self._is_own(parent, received),
+            )
+            if isinstance(answer, TransportFailure):
+                return await self._explain_failure(gate, header, answer)
+        finally:
+            backend.running.pop(header.call_id, None)
+        return self._judge_answer(gate, parent, answer, started_at)
+
+    def _is_own(self, parent: ParentCall, answer: HttpResponse) -> bool:
+        verdict = self._parts.dialect.judge_answer(parent.token, answer)
+        return verdict != BackendVerdict.FOREIGN
+
+    def _list_headers(
+        self,
+        gate: Gate,
+        call: OutgoingCall,
+        parent: ParentCall,
+        remaining_s: float,
+    ) -> list[tuple[str, str]]:
+        terms = BackendTerms(
+            parent.token,
+            remaining_s,
+            gate.backend.announcement.identity,
+            call.caller_service,
+        )
+        return [
+            *call.headers,
+            *self._parts.dialect.list_backend_headers(terms),
+        ]
+
+    def _judge_answer(
+        self,
+        gate: Gate,
+        parent: ParentCall,
+        answer: HttpResponse,
+        started_at: float,
+    ) -> HttpResponse | Refusal:
+        now = self._clock()
+        held_s = now - started_at
+        gate.backend.load = self._parts.dialect.read_load(answer)
+        verdict = self._parts.dialect.judge_answer(parent.token, answer)
+        is_shed = verdict == BackendVerdict.SHED and not parent.has_failed_below
+        if verdict == BackendVerdict.FAILED:
+            parent.has_failed = True
+            return answer
+        if verdict == BackendVerdict.ANSWERED or (
+            verdict == BackendVerdict.SHED and not is_shed
+        ):
+            gate.admission.record_service(held_s)
+            gate.limit.record_success(
+                now,
+                parent.compute_own_time(held_s),
+                gate.admission.running,
+            )
+            return answer
+        return self._take_refusal(gate, parent, verdict, now)
+
+    def _take_refusal(
+        self,
+        gate: Gate,
+        parent: ParentCall,
+        verdict: BackendVerdict,
+        now: float,
+    ) -> Refusal:
+        if verdict == BackendVerdict.MISDIRECTED:
+            gate.backend.is_displaced = True
+            self._parts.on_change()
+            return Refusal(Outcome.NOT_RUN, Reason.BACKEND_DISPLACED)
+        gate.limit.record_refusal(now)
+        gate.shedder.record_overflow()
+        is_proved = verdict == BackendVerdict.NOT_RUN and not parent.digests
+        outcome = Outcome.NOT_RUN if is_proved else Outcome.MAY_HAVE_RUN
+        return Refusal(outcome, Reason.BACKEND_REFUSED)
+
+    async def _explain_failure(
+        self, gate: Gate, header: CallHeader, failure: TransportFailure
+    ) -> Refusal:
+        if failure.stage == FailureStage.CONNECT:
+            self._mark_unreachable(gate)
+            return Refusal(Outcome.NOT_RUN, Reason.BACKEND_LOST, failure.reason)
+        if failure.reason == TIMEOUT:
+            return Refusal(Outcome.MAY_HAVE_RUN, Reason.DEADLINE_PASSED)
+        running = gate.backend.list_running()
+        digests = gate.backend.record_loss(header.call_id, self._clock())
+        if not digests and not await self.prober.is_listening(gate.backend):
+            digests = running
+        if digests:
+            self._record_death(gate, digests)
+        return Refusal(
+            Outcome.MAY_HAVE_RUN, Reason.BACKEND_LOST, failure.reason
+        )
+
+    def _record_death(self, gate: Gate, digests: list[str]) -> None:
+        suspicions = self._parts.suspicions.record_death(digests)
+        log_decision(
+            'backend-server-death',
+            instance=self._parts.node_id,
+            service=gate.backend.announcement.service,
+            suspects=len(suspicions),
+            convicted=[
+                suspicion.digest
+                for suspicion in suspicions
+                if suspicion.is_convicted
+            ],
+        )
+        self._parts.pool.drop_idle(gate.backend.announcement.address)
+        self._mark_unreachable(gate)
+
+    def _mark_unreachable(self, gate: Gate) -> None:
+        if gate.backend.is_reachable:
+            gate.backend.is_reachable = False
+            self._parts.on_change()
+            task = asyncio.create_task(
+                self.prober.wait_until_back(gate.backend)
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
--- a/merlintrail/node/_calls.py
+++ b/merlintrail/node/_calls.py
@@ -13,6 +13,7 @@
     Refusal,
     build_refusal_response,
     encode_fields,
+    list_returned,
 )
 from merlintrail.state import RetryAccount, compute_digest
 from merlintrail.transport import HeaderList, HttpRequest, HttpResponse
@@ -38,6 +39,8 @@
     depth: int
     #: Idempotency key, scoped to the service.
     key: str | None
+    #: Service of the instance at which the call began.
+    caller_service: str = ''
 
 
 def compute_call_digest(call: OutgoingCall) -> str:
@@ -71,15 +74,6 @@
     ]
 
 
-def list_returned(answer: HttpResponse) -> list[tuple[str, str]]:
-    """Return the headers of an answer that go back to the caller."""
-    return [
-        (name, text)
-        for name, text in answer.headers
-        if name not in FORWARDED_DROP and not name.startswith(INTERNAL_PREFIX)
-    ]
-
-
 def build_peer_answer(gate_result: GateResult, request_id: str) -> HttpResponse:
     """Build the answer between nodes, with its report."""
     if gate_result.encoded is not None:
--- a/merlintrail/node/_contexts.py
+++ b/merlintrail/node/_contexts.py
@@ -4,8 +4,9 @@
 import random
 from typing import Final
 
-from merlintrail.protocol import CallHeader, create_id
+from merlintrail.protocol import CallHeader, Dialect
 from merlintrail.state import RetryAccount
+from merlintrail.transport import HeaderList
 
 #: Calls that a request may be deep.
 MAX_DEPTH: Final = 32
@@ -26,6 +27,8 @@
         self.path_levels: dict[str, int] = {}
         #: Whether a call below was refused or failed.
         self.has_failed_below = False
+        #: Whether the backend server's own answer says that it failed.
+        self.has_failed = False
         #: Digests of the calls made so far.
         self.digests: set[str] = set()
         self._tasks: set[asyncio.Task[object]] = set()
@@ -62,7 +65,8 @@
 class ContextTable:
     """Finds the parent of a call by the token that it carries."""
 
-    def __init__(self, source: random.Random) -> None:
+    def __init__(self, dialect: Dialect, source: random.Random) -> None:
+        self._dialect = dialect
         self._source = source
         self._parents: dict[str, ParentCall] = {}
 
@@ -70,10 +74,16 @@
         """Return the number of calls running."""
         return len(self._parents)
 
-    def open(self, header: CallHeader, deadline: float) -> ParentCall:
-        """Begin a call in the backend server."""
-        parent = ParentCall(create_id(self._source), header, deadline)
-        self._parents[parent.token] = parent
+    def open(
+        self, header: CallHeader, deadline: float, headers: HeaderList
+    ) -> ParentCall:
+        """Begin a call in the backend server.
+
+        :param headers: the headers that go to the backend server.
+        """
+        token = self._dialect.create_token(headers, self._source)
+        parent = ParentCall(token, header, deadline)
+        self._parents[token] = parent
         return parent
 
     def find(self, token: str) -> ParentCall | None:
@@ -82,5 +92,6 @@
 
     def close(self, parent: ParentCall) -> None:
         """End a call and everything below it."""
-        del self._parents[parent.token]
+        if self._parents.get(parent.token) is parent:
+            del self._parents[parent.token]
         parent.cancel_children()
--- a/merlintrail/node/_dispatch.py
+++ b/merlintrail/node/_dispatch.py
@@ -302,4 +302,5 @@
             self._parts.node_id,
             call.service,
             suspicion=self._parts.suspicions.find(call),
+            caller_service=call.caller_service,
         )
--- a/merlintrail/node/_environment.py
+++ b/merlintrail/node/_environment.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from merlintrail.coordination import Store
+from merlintrail.protocol import Dialect, OwnDialect
 from merlintrail.transport import ConnectionPool, create_pool
 
 
@@ -19,6 +20,8 @@
     source: random.Random
     #: Creates pools of connections to nodes and backend servers.
     create_pool: Callable[[], ConnectionPool] = create_pool
+    #: Contract with callers and backend servers.
+    dialect: Dialect = OwnDialect()
 
 
 def split_host_port(address: str) -> tuple[str, int]:
@@ -27,8 +30,14 @@
     return host, int(port)
 
 
-def create_environment(store: Store) -> Environment:
+def create_environment(
+    store: Store, dialect: Dialect | None = None
+) -> Environment:
     """Create the environment of a real process."""
     return Environment(
-        store, time.monotonic, time.time, random.Random(os.urandom(16))
+        store,
+        time.monotonic,
+        time.time,
+        random.Random(os.urandom(16)),
+        dialect=dialect or OwnDialect(),
     )
--- a/merlintrail/node/_gatekeeper.py
+++ b/merlintrail/node/_gatekeeper.py
@@ -6,8 +6,11 @@
 
 from merlintrail.node._backend import (
     Announcement,
-    BackendProber,
+    AnnouncementOrder,
+    Departures,
+    compare_announcements,
 )
+from merlintrail.node._backend_exchange import BackendExchange
 from merlintrail.node._calls import (
     GateResult,
     OutgoingCall,
@@ -18,9 +21,6 @@
 from merlintrail.node._suspicions import Suspicions
 from merlintrail.observability import NodeMetrics, log_decision
 from merlintrail.protocol import (
-    CONTEXT_HEADER,
-    DEADLINE_HEADER,
-    OUTCOME_HEADER,
     CallHeader,
     CallReport,
     InquiryState,
@@ -34,15 +34,8 @@
     PlannedStop,
     outlasts_start,
 )
-from merlintrail.transport import (
-    TIMEOUT,
-    ConnectionPool,
-    FailureStage,
-    HttpResponse,
-    TransportFailure,
-)
+from merlintrail.transport import HttpResponse
 
-_SHED_STATUS: Final = 503
 _MS_PER_S: Final = 1000
 _STARTED_STATES: Final = frozenset(
     (InquiryState.RUNNING, InquiryState.FINISHED)
@@ -54,7 +47,7 @@
 
     node_id: str
     incarnation: int
-    pool: ConnectionPool
+    exchange: BackendExchange
     calls: CallTable
     contexts: ContextTable
     suspicions: Suspicions
@@ -71,8 +64,8 @@
     def __init__(self, parts: GateParts) -> None:
         self._parts = parts
         self._clock = parts.clock
-        self._prober = BackendProber(parts.pool, parts.on_change)
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._departures = Departures()
         #: Gates by service.
         self.gates: dict[str, Gate] = {}
         #: The next planned stop of this instance.
@@ -89,6 +82,10 @@
             for gate in self.gates.values()
         )
 
+    def find_own_service(self) -> str:
+        """Return the service of the backend server, empty without one."""
+        return next(iter(self.gates), '')
+
     def update_configuration(self, configuration: Configuration) -> None:
         """Take a new configuration."""
         self._configuration = configuration
@@ -96,27 +93,55 @@
         for name, gate in self.gates.items():
             self._configure_gate(name, gate)
 
-    def announce(self, announcement: Announcement) -> None:
-        """Take a backend server's announcement or its renewal."""
-        now = self._clock()
-        gate = self.gates.get(announcement.service)
-        is_moved = (
-            gate is not None
-            and gate.backend.announcement.address != announcement.address
-        )
-        if gate is None or is_moved:
-            gate = Gate(announcement, self._clock)
-            self._configure_gate(announcement.service, gate)
-            self.gates[announcement.service] = gate
+    def announce(self, announcement: Announcement) -> AnnouncementOrder:
+        """Take a backend server's announcement, its renewal or its drain.
+
+        :returns: ``STALE`` when it changes nothing.
+        """
+        gate = self._find_gate(announcement)
+        known = None if gate is None else gate.backend.announcement
+        order = compare_announcements(known, announcement)
+        if self._departures.includes(announcement):
+            order = AnnouncementOrder.STALE
+        if order == AnnouncementOrder.STALE:
+            self._log_announcement(announcement, order)
+            return order
+        is_changed = True
+        if gate is None or order == AnnouncementOrder.NEW_RUN:
+            gate = self._replace_gate(gate, announcement)
         else:
-            gate.backend.renew(announcement, now)
+            is_changed = gate.backend.announcement.is_ready != (
+                announcement.is_ready
+            )
+            gate.backend.renew(announcement, self._clock())
             gate.limit.resize(announcement.slots)
+        if not announcement.is_ready:
+            gate.admission.refuse_waiting(Reason.DRAINING)
+        if is_changed:
+            self._log_announcement(announcement, order)
         self._parts.on_change()
+        return order
+
+    def dismiss(self, identity: str) -> bool:
+        """Take note that a backend server leaves; it gets no new call.
+
+        :returns: False when it is not one beside this node.
+        """
+        for gate in self.gates.values():
+            announcement = gate.backend.announcement
+            if announcement.identity == identity:
+                self._departures.record(identity, announcement.started_at_ms)
+                gate.backend.is_draining = True
+                gate.admission.refuse_waiting(Reason.DRAINING)
+                self._log_announcement(announcement, None)
+                self._parts.on_change()
+                return True
+        return False
 
     async def refresh_hints(self) -> None:
         """Look at the endpoints of every backend server."""
         for gate in tuple(self.gates.values()):
-            await self._prober.read_hints(gate.backend)
+            await self._parts.exchange.prober.read_hints(gate.backend)
 
     async def handle_call(
         self, header: CallHeader, call: OutgoingCall
@@ -126,7 +151,7 @@
         if state is not None:
             return self._refuse_repeated(header, state)
         deadline = self._clock() + header.deadline_ms / _MS_PER_S
-        parent = self._parts.contexts.open(header, deadline)
+        parent = self._parts.contexts.open(header, deadline, call.headers)
         try:
             answer = await self._run(header, call, parent)
         except asyncio.CancelledError:
@@ -176,13 +201,11 @@
         refusal = await gate.admission.admit(header.priority, parent.deadline)
         if refusal is not None:
             return refusal
-        started_at = self._clock()
+        exchange = self._parts.exchange
         try:
             if header.is_idempotent:
-                return await self._exchange(gate, call, parent, started_at)
-            running = asyncio.create_task(
-                self._exchange(gate, call, parent, started_at)
-            )
+                return await exchange.run(gate, call, parent)
+            running = asyncio.create_task(exchange.run(gate, call, parent))
             self._keep_task(running)
             return await self._wait_to_end(running)
         finally:
@@ -198,108 +221,27 @@
             await running
             raise
 
-    async def _exchange(
-        self,
-        gate: Gate,
-        call: OutgoingCall,
-        parent: ParentCall,
-        started_at: float,
-    ) -> HttpResponse | Refusal:
-        backend = gate.backend
-        header = parent.header
-        remaining_s = parent.deadline - started_at
-        backend.running[header.call_id] = call
-        try:
-            answer = await self._parts.pool.exchange(
-                backend.announcement.address,
-                call.method,
-                call.target,
-                self._build_headers(call, parent, remaining_s),
-                call.body,
-                timeout_s=remaining_s,
-            )
-            if isinstance(answer, TransportFailure):
-                return await self._explain_failure(gate, header, answer)
-        finally:
-            backend.running.pop(header.call_id, None)
-        return self._judge_answer(gate, parent, answer, started_at)
-
-    def _build_headers(
-        self, call: OutgoingCall, parent: ParentCall, remaining_s: float
-    ) -> list[tuple[str, str]]:
-        return [
-            *call.headers,
-            (CONTEXT_HEADER, parent.token),
-            (DEADLINE_HEADER, str(max(1, int(remaining_s * _MS_PER_S)))),
-        ]
-
-    def _judge_answer(
-        self,
-        gate: Gate,
-        parent: ParentCall,
-        answer: HttpResponse,
-        started_at: float,
-    ) -> HttpResponse | Refusal:
-        now = self._clock()
-        held_s = now - started_at
-        if answer.status != _SHED_STATUS or parent.has_failed_below:
-            gate.admission.record_service(held_s)
-            gate.limit.record_success(
-                now,
-                parent.compute_own_time(held_s),
-                gate.admission.running,
-            )
-            return answer
-        gate.limit.record_refusal(now)
-        gate.shedder.record_overflow()
-        is_proved = (
-            answer.find_header(OUTCOME_HEADER) == Outcome.NOT_RUN
-            and not parent.digests
-        )
-        outcome = Outcome.NOT_RUN if is_proved else Outcome.MAY_HAVE_RUN
-        return Refusal(outcome, Reason.BACKEND_REFUSED)
-
-    async def _explain_failure(
-        self, gate: Gate, header: CallHeader, failure: TransportFailure
-    ) -> Refusal:
-        if failure.stage == FailureStage.CONNECT:
-            self._mark_unreachable(gate)
-            return Refusal(Outcome.NOT_RUN, Reason.BACKEND_LOST, failure.reason)
-        if failure.reason == TIMEOUT:
-            return Refusal(Outcome.MAY_HAVE_RUN, Reason.DEADLINE_PASSED)
-        running = gate.backend.list_running()
-        digests = gate.backend.record_loss(header.call_id, self._clock())
-        if not digests and not await self._prober.is_listening(gate.backend):
-            digests = running
-        if digests:
-            self._record_death(gate, digests)
-        return Refusal(
-            Outcome.MAY_HAVE_RUN, Reason.BACKEND_LOST, failure.reason
-        )
-
-    def _record_death(self, gate: Gate, digests: list[str]) -> None:
-        suspicions = self._parts.suspicions.record_death(digests)
-        log_decision(
-            'backend-server-death',
-            instance=self._parts.node_id,
-            service=gate.backend.announcement.service,
-            suspects=len(suspicions),
-            convicted=[
-                suspicion.digest
-                for suspicion in suspicions
-                if suspicion.is_convicted
-            ],
-        )
-        self._parts.pool.drop_idle(gate.backend.announcement.address)
-        self._mark_unreachable(gate)
+    def _find_gate(self, announcement: Announcement) -> Gate | None:
+        """Return the gate of a service, or of another at its address."""
+        gate = self.gates.get(announcement.service)
+        if gate is not None:
+            return gate
+        for other in self.gates.values():
+            if other.backend.announcement.address == announcement.address:
+                return other
+        return None
 
-    def _mark_unreachable(self, gate: Gate) -> None:
-        if gate.backend.is_reachable:
-            gate.backend.is_reachable = False
-            self._parts.on_change()
-            self._keep_task(
-                asyncio.create_task(self._prober.wait_until_back(gate.backend))
-            )
+    def _replace_gate(
+        self, known: Gate | None, announcement: Announcement
+    ) -> Gate:
+        """Begin a gate for a new run of a backend server."""
+        if known is not None:
+            known.admission.refuse_waiting(Reason.NO_BACKEND_SERVER)
+            del self.gates[known.backend.announcement.service]
+        gate = Gate(announcement, self._clock)
+        self._configure_gate(announcement.service, gate)
+        self.gates[announcement.service] = gate
+        return gate
 
     def _check(self, header: CallHeader, gate: Gate | None) -> Refusal | None:
         remaining_s = header.deadline_ms / _MS_PER_S
@@ -340,11 +282,10 @@
         gate = self.gates.get(header.service)
         outcome = Outcome.COMPLETED
         reason = ''
-        may_retry = True
+        is_refused = isinstance(answer, Refusal)
         if isinstance(answer, Refusal):
             outcome = answer.outcome
             reason = answer.reason.value
-            may_retry = not parent.has_failed_below
         return CallReport(
             header.call_id,
             outcome.value,
@@ -355,7 +296,8 @@
             0 if gate is None else self.running,
             0 if gate is None else gate.admission.service_s * _MS_PER_S,
             self.is_draining or (gate is not None and gate.backend.is_draining),
-            may_retry,
+            not (parent.has_failed_below and (is_refused or parent.has_failed)),
+            is_failure=parent.has_failed,
         )
 
     def _record(self, header: CallHeader, report: CallReport) -> None:
@@ -375,6 +317,19 @@
             in_flight=report.in_flight,
         )
 
+    def _log_announcement(
+        self, announcement: Announcement, order: AnnouncementOrder | None
+    ) -> None:
+        log_decision(
+            'backend-server',
+            service=announcement.service,
+            identity=announcement.identity,
+            started_at_ms=announcement.started_at_ms,
+            sequence=announcement.sequence,
+            is_ready=announcement.is_ready and order is not None,
+            outcome='leaving' if order is None else order.value,
+        )
+
     def _configure_gate(self, name: str, gate: Gate) -> None:
         if self._configuration is None:
             return
--- a/merlintrail/node/_ingress.py
+++ b/merlintrail/node/_ingress.py
@@ -1,7 +1,6 @@
 """Requests of callers, and calls of the own backend server."""
 
 import random
-import re
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
@@ -9,31 +8,25 @@
     CallResult,
     OutgoingCall,
     compute_call_digest,
-    list_forwarded,
-    list_returned,
 )
 from merlintrail.node._contexts import MAX_DEPTH, ContextTable, ParentCall
 from merlintrail.node._dispatch import Dispatcher
 from merlintrail.node._keyed import KeyedCalls
+from merlintrail.node._resolution import Resolution, Resolver
 from merlintrail.node._suspicions import Suspicions
 from merlintrail.observability import NodeMetrics, log_decision
 from merlintrail.protocol import (
-    OUTCOME_HEADER,
-    REQUEST_ID_HEADER,
     CallerHeaders,
+    Dialect,
     Outcome,
     Reason,
     Refusal,
-    build_refusal_response,
     compute_priority,
     create_id,
-    read_caller_headers,
 )
 from merlintrail.state import (
-    Configuration,
     ConfigurationHolder,
     PathLevels,
-    RequestKind,
     RetryAccount,
     find_stop,
     merge_levels,
@@ -44,7 +37,6 @@
 #: Seconds over which refused callers are spread when they come back.
 RETRY_SPREAD_S: Final = 2.0
 _MS_PER_S: Final = 1000
-_TARGET: Final = re.compile('/([a-z][a-z0-9-]{0,62})(/[^#]*|[?][^#]*)?$')
 _UNSUPPORTED_METHODS: Final = frozenset(('CONNECT', 'TRACE'))
 
 
@@ -59,33 +51,20 @@
     keyed: KeyedCalls
     suspicions: Suspicions
     metrics: NodeMetrics
+    dialect: Dialect
+    #: Returns the service of the own backend server, empty without one.
+    find_own_service: Callable[[], str]
     clock: Callable[[], float]
     wall_clock: Callable[[], float]
     source: random.Random
 
 
-class ServiceTarget(NamedTuple):
-    """A request's target, split."""
+class _Arrival(NamedTuple):
+    """A request that is being served."""
 
-    service: str
-    #: Path and query below the service.
-    target: str
-
-    @property
-    def path(self) -> str:
-        """The path without the query."""
-        return self.target.partition('?')[0]
-
-
-def split_target(target: str) -> ServiceTarget | None:
-    """Split ``/SERVICE/PATH?QUERY``."""
-    match = _TARGET.match(target)
-    if match is None:
-        return None
-    rest = match.group(2) or '/'
-    if rest.startswith('?'):
-        rest = f'/{rest}'
-    return ServiceTarget(match.group(1), rest)
+    request: HttpRequest
+    request_id: str
+    headers: CallerHeaders
 
 
 class Ingress:
@@ -94,6 +73,7 @@
     def __init__(self, parts: IngressParts) -> None:
         self._parts = parts
         self._clock = parts.clock
+        self._resolver = Resolver(parts.source)
         #: Shedding levels on the way of each request kind.
         self.path_levels = PathLevels()
         #: Requests in progress.
@@ -102,81 +82,60 @@
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Serve a request of a caller or of the own backend server."""
         started_at = self._clock()
-        request_id = create_id(self._parts.source)
-        split = split_target(request.target)
+        headers = self._parts.dialect.read_caller(request)
+        request_id = headers.request_id or create_id(self._parts.source)
+        arrival = _Arrival(request, request_id, headers)
+        resolution = self._resolve(arrival)
         self.running += 1
         try:
-            answer = await self._serve(request, split, request_id)
+            answer = (
+                resolution
+                if isinstance(resolution, Refusal)
+                else await self._serve(arrival, resolution)
+            )
         finally:
             self.running -= 1
         response = self._build_response(answer, request_id)
         self._parts.metrics.record_request(
-            self._label_service(split),
+            '' if isinstance(resolution, Refusal) else resolution.service,
             response.status,
             self._clock() - started_at,
         )
         return response
 
-    def _label_service(self, split: ServiceTarget | None) -> str:
-        """Return the service for metrics; invented ones get no label."""
-        configuration = self._parts.holder.current
-        if split is None or configuration is None:
-            return ''
-        return split.service if split.service in configuration.services else ''
+    def _resolve(self, arrival: _Arrival) -> Resolution | Refusal:
+        refusal = self._check(arrival)
+        if refusal is None:
+            configuration = self._parts.holder.current
+            assert configuration is not None
+            resolution = self._resolver.resolve(arrival.request, configuration)
+            if isinstance(resolution, Resolution):
+                return resolution
+            refusal = resolution
+        self._log_refusal(arrival.request_id, arrival.request.target, refusal)
+        return refusal
 
     async def _serve(
-        self,
-        request: HttpRequest,
-        split: ServiceTarget | None,
-        request_id: str,
+        self, arrival: _Arrival, resolution: Resolution
     ) -> HttpResponse | Refusal:
-        headers = read_caller_headers(request.headers)
-        refusal = self._check(request, split, headers)
-        configuration = self._parts.holder.current
-        if refusal is not None or split is None or configuration is None:
-            refusal = refusal or Refusal(
-                Outcome.NOT_RUN,
-                Reason.NO_CONFIGURATION,
-                'this node has no configuration yet',
-            )
-            self._log_refusal(request_id, request.target, refusal)
-            return refusal
-        kind = configuration.services[split.service].find_kind(
-            request.method, split.path
-        )
-        if headers.context is None:
-            call = self._build_call(request, split, headers, kind, request_id)
-            return await self._serve_caller(call, configuration)
-        parent = self._parts.contexts.find(headers.context)
-        if parent is None:
+        headers = arrival.headers
+        parent: ParentCall | None = None
+        if headers.context is not None:
+            parent = self._parts.contexts.find(headers.context)
+        if parent is not None:
+            call = self._build_child(arrival, resolution, parent)
+            return await self._serve_child(call, parent)
+        if headers.context is not None and headers.is_context_certain:
             return Refusal(
                 Outcome.NOT_RUN,
                 Reason.UNKNOWN_CONTEXT,
                 'the context header is not one of a running call',
             )
-        call = self._build_child(request, split, headers, kind, parent)
-        return await self._serve_child(call, parent)
+        return await self._serve_caller(self._build_call(arrival, resolution))
 
-    async def _serve_caller(
-        self, call: OutgoingCall, configuration: Configuration
-    ) -> HttpResponse | Refusal:
-        now = self._clock()
-        level = self.path_levels.read(call.kind, now)
-        stop = find_stop(
-            configuration,
-            self._parts.instance,
-            self._parts.data_centre,
-            self._parts.wall_clock(),
-        )
-        refusal: Refusal | None = None
-        if call.priority < level:
-            refusal = Refusal(Outcome.NOT_RUN, Reason.SHED_EARLY)
-        elif outlasts_start(
-            stop, self._parts.wall_clock(), call.deadline - now
-        ):
-            refusal = Refusal(Outcome.NOT_RUN, Reason.PLANNED_STOP)
-        elif self._parts.suspicions.is_convicted(call):
-            refusal = Refusal(Outcome.NOT_RUN, Reason.QUARANTINED)
+    async def _serve_caller(self, call: OutgoingCall) -> HttpResponse | Refusal:
+        level = self.path_levels.read(call.kind, self._clock())
+        refusal = self._check_caller(call, level)
         if refusal is not None:
             self._log_refusal(call.request_id, call.kind, refusal, level)
             return refusal
@@ -186,6 +145,25 @@
         )
         return call_result.answer
 
+    def _check_caller(self, call: OutgoingCall, level: int) -> Refusal | None:
+        configuration = self._parts.holder.current
+        assert configuration is not None
+        if call.priority < level:
+            return Refusal(Outcome.NOT_RUN, Reason.SHED_EARLY)
+        wall_time = self._parts.wall_clock()
+        stop = find_stop(
+            configuration,
+            self._parts.instance,
+            self._parts.data_centre,
+            wall_time,
+        )
+        remaining_s = call.deadline - self._clock()
+        if outlasts_start(stop, wall_time, remaining_s):
+            return Refusal(Outcome.NOT_RUN, Reason.PLANNED_STOP)
+        if self._parts.suspicions.is_convicted(call):
+            return Refusal(Outcome.NOT_RUN, Reason.QUARANTINED)
+        return None
+
     async def _serve_child(
         self, call: OutgoingCall, parent: ParentCall
     ) -> HttpResponse | Refusal:
@@ -214,29 +192,20 @@
             return await self._parts.keyed.execute(call)
         return await self._parts.dispatcher.dispatch(call)
 
-    def _check(
-        self,
-        request: HttpRequest,
-        split: ServiceTarget | None,
-        headers: CallerHeaders,
-    ) -> Refusal | None:
-        configuration = self._parts.holder.current
-        findings = list(headers.findings)
-        if request.method in _UNSUPPORTED_METHODS:
-            findings.append(f'method {request.method} is not supported')
-        if split is None:
-            findings.append('the path must be /SERVICE/PATH')
+    def _check(self, arrival: _Arrival) -> Refusal | None:
+        findings = list(arrival.headers.findings)
+        method = arrival.request.method
+        if method in _UNSUPPORTED_METHODS:
+            findings.append(f'method {method} is not supported')
         if findings:
             return Refusal(
                 Outcome.NOT_RUN, Reason.BAD_REQUEST, '; '.join(findings)
             )
-        if configuration is None or split is None:
-            return None
-        if split.service not in configuration.services:
+        if self._parts.holder.current is None:
             return Refusal(
                 Outcome.NOT_RUN,
-                Reason.UNKNOWN_SERVICE,
-                f'no service {split.service!r} is configured',
+                Reason.NO_CONFIGURATION,
+                'this node has no configuration yet',
             )
         return None
 
@@ -245,6 +214,9 @@
     ) -> Refusal | None:
         if call.depth > MAX_DEPTH:
             return Refusal(Outcome.NOT_RUN, Reason.TOO_DEEP)
+        if call.request_id != parent.header.request_id:
+            # The backend server tells its calls apart by identifiers.
+            return None
         digest = compute_call_digest(call)
         if digest in parent.digests and not parent.account.spend():
             return Refusal(
@@ -256,71 +228,61 @@
         return None
 
     def _build_call(
-        self,
-        request: HttpRequest,
-        split: ServiceTarget,
-        headers: CallerHeaders,
-        kind: RequestKind,
-        request_id: str,
+        self, arrival: _Arrival, resolution: Resolution
     ) -> OutgoingCall:
+        kind = resolution.kind
+        request = arrival.request
         deadline_ms = min(
-            headers.deadline_ms or kind.deadline_ms, kind.deadline_ms
+            arrival.headers.deadline_ms or kind.deadline_ms, kind.deadline_ms
         )
         return OutgoingCall(
-            request_id,
+            arrival.request_id,
             kind.full_name,
-            split.service,
+            resolution.service,
             request.method,
-            split.target,
-            list_forwarded(request),
+            resolution.target,
+            self._parts.dialect.list_forwarded(request),
             request.body,
-            compute_priority(kind.importance, request_id),
+            compute_priority(kind.importance, arrival.request_id),
             kind.is_idempotent,
             self._clock() + deadline_ms / _MS_PER_S,
             RetryAccount(kind.retries),
             1,
-            headers.key,
+            arrival.headers.key,
+            self._parts.find_own_service(),
         )
 
     def _build_child(
-        self,
-        request: HttpRequest,
-        split: ServiceTarget,
-        headers: CallerHeaders,
-        kind: RequestKind,
-        parent: ParentCall,
+        self, arrival: _Arrival, resolution: Resolution, parent: ParentCall
     ) -> OutgoingCall:
-        """Build a call below another, whose terms it inherits."""
-        own_s = (headers.deadline_ms or kind.deadline_ms) / _MS_PER_S
-        return OutgoingCall(
-            parent.header.request_id,
-            parent.header.kind,
-            split.service,
-            request.method,
-            split.target,
-            list_forwarded(request),
-            request.body,
-            parent.header.priority,
-            kind.is_idempotent and parent.header.is_idempotent,
-            min(parent.deadline, self._clock() + own_s),
-            parent.account,
-            parent.header.depth + 1,
-            headers.key,
+        """Build a call below another, whose terms it inherits.
+
+        A route states by itself what may be repeated; without routes a call
+        below a non-idempotent one is not repeated either.
+        """
+        call = self._build_call(arrival, resolution)
+        is_idempotent = call.is_idempotent and (
+            resolution.is_routed or parent.header.is_idempotent
+        )
+        return call._replace(
+            request_id=arrival.headers.request_id or parent.header.request_id,
+            kind=parent.header.kind,
+            priority=parent.header.priority,
+            is_idempotent=is_idempotent,
+            deadline=min(parent.deadline, call.deadline),
+            account=parent.account,
+            depth=parent.header.depth + 1,
         )
 
     def _build_response(
         self, answer: HttpResponse | Refusal, request_id: str
     ) -> HttpResponse:
-        if isinstance(answer, Refusal):
-            spread_s = self._parts.source.uniform(0, RETRY_SPREAD_S)
-            spread = answer._replace(
-                retry_after_s=answer.retry_after_s + spread_s
-            )
-            return build_refusal_response(spread, request_id)
-        headers = list_returned(answer)
-        headers.append((OUTCOME_HEADER, Outcome.COMPLETED.value))
-        headers.append((REQUEST_ID_HEADER, request_id))
-        return HttpResponse(answer.status, headers, answer.body)
+        dialect = self._parts.dialect
+        if not isinstance(answer, Refusal):
+            return dialect.build_answer(answer, request_id)
+        spread_s = self._parts.source.uniform(0, RETRY_SPREAD_S)
+        spread = answer._replace(retry_after_s=answer.retry_after_s + spread_s)
+        return dialect.build_refusal(spread, request_id)
 
     def _log_refusal(
         self,
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -16,6 +16,7 @@
     create_ledger,
 )
 from merlintrail.node._backend import HINT_INTERVAL_S
+from merlintrail.node._backend_exchange import BackendExchange, ExchangeParts
 from merlintrail.node._contexts import ContextTable
 from merlintrail.node._dispatch import Dispatcher, DispatchParts
 from merlintrail.node._environment import Environment, split_host_port
@@ -224,12 +225,23 @@
             self.membership.tell_suspicions,
             f'{settings.instance}/{self.incarnation}',
         )
-        self.contexts = ContextTable(self._source)
+        dialect = self._environment.dialect
+        self.contexts = ContextTable(dialect, self._source)
+        backend_exchange = BackendExchange(
+            ExchangeParts(
+                settings.instance,
+                self._pool,
+                dialect,
+                self.suspicions,
+                self._clock,
+                self._update_offers,
+            )
+        )
         self.gatekeeper = Gatekeeper(
             GateParts(
                 settings.instance,
                 self.incarnation,
-                self._pool,
+                backend_exchange,
                 self.calls,
                 self.contexts,
                 self.suspicions,
@@ -288,6 +300,8 @@
                 self.keyed,
                 self.suspicions,
                 self.metrics,
+                self._environment.dialect,
+                self._find_own_service,
                 self._clock,
                 self._wall_clock,
                 self._source,
@@ -322,9 +336,16 @@
             )
         )
 
+    def _find_own_service(self) -> str:
+        """Return the service of this instance, empty while unknown."""
+        platform = self.settings.platform
+        if platform is not None and platform.service:
+            return platform.service
+        return self.gatekeeper.find_own_service()
+
     def _apply_configuration(self, configuration: Configuration) -> None:
         self.routing.update_regions(configuration.regions)
-        self.dispatcher.budget.share = configuration.retry_share
+        self.dispatcher.budget.share = configuration.retry_budget.share
         self.gatekeeper.update_configuration(configuration)
         self.keyed.ledger.update_settings(configuration.ledger)
         self._update_links(configuration)
--- a/merlintrail/node/_peer_service.py
+++ b/merlintrail/node/_peer_service.py
@@ -145,6 +145,7 @@
             RetryAccount(header.retries),
             header.depth,
             header.key,
+            header.caller_service,
         )
 
     def _handle_message(self, request: HttpRequest) -> HttpResponse:
--- /dev/null
+++ b/merlintrail/node/_resolution.py
@@ -0,0 +1,108 @@
+"""Which service a request goes to, and on what terms."""
+
+import random
+import re
+from typing import Final, NamedTuple
+
+from merlintrail.protocol import Outcome, Reason, Refusal
+from merlintrail.state import Configuration, RequestKind, RouteSplitter
+from merlintrail.transport import HttpRequest
+
+_TARGET: Final = re.compile('/([a-z][a-z0-9-]{0,62})(/[^#]*|[?][^#]*)?$')
+
+
+class Resolution(NamedTuple):
+    """Where a request goes."""
+
+    service: str
+    #: Path and query as the backend server gets them.
+    target: str
+    kind: RequestKind
+    #: Whether a route of the configuration decided it.
+    is_routed: bool
+
+
+class ServiceTarget(NamedTuple):
+    """A target that names its service, split."""
+
+    service: str
+    #: Path and query below the service.
+    target: str
+
+    @property
+    def path(self) -> str:
+        """The path without the query."""
+        return self.target.partition('?')[0]
+
+
+def split_target(target: str) -> ServiceTarget | None:
+    """Split ``/SERVICE/PATH?QUERY``."""
+    match = _TARGET.match(target)
+    if match is None:
+        return None
+    rest = match.group(2) or '/'
+    if rest.startswith('?'):
+        rest = f'/{rest}'
+    return ServiceTarget(match.group(1), rest)
+
+
+class Resolver:
+    """Resolves requests by routes, or by the service that the path names."""
+
+    def __init__(self, source: random.Random) -> None:
+        self._source = source
+        self._splitter = RouteSplitter()
+
+    def resolve(
+        self, request: HttpRequest, configuration: Configuration
+    ) -> Resolution | Refusal:
+        """Find service and terms of a request."""
+        if configuration.routes:
+            return self._resolve_route(request, configuration)
+        return _resolve_path(request.target, request.method, configuration)
+
+    def _resolve_route(
+        self, request: HttpRequest, configuration: Configuration
+    ) -> Resolution | Refusal:
+        host = request.headers.get('host', '')
+        path = request.target.partition('?')[0]
+        route = configuration.routes.find(host, path)
+        if route is None:
+            return Refusal(
+                Outcome.NOT_RUN,
+                Reason.UNKNOWN_SERVICE,
+                f'no route for {path!r} at host {host!r} in generation '
+                f'{configuration.generation}',
+            )
+        service = self._splitter.choose(route, self._source.random())
+        return Resolution(
+            service,
+            request.target,
+            route.kind._replace(service=service),
+            is_routed=True,
+        )
+
+
+def _resolve_path(
+    target: str, method: str, configuration: Configuration
+) -> Resolution | Refusal:
+    split = split_target(target)
+    if split is None:
+        return Refusal(
+            Outcome.NOT_RUN,
+            Reason.BAD_REQUEST,
+            'the path must be /SERVICE/PATH',
+        )
+    service = configuration.services.get(split.service)
+    if service is None:
+        return Refusal(
+            Outcome.NOT_RUN,
+            Reason.UNKNOWN_SERVICE,
+            f'no service {split.service!r} is configured',
+        )
+    return Resolution(
+        split.service,
+        split.target,
+        service.find_kind(method, split.path),
+        is_routed=False,
+    )
--- a/merlintrail/node/_settings.py
+++ b/merlintrail/node/_settings.py
@@ -6,6 +6,7 @@
 
 import orjson
 
+from merlintrail.protocol import parse_duration
 from merlintrail.state import (
     Finding,
     find_schema_faults,
@@ -15,6 +16,28 @@
 _SCHEMA_NAME: Final = 'settings.schema.json'
 
 
+class PlatformSettings(NamedTuple):
+    """Where a deployment platform reaches the node, and its bounds."""
+
+    #: ``host:port`` for readiness checks.
+    ready_address: str
+    #: ``host:port`` for the announcements of the backend server.
+    announce_address: str
+    #: Service of the backend server beside the node.
+    service: str
+    #: ``host:port`` at which that backend server listens.
+    backend_address: str
+    #: Region of each data centre.
+    regions: Mapping[str, str]
+    #: Seconds from the signal to stop until the process is killed.
+    stop_grace_s: float
+    #: Retries to a service as a share of its requests, over all nodes.
+    retry_share: float
+    #: Retries that are allowed besides, in a window over all nodes.
+    retry_base: float
+    retry_window_s: float
+
+
 class Settings(NamedTuple):
     """What a process is told at its start; nothing here is behaviour."""
 
@@ -41,6 +64,7 @@
     otlp_endpoint: str | None
     #: ``host:port`` to listen on for nodes, when another than the announced.
     peer_listen_address: str | None = None
+    platform: PlatformSettings | None = None
 
 
 class InvalidSettings(NamedTuple):
@@ -82,4 +106,29 @@
         log.get('level', 'INFO').upper(),
         document.get('metrics', {}).get('otlp_endpoint'),
         document.get('peer_listen_address'),
+        _build_platform(document.get('platform')),
+    )
+
+
+def _build_platform(
+    document: Mapping[str, Any] | None,
+) -> PlatformSettings | None:
+    if document is None:
+        return None
+    return PlatformSettings(
+        document['ready_address'],
+        document['announce_address'],
+        document['service'],
+        document['backend_address'],
+        document['regions'],
+        _read_seconds(document['stop_grace']),
+        document['retry_share'],
+        document['retry_base'],
+        _read_seconds(document['retry_window']),
     )
+
+
+def _read_seconds(text: str) -> float:
+    seconds = parse_duration(text)
+    assert seconds is not None, 'the schema admits durations only'
+    return seconds
--- a/merlintrail/node/tests/fake_network.py
+++ b/merlintrail/node/tests/fake_network.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Final
 
 from merlintrail.transport import (
@@ -83,6 +83,7 @@
         is_fresh: bool = False,
         timeout_s: float | None = None,
         patience: Patience | None = None,
+        accepts: Callable[[HttpResponse], bool] | None = None,
     ) -> HttpResponse | TransportFailure:
         """Pass a request to the handler at the address."""
         request = HttpRequest(method, target, dict(headers), body, '127.0.0.1')
--- a/merlintrail/observability/_logs.py
+++ b/merlintrail/observability/_logs.py
@@ -45,11 +45,11 @@
 def open_log(path: str | None, level: str) -> JsonLinesHandler:
     """Open the log.
 
-    :param path: a file to append to, or ``None`` for standard error.
+    :param path: a file to append to, or ``None`` for standard output.
     :raises OSError: when the file cannot be opened.
     """
     if path is None:
-        return JsonLinesHandler(sys.stderr, level)
+        return JsonLinesHandler(sys.stdout, level)
     stream = Path(path).open('a', encoding='utf-8', buffering=BUFFER_BYTES)
     return JsonLinesHandler(stream, level)
 
--- /dev/null
+++ b/merlintrail/platform/_adapter.py
@@ -0,0 +1,75 @@
+"""The listeners by which the platform speaks to a node."""
+
+from typing import Final
+
+from merlintrail.node import Node, PlatformSettings, split_host_port
+from merlintrail.platform._heartbeats import HeartbeatParts, HeartbeatService
+from merlintrail.transport import (
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    start_server,
+)
+
+_READY_PATH: Final = '/ready'
+_READY: Final = HttpResponse(200, (), b'')
+_NOT_READY: Final = HttpResponse(503, (), b'')
+_NOT_FOUND: Final = HttpResponse(404, (), b'')
+
+
+class PlatformAdapter:
+    """Answers readiness checks and heartbeats for one node."""
+
+    def __init__(self, node: Node, settings: PlatformSettings) -> None:
+        self._node = node
+        self._settings = settings
+        self._servers: list[HttpServer] = []
+        self._heartbeats = HeartbeatService(
+            HeartbeatParts(
+                node.gatekeeper.announce,
+                node.gatekeeper.dismiss,
+                self._is_service,
+                settings.backend_address,
+            )
+        )
+
+    async def start(self) -> None:
+        """Listen.
+
+        :raises OSError: when an address cannot be bound.
+        """
+        for address, handler in (
+            (self._settings.ready_address, self._answer_readiness),
+            (self._settings.announce_address, self._heartbeats.handle),
+        ):
+            host, port = split_host_port(address)
+            self._servers.append(await start_server(handler, host, port))
+
+    def stop(self) -> None:
+        """Close the listeners."""
+        for server in self._servers:
+            server.close()
+
+    async def _answer_readiness(self, request: HttpRequest) -> HttpResponse:
+        if request.target.partition('?')[0] != _READY_PATH:
+            return _NOT_FOUND
+        is_ready = self._node.build_health()['is_ready']
+        return _READY if is_ready else _NOT_READY
+
+    def _is_service(self, name: str) -> bool:
+        configuration = self._node.holder.current
+        if configuration is None:
+            return name == self._settings.service
+        return name in configuration.services
+
+
+async def start_adapter(
+    node: Node, settings: PlatformSettings
+) -> PlatformAdapter:
+    """Start the listeners of a node.
+
+    :raises OSError: when an address cannot be bound.
+    """
+    adapter = PlatformAdapter(node, settings)
+    await adapter.start()
+    return adapter
--- /dev/null
+++ b/merlintrail/platform/_store_wire.py
@@ -0,0 +1,166 @@
+"""The platform's metadata store as our store interface."""
+
+import base64
+from typing import Any, Final
+from urllib.parse import urlencode
+
+from merlintrail.coordination import (
+    CONFIGURATION_KEY,
+    StoreCall,
+    StoreFault,
+    StoreItem,
+    StoreItems,
+    StorePage,
+    StoreValue,
+    StoreWire,
+    Transaction,
+    add_faults,
+    ignore_answer,
+)
+from merlintrail.node import PlatformSettings
+from merlintrail.platform._configuration import build_envelope
+from merlintrail.protocol import DecodeFailure, decode_json, encode_json
+
+#: Key under which the operator's configuration lies.
+_OPERATOR_KEY: Final = 'op/config'
+#: Prefix of the keys that belong to merlintrail.
+_OWN_PREFIX: Final = 'merlintrail/'
+#: Milliseconds of the longest watch.
+_MAX_WAIT_MS: Final = 30000
+_MS_PER_S: Final = 1000
+
+
+class PlatformStoreWire(StoreWire):
+    """Spells the calls as the platform's store takes them."""
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        self._settings = settings
+
+    def build_read(self, key: str) -> StoreCall[StoreValue]:
+        """Build the read of one key."""
+        query = urlencode({'Key': _encode_key(key)})
+        return StoreCall(
+            'GET',
+            f'/kv-key?{query}',
+            self._read_value,
+            faults=add_faults(s404=StoreFault.NOT_FOUND),
+        )
+
+    def build_range(
+        self, prefix: str, after: str | None, *, may_be_stale: bool
+    ) -> StoreCall[StorePage]:
+        """Build the read of one page of the keys under a prefix."""
+        query: dict[str, str | int] = {'Prefix': _encode_key(prefix)}
+        if after is not None:
+            query['after'] = _encode_key(after)
+        if may_be_stale:
+            query['AllowStale'] = 1
+        return StoreCall(
+            'GET', f'/kv-range?{urlencode(query)}', self._read_page
+        )
+
+    def build_transaction(self, transaction: Transaction) -> StoreCall[int]:
+        """Build a conditional change."""
+        lease = int(transaction.lease or 0)
+        puts = [
+            {
+                'Key': _encode_key(key),
+                'Value': base64.b64encode(encode_json(document)).decode(),
+                'Lease': lease,
+            }
+            for key, document in transaction.puts.items()
+        ]
+        body = {
+            'ExpectedRevision': [
+                {'Key': _encode_key(key), 'Revision': version}
+                for key, version in transaction.expected.items()
+            ],
+            'Puts': puts,
+            'Remove': [_encode_key(key) for key in transaction.removals],
+        }
+        return StoreCall(
+            'POST',
+            '/kv-txn',
+            lambda answer: int(answer['Revision']),
+            body=body,
+            faults=add_faults(
+                s412=StoreFault.CONFLICT, s404=StoreFault.LEASE_EXPIRED
+            ),
+        )
+
+    def build_watch(
+        self, prefix: str, position: int, timeout_s: float
+    ) -> StoreCall[StoreItems]:
+        """Build the wait for changes under a prefix."""
+        query = urlencode(
+            {
+                'Prefix': _encode_key(prefix),
+                'after': position,
+                'WaitMs': min(_MAX_WAIT_MS, int(timeout_s * _MS_PER_S)),
+            }
+        )
+        return StoreCall(
+            'GET',
+            f'/kv-watch?{query}',
+            lambda answer: self._read_items(answer, 'events'),
+            faults=add_faults(s410=StoreFault.HISTORY_LOST),
+            wait_s=timeout_s,
+        )
+
+    def build_grant(self, duration_s: float) -> StoreCall[str]:
+        """Build the request for a lease."""
+        return StoreCall(
+            'POST',
+            '/kv-lease',
+            lambda answer: str(answer['Lease']),
+            body={'Ttl': f'{int(duration_s * _MS_PER_S)}ms'},
+        )
+
+    def build_renewal(self, lease: str) -> StoreCall[None]:
+        """Build the renewal of a lease."""
+        return StoreCall(
+            'POST',
+            f'/kv-keep/{lease}',
+            ignore_answer,
+            faults=add_faults(s404=StoreFault.LEASE_EXPIRED),
+        )
+
+    def build_revocation(self, lease: str) -> StoreCall[None]:
+        """Build the end of a lease."""
+        return StoreCall('DELETE', f'/kv-lease-end/{lease}', ignore_answer)
+
+    def _read_value(self, answer: Any) -> StoreValue:
+        found = self._read_item(answer)
+        return StoreValue(found.document, found.version)
+
+    def _read_page(self, answer: Any) -> StorePage:
+        listing = self._read_items(answer, 'items')
+        last = answer['items'][-1]['Key'] if answer['Truncated'] else None
+        return StorePage(listing, None if last is None else _decode_key(last))
+
+    def _read_items(self, answer: Any, member: str) -> StoreItems:
+        return StoreItems(
+            tuple(self._read_item(entry) for entry in answer[member]),
+            answer['AsOf'],
+        )
+
+    def _read_item(self, entry: Any) -> StoreItem:
+        key = _decode_key(entry['Key'])
+        if entry.get('Tombstone'):
+            return StoreItem(key, None, entry['Revision'])
+        content = decode_json(base64.b64decode(entry['Value']))
+        if isinstance(content, DecodeFailure):
+            raise ValueError(content.reason)
+        if key == CONFIGURATION_KEY:
+            content = build_envelope(content, self._settings)
+        return StoreItem(key, content, entry['Revision'])
+
+
+def _encode_key(key: str) -> str:
+    return _OPERATOR_KEY if key == CONFIGURATION_KEY else f'{_OWN_PREFIX}{key}'
+
+
+def _decode_key(key: str) -> str:
+    if key == _OPERATOR_KEY:
+        return CONFIGURATION_KEY
+    return key.removeprefix(_OWN_PREFIX)
--- a/merlintrail/protocol/_call.py
+++ b/merlintrail/protocol/_call.py
@@ -35,6 +35,8 @@
     key: str | None = None
     #: Suspicion against the request, as the fields of ``Suspicion``.
     suspicion: Sequence[Any] | None = None
+    #: Service of the instance at which the call began.
+    caller_service: str = ''
 
 
 class CallReport(NamedTuple):
@@ -60,6 +62,8 @@
     may_retry: bool = True
     #: Suspicion against the request, as the fields of ``Suspicion``.
     suspicion: Sequence[Any] | None = None
+    #: Whether the backend server's own answer says that it failed.
+    is_failure: bool = False
 
 
 def encode_fields(record: CallHeader | CallReport) -> str:
--- a/merlintrail/protocol/_headers.py
+++ b/merlintrail/protocol/_headers.py
@@ -14,6 +14,8 @@
 OUTCOME_HEADER: Final = 'merlintrail-outcome'
 #: Reason of a refusal.
 REASON_HEADER: Final = 'merlintrail-reason'
+#: Load of a backend server in its answers: running, waiting, slots.
+LOAD_HEADER: Final = 'merlintrail-load'
 #: Identifier of the request, for logs and support.
 REQUEST_ID_HEADER: Final = 'merlintrail-request-id'
 #: Call header between nodes, a JSON array.
@@ -50,6 +52,10 @@
     key: str | None
     #: What is wrong with the headers, all findings together.
     findings: tuple[str, ...]
+    #: Identifier that the caller gave its request, if callers give one.
+    request_id: str | None = None
+    #: Whether the context must stand for a running call.
+    is_context_certain: bool = True
 
 
 def _read_deadline(text: str, findings: list[str]) -> float | None:
--- a/merlintrail/protocol/_outcome.py
+++ b/merlintrail/protocol/_outcome.py
@@ -47,6 +47,7 @@
     REPEATED_CALL = 'retry-account-empty'
     BACKEND_REFUSED = 'backend-server-refused'
     BACKEND_LOST = 'backend-server-lost'
+    BACKEND_DISPLACED = 'backend-server-displaced'
     PEER_LOST = 'peer-lost'
     KEY_TOO_OLD = 'key-too-old'
     KEY_FROM_FUTURE = 'key-from-future'
--- a/merlintrail/state/__init__.py
+++ b/merlintrail/state/__init__.py
@@ -4,14 +4,16 @@
 from merlintrail.state._call_table import CallRecord, CallTable
 from merlintrail.state._difference import Difference, find_differences
 from merlintrail.state._document import (
+    CallerLimits,
     Configuration,
     LedgerSettings,
     PlannedStop,
-    RequestKind,
+    RetryBudgetSettings,
     Service,
     build_configuration,
 )
 from merlintrail.state._holder import ConfigurationHolder, Envelope
+from merlintrail.state._kinds import RequestKind
 from merlintrail.state._ledger_index import KeyRecord, KeyState, LedgerIndex
 from merlintrail.state._limits import (
     AdaptiveLimit,
@@ -39,6 +41,12 @@
     read_suspicion,
 )
 from merlintrail.state._retry_account import RetryAccount, RetryBudget
+from merlintrail.state._routes import (
+    Route,
+    RouteSplitter,
+    RouteTable,
+    ServiceShare,
+)
 from merlintrail.state._routing import (
     Choice,
     NoTarget,
@@ -64,6 +72,7 @@
     'Admission',
     'CallRecord',
     'CallTable',
+    'CallerLimits',
     'Choice',
     'ConcurrencyLimit',
     'Configuration',
@@ -90,9 +99,14 @@
     'RequestKind',
     'RetryAccount',
     'RetryBudget',
+    'RetryBudgetSettings',
+    'Route',
+    'RouteSplitter',
+    'RouteTable',
     'RoutingTable',
     'Service',
     'ServiceOffer',
+    'ServiceShare',
     'ShedController',
     'SheddingMemory',
     'Suspicion',
--- a/merlintrail/state/_admission.py
+++ b/merlintrail/state/_admission.py
@@ -101,6 +101,14 @@
             self.running += 1
             call.decision.set_result(None)
 
+    def refuse_waiting(self, reason: Reason) -> None:
+        """Refuse every call that waits."""
+        for queue in self._queues:
+            while queue:
+                waiting = queue.popleft()
+                if not waiting.decision.done():
+                    waiting.decision.set_result(self._refuse(reason))
+
     def record_service(self, held_s: float) -> None:
         """Take the time for which a completed call held its slot."""
         self.shedder.record_completion(self.service_s)
--- a/merlintrail/state/_document.py
+++ b/merlintrail/state/_document.py
@@ -5,6 +5,8 @@
 from typing import Any, Final, NamedTuple
 
 from merlintrail.protocol import Importance, read_importance
+from merlintrail.state._kinds import RequestKind
+from merlintrail.state._routes import Route, RouteTable, ServiceShare
 
 _BYTES_PER_MEGABYTE: Final = 1000000
 _DEFAULT_RETRIES: Final = 2
@@ -13,34 +15,6 @@
 _DEFAULT_EXPIRY_S: Final = 600.0
 
 
-class RequestKind(NamedTuple):
-    """One kind of request to a service."""
-
-    service: str
-    name: str
-    #: Methods that belong to the kind; empty for all.
-    methods: frozenset[str]
-    #: Path prefix below the service.
-    path: str
-    importance: Importance
-    is_idempotent: bool
-    deadline_ms: float
-    #: Retries of one request, summed over its whole call tree.
-    retries: int
-
-    @property
-    def full_name(self) -> str:
-        """``service/kind``."""
-        return f'{self.service}/{self.name}'
-
-    def matches(self, method: str, path: str) -> bool:
-        """Tell whether a request belongs to the kind."""
-        if self.methods and method not in self.methods:
-            return False
-        prefix = self.path.rstrip('/')
-        return path == prefix or path.startswith(f'{prefix}/')
-
-
 class Service(NamedTuple):
     """A service and its request kinds, longest path first."""
 
@@ -99,6 +73,26 @@
     region: str | None = None
 
 
+class RetryBudgetSettings(NamedTuple):
+    """Bound on the retries of all nodes together."""
+
+    #: Retries as a share of first attempts.
+    share: float = 0.1
+    #: Retries to each service that are allowed besides in a window, over
+    #: all nodes; ``None`` for a few at each node.
+    base: float | None = None
+    window_s: float = 10.0
+
+
+class CallerLimits(NamedTuple):
+    """Bounds on what a caller may send, and how slowly."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 1048576
+    receive_timeout_ms: float = 10000.0
+    idle_timeout_ms: float = 75000.0
+
+
 class Configuration(NamedTuple):
     """One generation of the operators' document."""
 
@@ -110,13 +104,15 @@
     #: Bytes a second for each pair of regions.
     links: Mapping[frozenset[str], float]
     planned_stops: tuple[PlannedStop, ...]
-    #: Retries of a node as a share of its first attempts.
-    retry_share: float
+    retry_budget: RetryBudgetSettings
     ledger: LedgerSettings
     #: Seconds for which a digest stays in quarantine.
     quarantine_expiry_s: float
     #: The document itself.
     document: Mapping[str, Any]
+    #: Routes by host and path; without any the path names the service.
+    routes: RouteTable
+    caller_limits: CallerLimits
 
 
 def _build_kind(service: str, document: Mapping[str, Any]) -> RequestKind:
@@ -134,7 +130,8 @@
 
 def _build_service(document: Mapping[str, Any]) -> Service:
     kinds = [
-        _build_kind(document['name'], entry) for entry in document['kinds']
+        _build_kind(document['name'], entry)
+        for entry in document.get('kinds', ())
     ]
     kinds.sort(key=lambda kind: len(kind.path), reverse=True)
     return Service(
@@ -145,6 +142,27 @@
     )
 
 
+def _build_route(document: Mapping[str, Any]) -> Route:
+    split = document.get('split')
+    if split is None:
+        split = [{'service': document['service'], 'weight': 1}]
+    shares = tuple(
+        ServiceShare(entry['service'], entry['weight']) for entry in split
+    )
+    kind = RequestKind(
+        shares[0].service,
+        document['name'],
+        frozenset(),
+        document['prefix'],
+        read_importance(document['importance']),
+        document['idempotent'],
+        document['timeout_ms'],
+        document.get('attempts', 1) - 1,
+        document.get('objective_ms'),
+    )
+    return Route(document['host'], document['prefix'], shares, kind)
+
+
 def _build_stop(document: Mapping[str, Any]) -> PlannedStop:
     return PlannedStop(
         document['id'],
@@ -184,8 +202,10 @@
         tuple(
             _build_stop(entry) for entry in document.get('planned_stops', ())
         ),
-        document.get('retry_budget', {}).get('share', 0.1),
+        RetryBudgetSettings(**document.get('retry_budget', {})),
         LedgerSettings(**document.get('ledger', {})),
         document.get('quarantine', {}).get('expiry_s', _DEFAULT_EXPIRY_S),
         document,
+        RouteTable(_build_route(entry) for entry in document.get('routes', ())),
+        CallerLimits(**document.get('limits', {})),
     )
--- a/merlintrail/state/_validation.py
+++ b/merlintrail/state/_validation.py
@@ -2,7 +2,7 @@
 
 import json
 from collections import Counter
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence, Set
 from datetime import datetime
 from importlib import resources
 from typing import Any, Final, NamedTuple
@@ -93,6 +93,7 @@
     findings = find_schema_faults(document, load_schema())
     if not findings:
         findings.extend(_check_names(document))
+        findings.extend(_check_routes(document))
         findings.extend(_check_links(document))
         findings.extend(_check_stops(document))
     return sorted(findings)
@@ -101,9 +102,11 @@
 def _find_repeated(
     names: Sequence[str], place: str, what: str
 ) -> Iterator[Finding]:
+    seen: set[str] = set()
     for index, name in enumerate(names):
-        if name in names[:index]:
+        if name in seen:
             yield Finding(f'{place}/{index}', f'{what} {name!r} is repeated')
+        seen.add(name)
 
 
 def _check_names(document: Mapping[str, Any]) -> Iterator[Finding]:
@@ -113,11 +116,12 @@
     )
     for index, service in enumerate(services):
         place = f'/services/{index}/kinds'
-        names = [kind['name'] for kind in service['kinds']]
+        kinds = service.get('kinds', ())
+        names = [kind['name'] for kind in kinds]
         yield from _find_repeated(names, place, 'kind')
         patterns = [
             f'{",".join(sorted(kind.get("methods", ("all",))))} {kind["path"]}'
-            for kind in service['kinds']
+            for kind in kinds
         ]
         yield from _find_repeated(patterns, place, 'methods and path')
     regions = document['regions']
@@ -135,6 +139,36 @@
             seen.add(data_centre)
 
 
+def _check_routes(document: Mapping[str, Any]) -> Iterator[Finding]:
+    routes = document.get('routes', ())
+    yield from _find_repeated(
+        [route['name'] for route in routes], '/routes', 'route'
+    )
+    yield from _find_repeated(
+        [f'{route["host"].lower()}{route["prefix"]}' for route in routes],
+        '/routes',
+        'host and prefix',
+    )
+    services = {service['name'] for service in document['services']}
+    for index, route in enumerate(routes):
+        yield from _check_route(route, f'/routes/{index}', services)
+
+
+def _check_route(
+    route: Mapping[str, Any], place: str, services: Set[str]
+) -> Iterator[Finding]:
+    if ('service' in route) == ('split' in route):
+        yield Finding(place, 'give either service or split')
+    split = route.get('split', ())
+    names = [entry['service'] for entry in split]
+    yield from _find_repeated(names, f'{place}/split', 'service')
+    if split and not any(entry['weight'] for entry in split):
+        yield Finding(f'{place}/split', 'at least one weight must be above 0')
+    for name in (*names, route.get('service')):
+        if name is not None and name not in services:
+            yield Finding(place, f'unknown service {name!r}')
+
+
 def _check_links(document: Mapping[str, Any]) -> Iterator[Finding]:
     regions = {region['name'] for region in document['regions']}
     ledger_region = document.get('ledger', {}).get('region')
--- a/merlintrail/transport/_pool.py
+++ b/merlintrail/transport/_pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import defaultdict
+from collections.abc import Callable
 from typing import Final
 
 from merlintrail.transport._client import ClientConnection, Patience
@@ -21,6 +22,8 @@
 MAX_IDLE_CONNECTIONS: Final = 512
 #: Seconds to wait for a new connection.
 CONNECT_TIMEOUT_S: Final = 1.0
+#: Reason of an exchange whose answer was not accepted.
+NOT_ACCEPTED: Final = 'answer to another request'
 #: Bytes of the largest answer that is buffered.
 MAX_ANSWER_BYTES: Final = 4194304
 
@@ -56,12 +59,14 @@
         is_fresh: bool = False,
         timeout_s: float | None = None,
         patience: Patience | None = None,
+        accepts: Callable[[HttpResponse], bool] | None = None,
     ) -> HttpResponse | TransportFailure:
         """Send one request and return the whole answer or the failure.
 
         :param address: ``host:port`` of the peer.
         :param is_fresh: whether to open a new connection in any case.
         :param timeout_s: seconds for the exchange once connected.
+        :param accepts: tells whether the answer belongs to the request.
         :param patience: in place of the timeout, what to do when slow.
         """
         patience = patience or Patience(timeout_s)
@@ -78,6 +83,9 @@
         answer = await connection.exchange(method, payload, patience)
         if isinstance(answer, HttpResponse):
             self.bytes_received += len(answer.body)
+            if accepts is not None and not accepts(answer):
+                connection.close()
+                return TransportFailure(FailureStage.ANSWER, NOT_ACCEPTED)
         if connection.is_reusable:
             self._put_idle(address, connection)
         else:
