--- a/merlintrail/coordination/_heartbeat.py
+++ b/merlintrail/coordination/_heartbeat.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, Final
 
 from merlintrail.coordination._membership import Membership
-from merlintrail.coordination._messages import Gossip
+from merlintrail.coordination._messages import Gossip, encode_gossip
 from merlintrail.coordination._outbox import Outbox
 from merlintrail.coordination._peers import PeerClient
 from merlintrail.coordination._sections import (
@@ -22,6 +22,8 @@
 
 #: Seconds between heartbeats to a neighbour without news.
 HEARTBEAT_INTERVAL_S: Final = 1.0
+#: The same to a neighbour in another data centre, where bytes are billed.
+REMOTE_INTERVAL_S: Final = 3.0
 #: Seconds between tries after a failed heartbeat.
 RETRY_INTERVAL_S: Final = 0.3
 #: Seconds that news waits for more to go in the same message.
@@ -30,8 +32,8 @@
 FULL_MESSAGE_DELAY_S: Final = 0.2
 #: Seconds to wait for the answer to a heartbeat.
 HEARTBEAT_TIMEOUT_S: Final = 0.7
-#: Seconds of silence after which a neighbour is suspected.
-SUSPICION_S: Final = 2.0
+#: Seconds for which heartbeats fail before a neighbour is suspected.
+SUSPICION_S: Final = 1.5
 #: Seconds between sweeps over suspects and neighbours.
 SWEEP_INTERVAL_S: Final = 0.25
 #: Lateness of a task in seconds that shows this node was paused itself.
@@ -98,13 +100,15 @@
                     self._keep_touch(node_id)
                 )
 
-    def handle_gossip(self, document: object) -> Gossip | DecodeFailure:
+    def handle_gossip(
+        self, document: object
+    ) -> Mapping[str, Any] | DecodeFailure:
         """Take a neighbour's message and build the answer."""
         gossip = decode_record(Gossip, document)
         if isinstance(gossip, DecodeFailure):
             return gossip
         self._take_gossip(gossip)
-        return self._membership.build_gossip(gossip.sender)
+        return encode_gossip(self._membership.build_gossip(gossip.sender))
 
     async def join(self, address: str) -> bool:
         """Introduce this node to another and take over what it knows."""
@@ -185,29 +189,27 @@
         )
 
     async def _keep_touch(self, node_id: str) -> None:
-        heard_at = self._clock()
+        failing_since = 0.0
         is_fresh = False
         differences = 0
         while True:
             member = self._membership.table.find(node_id)
             if member is None or member.is_gone:
                 return
+            sent_at = self._clock()
             reply = await self._exchange(member, is_fresh=is_fresh)
-            now = self._clock()
             if reply is None:
+                failing_since = failing_since if is_fresh else sent_at
                 is_fresh = True
-                heard_at = max(heard_at, self._paused_at)
-                if now - heard_at > SUSPICION_S:
-                    self._suspect(member)
+                self._judge_silence(member, failing_since)
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 continue
-            heard_at = now
             is_fresh = False
             differences = self._count_difference(reply, differences)
             if differences >= DIFFERENCES_TO_COMPARE:
                 differences = 0
                 await self._compare_tables(member)
-            await self._wait_for_news(node_id)
+            await self._wait_for_news(member)
 
     async def _exchange(
         self, member: Member, *, is_fresh: bool
@@ -216,7 +218,7 @@
         answer = await self._peers.ask(
             member.peer_address,
             'gossip',
-            gossip._asdict(),
+            encode_gossip(gossip),
             timeout_s=HEARTBEAT_TIMEOUT_S,
             is_fresh=is_fresh,
         )
@@ -233,16 +235,20 @@
         self._take_gossip(reply)
         return reply
 
-    async def _wait_for_news(self, node_id: str) -> None:
-        outbox = self._membership.outboxes.get(node_id)
+    async def _wait_for_news(self, member: Member) -> None:
+        outbox = self._membership.outboxes.get(member.node_id)
         if outbox is None:
             return
         if outbox.event.is_set():
             await asyncio.sleep(FULL_MESSAGE_DELAY_S)
             return
-        interval = HEARTBEAT_INTERVAL_S * self._source.uniform(0.9, 1.1)
+        interval_s = HEARTBEAT_INTERVAL_S
+        if member.data_centre != self._membership.own.data_centre:
+            interval_s = REMOTE_INTERVAL_S
         try:
-            async with asyncio.timeout(interval):
+            async with asyncio.timeout(
+                interval_s * self._source.uniform(0.9, 1.1)
+            ):
                 await outbox.event.wait()
         except TimeoutError:
             return
@@ -296,6 +302,12 @@
         if await self.pull_configuration(address):
             self.spread()
 
+    def _judge_silence(self, member: Member, failing_since: float) -> None:
+        """Suspect a member whose heartbeats fail, unless this node slept."""
+        since = max(failing_since, self._paused_at)
+        if self._clock() - since > SUSPICION_S:
+            self._suspect(member)
+
     def _suspect(self, member: Member) -> None:
         if self._membership.suspect(member.node_id):
             _LOG.warning(
--- a/merlintrail/coordination/_messages.py
+++ b/merlintrail/coordination/_messages.py
@@ -1,7 +1,7 @@
 """Typed messages of the membership protocol."""
 
 from collections.abc import Sequence
-from typing import Any, NamedTuple
+from typing import Any, Final, NamedTuple
 
 from merlintrail.state import (
     Member,
@@ -22,6 +22,11 @@
     status: int
 
 
+_ALWAYS_TOLD: Final = frozenset(
+    ('sender', 'incarnation', 'generation', 'digest')
+)
+
+
 class Gossip(NamedTuple):
     """A heartbeat with the news that the receiver may not know."""
 
@@ -44,6 +49,15 @@
         return bool(self.members or self.statuses or self.suspicions)
 
 
+def encode_gossip(gossip: Gossip) -> dict[str, Any]:
+    """Return the JSON form of a message, without what is empty."""
+    return {
+        name: part
+        for name, part in gossip._asdict().items()
+        if part or name in _ALWAYS_TOLD
+    }
+
+
 def read_members(records: Sequence[Any]) -> list[Member]:
     """Read member records; a malformed one is passed over."""
     members = [read_member(record) for record in records]
--- a/merlintrail/coordination/_topology.py
+++ b/merlintrail/coordination/_topology.py
@@ -11,7 +11,7 @@
 #: Neighbours on each side of the ring within a data centre.
 RING_DEGREE: Final = 2
 #: Links from one data centre to each other one.
-LINKS_BETWEEN: Final = 2
+LINKS_BETWEEN: Final = 1
 
 
 def compute_rank(node_id: str) -> int:
--- a/merlintrail/coordination/tests/test_membership.py
+++ b/merlintrail/coordination/tests/test_membership.py
@@ -14,7 +14,7 @@
     PeerClient,
     choose_neighbours,
 )
-from merlintrail.protocol import decode_json, encode_json
+from merlintrail.protocol import DecodeFailure, decode_json, encode_json
 from merlintrail.state import (
     ConfigurationHolder,
     Envelope,
@@ -183,7 +183,8 @@
         """Answer a message."""
         if subject == 'gossip':
             answer = self.heartbeats.handle_gossip(document)
-            return answer._asdict()
+            assert not isinstance(answer, DecodeFailure)
+            return dict(answer)
         if subject == 'configuration':
             difference = self.heartbeats.handle_configuration(document)
             return None if difference is None else difference._asdict()
