--- a/merlintrail/daemon/_main.py
+++ b/merlintrail/daemon/_main.py
@@ -90,9 +90,7 @@
 async def _serve(settings: Settings, log: JsonLinesHandler) -> int:
     node = create_node(settings, _create_environment(settings))
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(
-        signal.SIGTERM, node.lifecycle.start_drain, 'SIGTERM'
-    )
+    loop.add_signal_handler(signal.SIGTERM, node.begin_stop, 'SIGTERM')
     loop.add_signal_handler(signal.SIGINT, node.lifecycle.stopped.set)
     try:
         await node.start()
--- a/merlintrail/node/_ingress.py
+++ b/merlintrail/node/_ingress.py
@@ -78,6 +78,8 @@
         self.path_levels = PathLevels()
         #: Requests in progress.
         self.running = 0
+        #: Whether callers are refused; the backend server's calls are not.
+        self.is_closed = False
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Serve a request of a caller or of the own backend server."""
@@ -148,6 +150,8 @@
     def _check_caller(self, call: OutgoingCall, level: int) -> Refusal | None:
         configuration = self._parts.holder.current
         assert configuration is not None
+        if self.is_closed:
+            return Refusal(Outcome.NOT_RUN, Reason.DRAINING)
         if call.priority < level:
             return Refusal(Outcome.NOT_RUN, Reason.SHED_EARLY)
         wall_time = self._parts.wall_clock()
--- a/merlintrail/node/_lifecycle.py
+++ b/merlintrail/node/_lifecycle.py
@@ -22,6 +22,13 @@
 NOTICE_S: Final = 5.0
 #: Seconds that a node stays after its drain was told to the others.
 SPREAD_S: Final = 1.0
+#: Share of the time to stop in which a node that was told to serves on, so
+#: that callers can turn to other nodes.
+SERVE_SHARE: Final = 0.42
+#: Seconds before a node refuses calls at which it tells the others.
+TELL_S: Final = 0.5
+#: Share of the time to stop that is left when the process ends.
+END_SHARE: Final = 0.12
 #: Seconds after which a drain ends even with calls running.
 MAX_DRAIN_S: Final = 60.0
 _MS_PER_S: Final = 1000
@@ -47,6 +54,8 @@
         self._parts = parts
         #: Set when the node should end.
         self.stopped = asyncio.Event()
+        #: Whether callers are to turn to other nodes.
+        self.is_leaving = False
         self._drain: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
@@ -61,6 +70,22 @@
             log_decision('drain', instance=self._parts.instance, reason=reason)
             self._drain = asyncio.create_task(self._drain_and_stop())
 
+    def start_stop(self, reason: str, grace_s: float) -> None:
+        """Begin to end within a time, without cutting a call.
+
+        The node serves on until its callers and the other nodes have turned
+        away, then refuses, and ends once it is idle.
+        """
+        if self._drain is None:
+            log_decision(
+                'drain',
+                instance=self._parts.instance,
+                reason=reason,
+                grace_s=grace_s,
+            )
+            self.is_leaving = True
+            self._drain = asyncio.create_task(self._stop_within(grace_s))
+
     def _check_stop(self) -> None:
         configuration = self._parts.holder.current
         if configuration is None:
@@ -87,18 +112,30 @@
         )
         return stop.starts_at - longest_ms / _MS_PER_S - NOTICE_S
 
+    async def _stop_within(self, grace_s: float) -> None:
+        serve_s = grace_s * SERVE_SHARE
+        await asyncio.sleep(max(0.0, serve_s - TELL_S))
+        self._parts.membership.update_own(status=MemberStatus.DRAINING)
+        await asyncio.sleep(min(TELL_S, serve_s))
+        self._parts.gatekeeper.is_draining = True
+        self._parts.ingress.is_closed = True
+        await self._end_when_idle(grace_s * (1 - SERVE_SHARE - END_SHARE))
+
     async def _drain_and_stop(self) -> None:
         self._parts.gatekeeper.is_draining = True
         self._parts.membership.update_own(status=MemberStatus.DRAINING)
         await asyncio.sleep(SPREAD_S)
+        await self._end_when_idle(MAX_DRAIN_S)
+
+    async def _end_when_idle(self, limit_s: float) -> None:
         try:
-            async with asyncio.timeout(MAX_DRAIN_S):
+            async with asyncio.timeout(limit_s):
                 await self._wait_until_idle()
         except TimeoutError:
             log_decision(
                 'drain',
                 instance=self._parts.instance,
-                reason='calls still running at the longest drain',
+                reason=f'calls still running after {limit_s:.1f} s',
             )
         self._parts.membership.update_own(status=MemberStatus.LEFT)
         await self._parts.heartbeats.tell_now()
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -74,7 +74,9 @@
         self._wall_clock = environment.wall_clock
         self._source = environment.source
         self._tasks: list[asyncio.Task[None]] = []
+        #: Listeners for callers and the backend server.
         self._servers: list[HttpServer] = []
+        self._peer_server: HttpServer | None = None
         self._started_at = self._clock()
         self.incarnation = int(self._wall_clock() * _MS_PER_S)
         self.metrics: NodeMetrics = create_metrics(
@@ -99,8 +101,8 @@
         host, port = split_host_port(
             self.settings.peer_listen_address or self.settings.peer_address
         )
-        self._servers.append(
-            await start_server(self.peer_service.handle, host, port)
+        self._peer_server = await start_server(
+            self.peer_service.handle, host, port
         )
         host, port = split_host_port(self.settings.call_address)
         self._servers.append(
@@ -133,18 +135,29 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for server in self._servers:
-            server.close()
+        for server in (*self._servers, self._peer_server):
+            if server is not None:
+                server.close()
         self._pool.close()
         self._peer_pool.close()
         _LOG.info('node stopped', extra={'instance': self.settings.instance})
 
+    def begin_stop(self, reason: str) -> None:
+        """End without cutting a call, in the time that the platform gives."""
+        platform = self.settings.platform
+        if platform is None:
+            self.lifecycle.start_drain(reason)
+            return
+        for server in self._servers:
+            server.is_closing = True
+        self.lifecycle.start_stop(reason, platform.stop_grace_s)
+
     def build_health(self) -> Mapping[str, Any]:
         """Return whether the node serves, and why not."""
         reasons = []
         if self.holder.current is None:
             reasons.append('no configuration yet')
-        if self.gatekeeper.is_draining:
+        if self.gatekeeper.is_draining or self.lifecycle.is_leaving:
             reasons.append('draining')
         return {'is_ready': not reasons, 'reasons': reasons}
 
