--- a/merlintrail/bench/_capacity.py
+++ b/merlintrail/bench/_capacity.py
@@ -19,6 +19,7 @@
 from merlintrail.protocol import encode_json
 from merlintrail.state import (
     Choice,
+    Demand,
     Member,
     MemberStatus,
     MemberTable,
@@ -106,7 +107,9 @@
 
 def _choose_often(routing: RoutingTable) -> None:
     for number in range(_CHOICES):
-        choice = routing.choose(f'service-{number % SERVICES}', 64, (), 5)
+        choice = routing.choose(
+            Demand(f'service-{number % SERVICES}', 64, 5), ()
+        )
         assert isinstance(choice, Choice)
 
 
--- a/merlintrail/node/_backend_exchange.py
+++ b/merlintrail/node/_backend_exchange.py
@@ -134,8 +134,7 @@
             gate.backend.is_displaced = True
             self._parts.on_change()
             return Refusal(Outcome.NOT_RUN, Reason.BACKEND_DISPLACED)
-        gate.limit.record_refusal(now)
-        gate.shedder.record_overflow()
+        gate.limit.record_refusal(now, gate.admission.running)
         is_proved = verdict == BackendVerdict.NOT_RUN and not parent.digests
         outcome = Outcome.NOT_RUN if is_proved else Outcome.MAY_HAVE_RUN
         return Refusal(outcome, Reason.BACKEND_REFUSED)
--- a/merlintrail/node/_calls.py
+++ b/merlintrail/node/_calls.py
@@ -41,6 +41,8 @@
     key: str | None
     #: Service of the instance at which the call began.
     caller_service: str = ''
+    #: Milliseconds within which an answer is worth most, if stated.
+    objective_ms: float | None = None
 
 
 def compute_call_digest(call: OutgoingCall) -> str:
@@ -52,8 +54,10 @@
     """What came of a call."""
 
     answer: HttpResponse | Refusal
-    #: Shedding levels of the services that the call met, by name.
+    #: Shedding levels of the services that the call met, by place.
     path_levels: Mapping[str, int]
+    #: Calls made for it, itself and its repeats included.
+    calls: int = 1
 
 
 class GateResult(NamedTuple):
--- a/merlintrail/node/_contexts.py
+++ b/merlintrail/node/_contexts.py
@@ -29,6 +29,8 @@
         self.has_failed_below = False
         #: Whether the backend server's own answer says that it failed.
         self.has_failed = False
+        #: Calls made below, over the whole tree.
+        self.calls_below = 0
         #: Digests of the calls made so far.
         self.digests: set[str] = set()
         self._tasks: set[asyncio.Task[object]] = set()
--- a/merlintrail/node/_dispatch.py
+++ b/merlintrail/node/_dispatch.py
@@ -11,12 +11,12 @@
     OutgoingCall,
 )
 from merlintrail.node._exchange import PeerExchange
+from merlintrail.node._retry_policy import RetryPolicy, has_failed_there
 from merlintrail.node._suspicions import Suspicions
 from merlintrail.observability import NodeMetrics, log_decision
 from merlintrail.protocol import (
-    SUBLEVELS,
     CallHeader,
-    Importance,
+    CallReport,
     Outcome,
     Reason,
     Refusal,
@@ -25,37 +25,18 @@
 from merlintrail.state import (
     Choice,
     ConfigurationHolder,
+    Demand,
     NoTarget,
-    RetryBudget,
+    RetryBudgetSettings,
     RoutingTable,
     SheddingMemory,
     Target,
     Tier,
     merge_levels,
+    name_place,
 )
 from merlintrail.transport import HttpResponse
 
-#: Reasons after which another backend server may do better.
-_ELSEWHERE: Final = frozenset(
-    (
-        Reason.OVERLOAD,
-        Reason.DEADLINE,
-        Reason.DRAINING,
-        Reason.PLANNED_STOP,
-        Reason.NO_BACKEND_SERVER,
-        Reason.PEER_LOST,
-        Reason.BACKEND_LOST,
-        Reason.BACKEND_REFUSED,
-        Reason.STALE_INCARNATION,
-        Reason.TOMBSTONE,
-        Reason.NO_CONFIGURATION,
-        Reason.SUSPECT_BUSY,
-    )
-)
-#: Reasons that say that a backend server lacks capacity.
-_SHEDDING: Final = frozenset(
-    (Reason.OVERLOAD, Reason.DEADLINE, Reason.BACKEND_REFUSED)
-)
 #: Reasons that say that a backend server takes nothing at present.
 _CLOSED: Final = frozenset(
     (
@@ -67,6 +48,10 @@
     )
 )
 _FAILURES: Final = frozenset((Reason.PEER_LOST, Reason.BACKEND_LOST))
+#: Part of the allowed share of retries that is used, since requests are
+#: counted by each node as it sees them.
+SAFE_SHARE: Final = 0.8
+_MS_PER_S: Final = 1000
 
 
 class LocalGate(Protocol):
@@ -93,6 +78,48 @@
     source: random.Random
 
 
+class _Progress:
+    """What came of the attempts of one call so far."""
+
+    def __init__(self) -> None:
+        #: Nodes that the call was sent to.
+        self.tried: list[str] = []
+        #: Shedding levels that the attempts met.
+        self.levels: dict[str, int] = {}
+        #: Calls made, at all depths.
+        self.calls = 0
+        #: The answer that ends the call.
+        self.answer: HttpResponse | None = None
+        self._failed: HttpResponse | None = None
+        self._refusal: Refusal | None = None
+
+    def take(self, gate_result: GateResult) -> None:
+        """Take what came of an attempt."""
+        answer = gate_result.answer
+        self.calls += 1 + gate_result.report.calls_below
+        if isinstance(answer, Refusal):
+            self.take_refusal(answer, is_sent=True)
+            if answer.reason == Reason.TOMBSTONE:
+                # The peer is well, only its old connections were not.
+                self.tried.pop()
+        elif gate_result.report.is_failure:
+            self._failed = answer
+        else:
+            self.answer = answer
+
+    def take_refusal(self, refusal: Refusal, *, is_sent: bool) -> None:
+        """Take a refusal, of an attempt or of the choice of a server."""
+        self._refusal = combine_refusals(
+            self._refusal, refusal, is_sent=is_sent
+        )
+
+    def choose_answer(self) -> HttpResponse | Refusal:
+        """Return the answer, a backend server's failure, or the refusal."""
+        chosen = self.answer or self._failed or self._refusal
+        assert chosen is not None
+        return chosen
+
+
 class Dispatcher:
     """Sends calls to backend servers of their service."""
 
@@ -100,46 +127,62 @@
         self._parts = parts
         self._routing = parts.routing
         self._clock = parts.clock
-        #: Share of retries that this node may make.
-        self.budget = RetryBudget(share=0.1)
+        self._retries = RetryPolicy(parts.suspicions, parts.clock)
         self._shedding = SheddingMemory()
 
+    def configure_retries(
+        self, settings: RetryBudgetSettings, nodes: int
+    ) -> None:
+        """Set the bounds on retries.
+
+        :param nodes: nodes that share what is allowed besides the share.
+        """
+        base = settings.base or 0.0
+        self._retries.budgets.configure(
+            settings.share * SAFE_SHARE,
+            base / settings.window_s / max(1, nodes),
+        )
+
     async def dispatch(self, call: OutgoingCall) -> CallResult:
         """Send a call until it is answered or no try is left."""
-        self.budget.record_attempt()
-        tried: list[str] = []
-        levels: dict[str, int] = {}
-        refusal: Refusal | None = None
+        self._retries.record_first_attempt(call)
+        progress = _Progress()
         while True:
-            choice = self._find_target(call, tried)
+            choice = self._find_target(call, progress.tried)
             if isinstance(choice, Refusal):
-                refusal = combine_refusals(refusal, choice, is_sent=False)
+                progress.take_refusal(choice, is_sent=False)
                 break
-            tried.append(choice.target.member.node_id)
+            progress.tried.append(choice.target.member.node_id)
             gate_result = await self._attempt(call, choice)
-            levels = merge_levels(levels, gate_result.report.path_levels)
-            if isinstance(gate_result.answer, HttpResponse):
-                return self._build_result(call, gate_result.answer, levels)
-            refusal = combine_refusals(refusal, gate_result.answer)
-            if not self._may_retry(call, gate_result, refusal):
+            progress.levels = merge_levels(
+                progress.levels,
+                self._list_levels(choice.target, gate_result.report),
+            )
+            progress.take(gate_result)
+            if progress.answer is not None:
+                break
+            if not self._retries.may_send_again(
+                call, gate_result, len(progress.tried)
+            ):
                 break
-            if refusal.reason == Reason.TOMBSTONE:
-                # The peer is well, only its old connections were not.
-                tried.pop()
             self._parts.metrics.record_retry(call.service)
-        return self._build_result(call, refusal, levels)
+        if call.depth == 1:
+            self._routing.path_levels.record(
+                call.kind, progress.levels, self._clock()
+            )
+        return CallResult(
+            progress.choose_answer(), progress.levels, progress.calls
+        )
 
-    def _build_result(
-        self,
-        call: OutgoingCall,
-        answer: HttpResponse | Refusal,
-        levels: dict[str, int],
-    ) -> CallResult:
-        now = self._clock()
-        level = self._routing.read_service_level(call.service, now)
-        if self._shedding.should_tell(call.service, level, now):
-            levels = merge_levels(levels, {call.service: level})
-        return CallResult(answer, levels)
+    def _list_levels(
+        self, target: Target, report: CallReport
+    ) -> dict[str, int]:
+        """Return the levels that an attempt met, its own server's too."""
+        place = name_place(target.offer.service, target.member.data_centre)
+        levels = dict(report.path_levels)
+        if self._shedding.should_tell(place, report.level, self._clock()):
+            levels[place] = report.level
+        return levels
 
     def _find_target(
         self, call: OutgoingCall, tried: list[str]
@@ -157,9 +200,14 @@
         configuration = self._parts.holder.current
         service = configuration and configuration.services.get(call.service)
         warmup_s = service.warmup_s if service else 0.0
-        choice = self._routing.choose(
-            call.service, call.priority, tried, warmup_s
+        demand = Demand(
+            call.service,
+            call.priority,
+            warmup_s,
+            is_below=call.depth > 1,
+            kind=call.kind,
         )
+        choice = self._routing.choose(demand, tried)
         if isinstance(choice, Choice):
             log_decision(
                 'route',
@@ -205,6 +253,9 @@
             target.record_report(report, now - started_at, now)
         self._parts.suspicions.take(report.suspicion)
         self._count_failure(target, gate_result.answer)
+        has_failed = has_failed_there(gate_result)
+        if has_failed is not None:
+            target.record_health(has_failed=has_failed, now=now)
         return gate_result
 
     async def _send(
@@ -251,41 +302,6 @@
                 reason=answer.reason.value,
             )
 
-    def _may_retry(
-        self, call: OutgoingCall, gate_result: GateResult, refusal: Refusal
-    ) -> bool:
-        if not gate_result.report.may_retry:
-            return False
-        if refusal.reason not in _ELSEWHERE:
-            return False
-        is_unproved = refusal.outcome != Outcome.NOT_RUN
-        if is_unproved and not call.is_idempotent:
-            return False
-        if (
-            call.deadline <= self._clock()
-            or self._parts.suspicions.is_convicted(call)
-        ):
-            return False
-        return self._has_allowance(call, refusal)
-
-    def _has_allowance(self, call: OutgoingCall, refusal: Refusal) -> bool:
-        """Take one retry from the request's account and the node's budget.
-
-        The most important calls are redirected beyond the node's budget, as
-        long as the request's own account permits.
-        """
-        is_critical = call.priority >= Importance.CRITICAL * SUBLEVELS
-        is_redirect = is_critical and refusal.outcome == Outcome.NOT_RUN
-        if not is_redirect:
-            level = self._routing.read_service_level(
-                call.service, self._clock()
-            )
-            if level > 0 and refusal.reason in _SHEDDING:
-                return False
-            if not self.budget.spend():
-                return False
-        return call.account.spend()
-
     def _build_header(
         self, call: OutgoingCall, target: Target, share: int
     ) -> CallHeader:
@@ -295,7 +311,7 @@
             call.kind,
             call.priority,
             call.is_idempotent,
-            (call.deadline - self._clock()) * 1000,
+            round((call.deadline - self._clock()) * _MS_PER_S, 1),
             share,
             call.depth,
             target.member.incarnation,
@@ -303,4 +319,5 @@
             call.service,
             suspicion=self._parts.suspicions.find(call),
             caller_service=call.caller_service,
+            objective_ms=call.objective_ms,
         )
--- a/merlintrail/node/_gatekeeper.py
+++ b/merlintrail/node/_gatekeeper.py
@@ -30,6 +30,7 @@
 )
 from merlintrail.state import (
     CallTable,
+    Claim,
     Configuration,
     PlannedStop,
     outlasts_start,
@@ -198,7 +199,7 @@
         self, gate: Gate, call: OutgoingCall, parent: ParentCall
     ) -> HttpResponse | Refusal:
         header = parent.header
-        refusal = await gate.admission.admit(header.priority, parent.deadline)
+        refusal = await gate.admission.admit(_build_claim(parent))
         if refusal is not None:
             return refusal
         exchange = self._parts.exchange
@@ -294,10 +295,13 @@
             0 if gate is None else gate.shedder.read_level(self._clock()),
             parent.path_levels,
             0 if gate is None else self.running,
-            0 if gate is None else gate.admission.service_s * _MS_PER_S,
+            0
+            if gate is None
+            else round(gate.admission.service_s * _MS_PER_S, 1),
             self.is_draining or (gate is not None and gate.backend.is_draining),
             not (parent.has_failed_below and (is_refused or parent.has_failed)),
             is_failure=parent.has_failed,
+            calls_below=parent.calls_below,
         )
 
     def _record(self, header: CallHeader, report: CallReport) -> None:
@@ -340,3 +344,13 @@
     def _keep_task(self, task: 'asyncio.Task[Any]') -> None:
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+def _build_claim(parent: ParentCall) -> Claim:
+    header = parent.header
+    objective_s: float | None = None
+    if header.objective_ms is not None:
+        objective_s = header.objective_ms / _MS_PER_S
+    return Claim(
+        header.priority, parent.deadline, header.depth > 1, objective_s
+    )
--- a/merlintrail/node/_ingress.py
+++ b/merlintrail/node/_ingress.py
@@ -26,16 +26,16 @@
 )
 from merlintrail.state import (
     ConfigurationHolder,
-    PathLevels,
+    RefusedRequests,
     RetryAccount,
+    compute_pause,
     find_stop,
     merge_levels,
     outlasts_start,
+    raise_priority,
 )
 from merlintrail.transport import HttpRequest, HttpResponse
 
-#: Seconds over which refused callers are spread when they come back.
-RETRY_SPREAD_S: Final = 2.0
 _MS_PER_S: Final = 1000
 _UNSUPPORTED_METHODS: Final = frozenset(('CONNECT', 'TRACE'))
 
@@ -74,8 +74,7 @@
         self._parts = parts
         self._clock = parts.clock
         self._resolver = Resolver(parts.source)
-        #: Shedding levels on the way of each request kind.
-        self.path_levels = PathLevels()
+        self._refused = RefusedRequests()
         #: Requests in progress.
         self.running = 0
         #: Whether callers are refused; the backend server's calls are not.
@@ -115,7 +114,7 @@
                 return resolution
             refusal = resolution
         self._log_refusal(arrival.request_id, arrival.request.target, refusal)
-        return refusal
+        return self._say_when(refusal, None)
 
     async def _serve(
         self, arrival: _Arrival, resolution: Resolution
@@ -136,24 +135,37 @@
         return await self._serve_caller(self._build_call(arrival, resolution))
 
     async def _serve_caller(self, call: OutgoingCall) -> HttpResponse | Refusal:
-        level = self.path_levels.read(call.kind, self._clock())
-        refusal = self._check_caller(call, level)
+        refusal = self._check_caller(call)
         if refusal is not None:
-            self._log_refusal(call.request_id, call.kind, refusal, level)
-            return refusal
+            self._log_refusal(call.request_id, call.kind, refusal)
+            return self._say_when(refusal, call.objective_ms)
+        if self._refused and self._refused.take(
+            compute_call_digest(call), self._clock()
+        ):
+            call = call._replace(priority=raise_priority(call.priority))
         call_result = await self._send(call)
-        self.path_levels.record(
-            call.kind, call_result.path_levels, self._clock()
+        answer = call_result.answer
+        if isinstance(answer, Refusal) and answer.outcome == Outcome.NOT_RUN:
+            self._refused.record(compute_call_digest(call), self._clock())
+            return self._say_when(answer, call.objective_ms)
+        return answer
+
+    def _say_when(
+        self, refusal: Refusal, objective_ms: float | None
+    ) -> Refusal:
+        """Tell a refused caller when to come back."""
+        pause_s = compute_pause(
+            refusal.retry_after_s,
+            None if objective_ms is None else objective_ms / _MS_PER_S,
+            self._parts.source.random(),
         )
-        return call_result.answer
+        return refusal._replace(retry_after_s=pause_s)
 
-    def _check_caller(self, call: OutgoingCall, level: int) -> Refusal | None:
+    def _check_caller(self, call: OutgoingCall) -> Refusal | None:
         configuration = self._parts.holder.current
         assert configuration is not None
         if self.is_closed:
             return Refusal(Outcome.NOT_RUN, Reason.DRAINING)
-        if call.priority < level:
-            return Refusal(Outcome.NOT_RUN, Reason.SHED_EARLY)
         wall_time = self._parts.wall_clock()
         stop = find_stop(
             configuration,
@@ -184,6 +196,7 @@
         finally:
             parent.leave_child(self._clock())
         parent.account.restore(share, child.account.balance)
+        parent.calls_below += call_result.calls
         parent.path_levels = merge_levels(
             parent.path_levels, call_result.path_levels
         )
@@ -254,6 +267,7 @@
             1,
             arrival.headers.key,
             self._parts.find_own_service(),
+            kind.objective_ms,
         )
 
     def _build_child(
@@ -284,16 +298,13 @@
         dialect = self._parts.dialect
         if not isinstance(answer, Refusal):
             return dialect.build_answer(answer, request_id)
-        spread_s = self._parts.source.uniform(0, RETRY_SPREAD_S)
-        spread = answer._replace(retry_after_s=answer.retry_after_s + spread_s)
-        return dialect.build_refusal(spread, request_id)
+        return dialect.build_refusal(answer, request_id)
 
     def _log_refusal(
         self,
         request_id: str,
         kind: str,
         refusal: Refusal,
-        level: int = 0,
     ) -> None:
         log_decision(
             'refuse',
@@ -302,5 +313,4 @@
             reason=refusal.reason.value,
             outcome=refusal.outcome.value,
             detail=refusal.detail,
-            level=level,
         )
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -358,7 +358,7 @@
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         self.routing.update_regions(configuration.regions)
-        self.dispatcher.budget.share = configuration.retry_budget.share
+        self._update_retries(configuration)
         self.gatekeeper.update_configuration(configuration)
         self.keyed.ledger.update_settings(configuration.ledger)
         self._update_links(configuration)
@@ -379,6 +379,11 @@
         )
         self.routing.links.update(configuration.links, nodes)
 
+    def _update_retries(self, configuration: Configuration) -> None:
+        self.dispatcher.configure_retries(
+            configuration.retry_budget, len(self.table.list_present())
+        )
+
     def _drop_connections(self, known: Member | None, member: Member) -> None:
         """Close idle connections to a process that is gone."""
         is_other = known is not None and known.incarnation < member.incarnation
@@ -406,6 +411,7 @@
             if self.holder.current is not None and digest != links_digest:
                 links_digest = digest
                 self._update_links(self.holder.current)
+                self._update_retries(self.holder.current)
             await asyncio.sleep(READINESS_INTERVAL_S)
 
     async def _follow_hints(self) -> None:
--- a/merlintrail/node/_peer_service.py
+++ b/merlintrail/node/_peer_service.py
@@ -146,6 +146,7 @@
             header.depth,
             header.key,
             header.caller_service,
+            header.objective_ms,
         )
 
     def _handle_message(self, request: HttpRequest) -> HttpResponse:
--- a/merlintrail/protocol/_call.py
+++ b/merlintrail/protocol/_call.py
@@ -37,6 +37,8 @@
     suspicion: Sequence[Any] | None = None
     #: Service of the instance at which the call began.
     caller_service: str = ''
+    #: Milliseconds within which an answer is worth most, if stated.
+    objective_ms: float | None = None
 
 
 class CallReport(NamedTuple):
@@ -64,14 +66,21 @@
     suspicion: Sequence[Any] | None = None
     #: Whether the backend server's own answer says that it failed.
     is_failure: bool = False
+    #: Calls made below this one, over its whole tree.
+    calls_below: int = 0
 
 
 def encode_fields(record: CallHeader | CallReport) -> str:
     """Encode a header record as a JSON array in the order of its fields.
 
-    Fields are only ever added at the end, with a default.
+    Fields are only ever added at the end, with a default; those at the end
+    that have it are left out.
     """
-    return encode_json(tuple(record)).decode()
+    fields = list(record)
+    defaults = list(record._field_defaults.values())
+    while defaults and fields[-1] == defaults.pop():
+        fields.pop()
+    return encode_json(fields).decode()
 
 
 def decode_call_header(text: str) -> CallHeader | DecodeFailure:
--- a/merlintrail/state/__init__.py
+++ b/merlintrail/state/__init__.py
@@ -1,6 +1,6 @@
 """What a node knows, and the decisions that it takes on it."""
 
-from merlintrail.state._admission import Admission
+from merlintrail.state._admission import Admission, Claim
 from merlintrail.state._call_table import CallRecord, CallTable
 from merlintrail.state._difference import Difference, find_differences
 from merlintrail.state._document import (
@@ -33,6 +33,7 @@
     PathLevels,
     SheddingMemory,
     merge_levels,
+    name_place,
 )
 from merlintrail.state._quarantine import (
     Quarantine,
@@ -40,7 +41,16 @@
     compute_digest,
     read_suspicion,
 )
-from merlintrail.state._retry_account import RetryAccount, RetryBudget
+from merlintrail.state._retry_account import (
+    RetryAccount,
+    RetryBudget,
+    RetryBudgets,
+)
+from merlintrail.state._returns import (
+    RefusedRequests,
+    compute_pause,
+    raise_priority,
+)
 from merlintrail.state._routes import (
     Route,
     RouteSplitter,
@@ -49,12 +59,13 @@
 )
 from merlintrail.state._routing import (
     Choice,
+    Demand,
     NoTarget,
     Place,
     RoutingTable,
     Tier,
 )
-from merlintrail.state._shedding import LevelTable, ShedController
+from merlintrail.state._shedding import LevelTable, ShedController, is_shed
 from merlintrail.state._stops import find_stop, outlasts_start
 from merlintrail.state._targets import Target
 from merlintrail.state._validation import (
@@ -74,9 +85,11 @@
     'CallTable',
     'CallerLimits',
     'Choice',
+    'Claim',
     'ConcurrencyLimit',
     'Configuration',
     'ConfigurationHolder',
+    'Demand',
     'Difference',
     'Envelope',
     'Finding',
@@ -96,10 +109,12 @@
     'Place',
     'PlannedStop',
     'Quarantine',
+    'RefusedRequests',
     'RequestKind',
     'RetryAccount',
     'RetryBudget',
     'RetryBudgetSettings',
+    'RetryBudgets',
     'Route',
     'RouteSplitter',
     'RouteTable',
@@ -114,15 +129,19 @@
     'Tier',
     'build_configuration',
     'compute_digest',
+    'compute_pause',
     'create_limit',
     'find_differences',
     'find_schema_faults',
     'find_stop',
+    'is_shed',
     'load_schema',
     'merge_levels',
+    'name_place',
     'outlasts_start',
     'parse_document',
     'parse_json_object',
+    'raise_priority',
     'read_member',
     'read_suspicion',
     'validate_document',
--- a/merlintrail/state/_admission.py
+++ b/merlintrail/state/_admission.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from typing import Final
+from typing import Final, NamedTuple
 
 from merlintrail.protocol import (
     SUBLEVELS,
@@ -13,7 +13,7 @@
     Refusal,
 )
 from merlintrail.state._limits import ConcurrencyLimit
-from merlintrail.state._shedding import ShedController
+from merlintrail.state._shedding import ShedController, is_shed
 
 #: Weight of a new sample in the mean service time. A rise is followed
 #: faster than a fall, so that the queue shortens as soon as calls slow down.
@@ -23,15 +23,38 @@
 INITIAL_SERVICE_S: Final = 0.005
 #: Share of the remaining time that may pass in the queue.
 MAX_WAIT_SHARE: Final = 0.5
+#: The same for a call below another, whose work would be lost with it.
+MAX_WAIT_SHARE_BELOW: Final = 0.8
+#: Wait of calls below others, in service times, that shows an overload.
+OVERLOAD_WAIT: Final = 0.5
+#: Share of the objective that a call may wait before it is refused.
+OBJECTIVE_WAIT_SHARE: Final = 0.125
 #: Longest pause that a refused caller is asked for, in seconds.
 MAX_RETRY_AFTER_S: Final = 5.0
 
 
+class Claim(NamedTuple):
+    """What decides on the admission of a call."""
+
+    priority: int
+    #: Clock time at which the answer is due.
+    deadline: float
+    #: Whether the call was made for another that is running.
+    is_below: bool = False
+    #: Seconds within which an answer is worth most, if stated.
+    objective_s: float | None = None
+
+    @property
+    def queue(self) -> int:
+        """Place of its queue: by class, calls below others first in each."""
+        return self.priority // SUBLEVELS * 2 + int(self.is_below)
+
+
 class QueuedCall:
     """A call that waits for a slot."""
 
-    def __init__(self, priority: int, latest_start: float) -> None:
-        self.priority = priority
+    def __init__(self, claim: Claim, latest_start: float) -> None:
+        self.claim = claim
         #: Clock time after which the call could not finish in time.
         self.latest_start = latest_start
         #: Resolves to ``None`` with a slot, or to a refusal.
@@ -42,10 +65,12 @@
 class Admission:
     """Admits calls to one backend server.
 
-    An arrival that finds the queue full pushes out the least important
-    call that waits. Within a class the newest call goes first while the
-    queue is overloaded, so that the queue does not serve calls whose
-    callers are about to give up.
+    Calls below others go first within their class and wait longer: with
+    them the work already done for their request would be lost. An arrival
+    that finds the queue full pushes out the least important call that
+    waits. Within a class the newest call goes first while the queue is
+    overloaded, so that the queue does not serve calls whose callers are
+    about to give up.
     """
 
     def __init__(
@@ -63,29 +88,30 @@
         #: Mean time in seconds for which a call holds its slot.
         self.service_s = INITIAL_SERVICE_S
         self._clock = clock
-        self._queues: list[deque[QueuedCall]] = [deque() for _ in Importance]
+        self._queues: list[deque[QueuedCall]] = [
+            deque() for _ in range(len(Importance) * 2)
+        ]
 
     @property
     def queued(self) -> int:
         """Calls that wait."""
         return sum(len(queue) for queue in self._queues)
 
-    async def admit(self, priority: int, deadline: float) -> Refusal | None:
+    async def admit(self, claim: Claim) -> Refusal | None:
         """Wait for a slot.
 
-        :param deadline: clock time at which the answer is due.
         :returns: ``None`` with a slot that must be released, or a refusal.
         """
         now = self._clock()
-        self.shedder.record_arrival(now, priority)
-        refusal = self._check_arrival(now, priority, deadline)
+        self.shedder.record_arrival(now, claim.priority)
+        refusal = self._check_arrival(now, claim)
         if refusal is not None:
             return refusal
         if self.running < self.limit.limit and not self.queued:
             self.running += 1
             return None
         self.shedder.record_saturation()
-        return await self._wait(priority, deadline)
+        return await self._wait(claim)
 
     def release(self) -> None:
         """Give a slot back and start what waits."""
@@ -116,36 +142,36 @@
         weight = RISE_WEIGHT if difference > 0 else FALL_WEIGHT
         self.service_s += difference * weight
 
-    def estimate_wait(self, priority: int) -> float:
-        """Estimate the seconds until a call of that priority would start."""
-        ahead = sum(
-            len(queue) for queue in self._queues[priority // SUBLEVELS :]
-        )
+    def estimate_wait(self, claim: Claim) -> float:
+        """Estimate the seconds until a call would start."""
+        ahead = sum(len(queue) for queue in self._queues[claim.queue :])
         if self.running < self.limit.limit and not ahead:
             return 0.0
         return (ahead + 1) * self.service_s / self.limit.limit
 
-    def _check_arrival(
-        self, now: float, priority: int, deadline: float
-    ) -> Refusal | None:
-        wait_s = self.estimate_wait(priority)
-        if now + wait_s + self.service_s > deadline:
+    def _check_arrival(self, now: float, claim: Claim) -> Refusal | None:
+        wait_s = self.estimate_wait(claim)
+        if claim.is_below and wait_s > self.service_s * OVERLOAD_WAIT:
+            self.shedder.record_overflow()
+        if now + wait_s + self.service_s > claim.deadline:
             if wait_s > 0:
                 self.shedder.record_overflow()
-                self._give_up_lesser(priority // SUBLEVELS)
+                self._give_up_lesser(claim)
             return self._refuse(Reason.DEADLINE)
         level = self.shedder.read_level(now)
         is_free = self.running < self.limit.limit and not self.queued
-        if priority < level and not is_free:
+        if claim.is_below or is_free:
+            return None
+        if is_shed(claim.priority, level):
             return self._refuse(Reason.OVERLOAD)
         return None
 
-    async def _wait(self, priority: int, deadline: float) -> Refusal | None:
-        call = QueuedCall(priority, deadline - self.service_s)
+    async def _wait(self, claim: Claim) -> Refusal | None:
+        call = QueuedCall(claim, claim.deadline - self.service_s)
         if not self._make_room(call):
             self.shedder.record_overflow()
             return self._refuse(Reason.OVERLOAD)
-        self._queues[priority // SUBLEVELS].append(call)
+        self._queues[claim.queue].append(call)
         loop = asyncio.get_running_loop()
         timer = loop.call_later(
             max(0.0, call.latest_start - self._clock()),
@@ -162,22 +188,26 @@
 
     def _make_room(self, call: QueuedCall) -> bool:
         """Push out lesser calls, or refuse when as important ones fill it."""
-        own_class = call.priority // SUBLEVELS
         room = self._compute_room(call)
-        ahead = sum(len(queue) for queue in self._queues[own_class:])
+        ahead = sum(len(queue) for queue in self._queues[call.claim.queue :])
         if ahead >= room:
-            self._give_up_lesser(own_class)
+            self._give_up_lesser(call.claim)
             return False
-        lesser = [queue for queue in self._queues[:own_class] if queue]
+        lesser = [queue for queue in self._list_lesser(call.claim) if queue]
         if self.queued >= room and lesser:
             self.shedder.record_overflow()
             pushed_out = lesser[0].popleft()
             pushed_out.decision.set_result(self._refuse(Reason.OVERLOAD))
         return True
 
-    def _give_up_lesser(self, own_class: int) -> None:
+    def _list_lesser(self, claim: Claim) -> list[deque[QueuedCall]]:
+        """Return the queues of lesser classes, but of calls below others."""
+        own_class = claim.priority // SUBLEVELS
+        return self._queues[: own_class * 2 : 2]
+
+    def _give_up_lesser(self, claim: Claim) -> None:
         """Refuse what waits behind calls that are refused themselves."""
-        for queue in self._queues[:own_class]:
+        for queue in self._list_lesser(claim):
             while queue:
                 call = queue.popleft()
                 call.decision.set_result(self._refuse(Reason.OVERLOAD))
@@ -186,20 +216,30 @@
         """Return how many calls may wait before the call is refused.
 
         The most important calls may spend a share of their remaining time
-        in the queue; others only the configured wait, or one service time
+        in the queue, and calls below others a larger one; others only a
+        share of their objective or the configured wait, or one service time
         when calls take longer than that.
         """
+        claim = call.claim
         remaining_s = call.latest_start - self._clock()
         allowed_s = remaining_s * MAX_WAIT_SHARE
-        if call.priority < Importance.CRITICAL * SUBLEVELS:
-            limit_s = max(self.queue_limit_s, self.service_s / 2)
-            allowed_s = min(limit_s, allowed_s)
+        if claim.is_below:
+            allowed_s = remaining_s * MAX_WAIT_SHARE_BELOW
+        elif claim.priority < Importance.CRITICAL * SUBLEVELS:
+            allowed_s = min(self._limit_wait(claim), allowed_s)
         return max(1, int(allowed_s * self.limit.limit / self.service_s))
 
+    def _limit_wait(self, claim: Claim) -> float:
+        if claim.objective_s is not None:
+            return claim.objective_s * OBJECTIVE_WAIT_SHARE
+        return max(self.queue_limit_s, self.service_s / 2)
+
     def _take_next(self) -> QueuedCall | None:
-        for queue in reversed(self._queues):
+        for place in range(len(self._queues) - 1, -1, -1):
+            queue = self._queues[place]
+            is_below = place % 2 == 1
             while queue:
-                is_overloaded = len(queue) > self.limit.limit
+                is_overloaded = len(queue) > self.limit.limit and not is_below
                 call = queue.pop() if is_overloaded else queue.popleft()
                 if not call.decision.done():
                     return call
@@ -219,7 +259,7 @@
             self._remove(call)
 
     def _remove(self, call: QueuedCall) -> None:
-        queue = self._queues[call.priority // SUBLEVELS]
+        queue = self._queues[call.claim.queue]
         if call in queue:
             queue.remove(call)
 
--- a/merlintrail/state/_limits.py
+++ b/merlintrail/state/_limits.py
@@ -1,10 +1,19 @@
 """Concurrency limits for one backend server."""
 
 import abc
+import math
 from typing import Final, NamedTuple
 
 #: Factor by which a refusal of the backend server lowers the limit.
 DECREASE_ON_REFUSAL: Final = 0.9
+#: Share of the limit that must be in use for a refusal to show a lack of
+#: slots rather than a fault of the backend server.
+REFUSAL_LOAD: Final = 0.7
+#: Share of many slots that is left free: a backend server that is nearly
+#: full works more slowly.
+RESERVE_SHARE: Final = 0.05
+#: Slots from which on some are left free.
+MIN_SLOTS_TO_RESERVE: Final = 8
 #: Factor of one probe towards a lower limit.
 DECREASE_ON_LATENCY: Final = 0.9
 #: Ratio of latency to its baseline that starts a probe.
@@ -37,8 +46,11 @@
         """Take the backend server's own time for a completed call."""
 
     @abc.abstractmethod
-    def record_refusal(self, now: float) -> None:
-        """Take note that the backend server refused a call itself."""
+    def record_refusal(self, now: float, running: int) -> None:
+        """Take note that the backend server refused a call itself.
+
+        :param running: calls in the backend server, this one included.
+        """
 
 
 class FixedLimit(ConcurrencyLimit):
@@ -57,7 +69,7 @@
     ) -> None:
         """Ignore the completed call."""
 
-    def record_refusal(self, now: float) -> None:
+    def record_refusal(self, now: float, running: int) -> None:
         """Ignore the refusal."""
 
 
@@ -84,8 +96,9 @@
     """
 
     def __init__(self, slots: int, now: float) -> None:
-        self._slots = slots
-        self._limit = float(slots)
+        self._announced = slots
+        self._slots = _leave_reserve(slots)
+        self._limit = float(self._slots)
         self._baseline_s: float | None = None
         self._window = _Window(now)
         self._throughput_before: float | None = None
@@ -101,9 +114,10 @@
 
     def resize(self, slots: int) -> None:
         """Take the slots that the backend server announces."""
-        if slots != self._slots:
-            self._slots = slots
-            self._limit = float(slots)
+        if slots != self._announced:
+            self._announced = slots
+            self._slots = _leave_reserve(slots)
+            self._limit = float(self._slots)
 
     def record_success(
         self, now: float, latency_s: float, running: int
@@ -119,8 +133,10 @@
         if is_due and self._window.completions >= MIN_WINDOW_COMPLETIONS:
             self._close_window(now)
 
-    def record_refusal(self, now: float) -> None:
+    def record_refusal(self, now: float, running: int) -> None:
         """Lower the limit, once for each burst of refusals."""
+        if running < self._limit * REFUSAL_LOAD:
+            return
         if now - self._last_decrease_at >= MIN_WINDOW_S:
             self._last_decrease_at = now
             self._limit = max(1.0, self._limit * DECREASE_ON_REFUSAL)
@@ -170,6 +186,12 @@
         self._baseline_s += (latency_s - self._baseline_s) * step
 
 
+def _leave_reserve(slots: int) -> int:
+    if slots < MIN_SLOTS_TO_RESERVE:
+        return slots
+    return slots - math.ceil(slots * RESERVE_SHARE)
+
+
 def create_limit(slots: int, now: float) -> AdaptiveLimit:
     """Create the limit of a backend server that announced its slots."""
     return AdaptiveLimit(slots, now)
--- a/merlintrail/state/_path_levels.py
+++ b/merlintrail/state/_path_levels.py
@@ -11,12 +11,18 @@
 TOLD_AFTER_S: Final = 2.0
 
 
+def name_place(service: str, data_centre: str) -> str:
+    """Return the name under which levels of a service are told."""
+    return f'{service}@{data_centre}'
+
+
 class PathLevels:
-    """Levels of services, and which request kinds reach them.
+    """Levels of services by data centre, and which kinds reach them.
 
     An answer of any kind tells the levels that it met. They hold for every
     kind that reaches the same services, so that the traffic of important
-    kinds keeps the levels for lesser ones current.
+    kinds keeps the levels for lesser ones current. Calls below a request
+    mostly stay in the data centre that it was sent to.
     """
 
     def __init__(self) -> None:
@@ -24,13 +30,17 @@
         self._reach: dict[str, dict[str, float]] = {}
 
     def record(self, kind: str, levels: Mapping[str, int], now: float) -> None:
-        """Take the levels that an answer of a kind told."""
-        for service, level in levels.items():
+        """Take the levels that an answer of a kind told.
+
+        :param levels: levels by the names that :func:`name_place` gives.
+        """
+        for place, level in levels.items():
+            service = place.partition('@')[0]
             self._reach.setdefault(kind, {})[service] = now
-            self._levels.record(service, level, now)
+            self._levels.record(place, level, now)
 
-    def read(self, kind: str, now: float) -> int:
-        """Return the highest level on the way of a kind."""
+    def read(self, kind: str, data_centre: str, now: float) -> int:
+        """Return the highest level on the way of a kind in a data centre."""
         reached = self._reach.get(kind)
         if not reached:
             return 0
@@ -38,7 +48,10 @@
             if now - told_at > REACH_MEMORY_S:
                 del reached[name]
         return max(
-            (self._levels.read(service, now) for service in reached),
+            (
+                self._levels.read(name_place(service, data_centre), now)
+                for service in reached
+            ),
             default=0,
         )
 
--- a/merlintrail/state/_retry_account.py
+++ b/merlintrail/state/_retry_account.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 #: First attempts over which the node's retry share is counted.
-BUDGET_WINDOW: Final = 100.0
+BUDGET_WINDOW: Final = 10.0
 #: Retries that a node may always make, so that low traffic can retry too.
 BUDGET_FLOOR: Final = 3.0
 
@@ -59,18 +59,59 @@
 class RetryBudget:
     """Token bucket that keeps a node's retries to a share of its traffic."""
 
-    def __init__(self, share: float) -> None:
+    def __init__(self, share: float, base_per_s: float = 0.0) -> None:
         self.share = share
+        #: Retries a second that are allowed besides.
+        self.base_per_s = base_per_s
         self._tokens = BUDGET_FLOOR
+        self._refilled_at: float | None = None
 
     def record_attempt(self) -> None:
         """Credit the budget for one first attempt."""
-        ceiling = BUDGET_FLOOR + BUDGET_WINDOW * self.share
-        self._tokens = min(ceiling, self._tokens + self.share)
+        self._tokens = min(self._ceiling, self._tokens + self.share)
 
-    def spend(self) -> bool:
-        """Take one retry; return False when the share is used up."""
-        if self._tokens < 1:
+    def spend(self, now: float, cost: float = 1.0) -> bool:
+        """Take one retry; return False when the share is used up.
+
+        :param cost: calls that the retry will make in all.
+        """
+        if self._refilled_at is not None:
+            refill = (now - self._refilled_at) * self.base_per_s
+            self._tokens = min(self._ceiling, self._tokens + refill)
+        self._refilled_at = now
+        if self._tokens < min(cost, self._ceiling):
             return False
-        self._tokens -= 1
+        self._tokens -= cost
         return True
+
+    @property
+    def _ceiling(self) -> float:
+        return BUDGET_FLOOR + BUDGET_WINDOW * self.share
+
+
+class RetryBudgets:
+    """The budgets of a node, one for each service."""
+
+    def __init__(self) -> None:
+        self._share = 0.1
+        self._base_per_s = 0.0
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def configure(self, share: float, base_per_s: float) -> None:
+        """Set the share of retries and the rate that is allowed besides.
+
+        :param base_per_s: the node's part of what all nodes may do.
+        """
+        self._share = share
+        self._base_per_s = base_per_s
+        for budget in self._budgets.values():
+            budget.share = share
+            budget.base_per_s = base_per_s
+
+    def find(self, service: str) -> RetryBudget:
+        """Return the budget for calls to a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(self._share, self._base_per_s)
+            self._budgets[service] = budget
+        return budget
--- a/merlintrail/state/_routing.py
+++ b/merlintrail/state/_routing.py
@@ -7,10 +7,16 @@
 
 from merlintrail.state._links import LinkAllowance
 from merlintrail.state._members import Member, MemberStatus, ServiceOffer
+from merlintrail.state._path_levels import PathLevels
+from merlintrail.state._shedding import is_shed
 from merlintrail.state._targets import Target
 
-#: Load above which the next nearest tier is considered too.
-SPILL_LOAD: Final = 0.9
+#: Load that the nearest backend servers count as having when none of them
+#: can be chosen.
+ABSENT_LOAD: Final = 1.5
+#: Seconds for which the usual service time of a service is not looked up
+#: again.
+USUAL_TIME_MEMORY_S: Final = 0.5
 #: Largest share of a service's backend servers that may be ejected.
 MAX_EJECTED_SHARE: Final = 0.5
 
@@ -30,6 +36,41 @@
     data_centre: str
 
 
+class SpillRule(NamedTuple):
+    """When a call leaves its data centre, whose links are billed."""
+
+    #: Load up to which the nearest backend servers are not left.
+    near_load: float
+    #: Load by which another data centre of the region must be lower.
+    region_margin: float
+    #: The same for another region.
+    remote_margin: float
+
+
+#: Rule for a request: with it moves all that is called for it.
+REQUEST_RULE: Final = SpillRule(0.95, 0.3, 0.8)
+#: Rule for a call below another: its request makes several of them.
+BELOW_RULE: Final = SpillRule(1.4, 0.6, 2.0)
+
+
+class Demand(NamedTuple):
+    """A call that looks for a backend server."""
+
+    service: str
+    priority: int
+    #: Seconds over which a cold backend server gets its full share.
+    warmup_s: float = 0.0
+    #: Whether the call was made for another that is running.
+    is_below: bool = False
+    #: Name of the request kind, by which levels further down are known.
+    kind: str = ''
+
+    @property
+    def rule(self) -> SpillRule:
+        """When the call leaves its data centre."""
+        return BELOW_RULE if self.is_below else REQUEST_RULE
+
+
 class Choice(NamedTuple):
     """A routing decision."""
 
@@ -48,6 +89,13 @@
     reason: str
 
 
+class _UsualTime(NamedTuple):
+    """Median service time of a service, and when it was found."""
+
+    service_s: float
+    found_at: float
+
+
 class RoutingTable:
     """Backend servers by service, kept up to date from the members."""
 
@@ -64,6 +112,9 @@
         self._regions: Mapping[str, str] = {}
         #: Backend servers of each service in the own data centre.
         self._near: dict[str, list[Target]] = {}
+        self._usual_times: dict[str, _UsualTime] = {}
+        #: Shedding levels on the way of each request kind.
+        self.path_levels = PathLevels()
         #: Allowance of bytes between regions.
         self.links = LinkAllowance()
         #: Whether members that appear are new rather than newly learnt.
@@ -92,35 +143,22 @@
         """Tell whether any backend server of the service is known."""
         return bool(self._targets.get(service))
 
-    def read_service_level(self, service: str, now: float) -> int:
-        """Return the lowest shedding level among a service's servers."""
-        levels = [
-            target.read_level(now)
-            for target in self._targets.get(service, {}).values()
-            if target.is_available(now)
-        ]
-        return min(levels, default=0)
-
     def choose(
-        self,
-        service: str,
-        priority: int,
-        tried: Collection[str],
-        warmup_s: float,
+        self, demand: Demand, tried: Collection[str]
     ) -> Choice | NoTarget:
         """Choose a backend server.
 
-        Nearest first: the own data centre, the own region when that is
-        loaded, another region only when the own one cannot take the call
-        and the link's allowance permits.
+        The own data centre first; another one of the region when that has
+        clearly more room; another region only when neither can take the
+        call and the link's allowance permits.
 
         :param tried: identifiers of nodes that were tried already.
         """
         now = self._clock()
-        near = self._choose_near(service, priority, tried, now, warmup_s)
+        near = self._choose_near(demand, tried, now)
         if near is not None:
             return near
-        targets = self._targets.get(service, {}).values()
+        targets = self._targets.get(demand.service, {}).values()
         available = [
             target
             for target in targets
@@ -129,14 +167,20 @@
         if not available:
             return self._explain_absence(targets, now)
         willing = [
-            target for target in available if target.read_level(now) <= priority
+            target
+            for target in available
+            if self._is_willing(target, demand, now)
         ]
         if not willing:
-            level = min(target.read_level(now) for target in available)
             return NoTarget(
-                is_shedding=True, level=level, reason='every server sheds'
+                is_shedding=True,
+                level=min(
+                    self._read_level(target, demand, now)
+                    for target in available
+                ),
+                reason='every server sheds',
             )
-        return self._choose_nearest(willing, now, warmup_s)
+        return self._choose_nearest(willing, demand, now)
 
     def record_failure(self, target: Target) -> float:
         """Count a failure; eject the server if the floor permits.
@@ -183,36 +227,45 @@
         target.offer = offer
         target.is_draining = member.status != MemberStatus.ALIVE
 
+    def _is_willing(self, target: Target, demand: Demand, now: float) -> bool:
+        """Tell whether a call is not shed on its way through a server."""
+        if demand.is_below:
+            return True
+        level = self._read_level(target, demand, now)
+        return not is_shed(demand.priority, level)
+
+    def _read_level(self, target: Target, demand: Demand, now: float) -> int:
+        """Return the highest level that a call meets through a server."""
+        below = self.path_levels.read(
+            demand.kind, target.member.data_centre, now
+        )
+        return max(target.read_level(now), below)
+
     def _choose_near(
-        self,
-        service: str,
-        priority: int,
-        tried: Collection[str],
-        now: float,
-        warmup_s: float,
+        self, demand: Demand, tried: Collection[str], now: float
     ) -> Choice | None:
         """Choose in the own data centre without looking at all servers.
 
         :returns: ``None`` when two random ones do not settle it.
         """
-        near = self._near.get(service)
+        near = self._near.get(demand.service)
         if near is None:
             near = [
                 target
-                for target in self._targets.get(service, {}).values()
+                for target in self._targets.get(demand.service, {}).values()
                 if target.member.data_centre == self._place.data_centre
             ]
-            self._near[service] = near
-        choice = self._choose_of_two(near, Tier.DATA_CENTRE, now, warmup_s)
-        if choice is None or choice.load > SPILL_LOAD:
+            self._near[demand.service] = near
+        choice = self._choose_of_two(near, Tier.DATA_CENTRE, demand, now)
+        if choice is None or choice.load > demand.rule.near_load:
             return None
         target = choice.target
-        is_willing = (
-            target.is_available(now)
-            and target.member.node_id not in tried
-            and target.read_level(now) <= priority
+        is_free = (
+            target.is_available(now) and target.member.node_id not in tried
         )
-        return choice if is_willing else None
+        if is_free and self._is_willing(target, demand, now):
+            return choice
+        return None
 
     def _explain_absence(
         self, targets: Collection[Target], now: float
@@ -229,31 +282,49 @@
         )
 
     def _choose_nearest(
-        self, targets: Sequence[Target], now: float, warmup_s: float
+        self, targets: Sequence[Target], demand: Demand, now: float
     ) -> Choice | NoTarget:
-        best: Choice | None = None
-        for tier in (Tier.DATA_CENTRE, Tier.REGION):
-            near = [
-                target
-                for target in targets
-                if self.find_tier(target.member) == tier
-            ]
-            choice = self._choose_of_two(near, tier, now, warmup_s)
-            if choice is not None and (best is None or choice.load < best.load):
-                best = choice
-            if best is not None and best.load <= SPILL_LOAD:
-                return best
-        return best or self._choose_remote(targets, now, warmup_s)
+        by_tier: dict[Tier, list[Target]] = {tier: [] for tier in Tier}
+        for target in targets:
+            by_tier[self.find_tier(target.member)].append(target)
+        near = self._choose_of_two(
+            by_tier[Tier.DATA_CENTRE], Tier.DATA_CENTRE, demand, now
+        )
+        rule = demand.rule
+        if near is not None and near.load <= rule.near_load:
+            return near
+        region = self._choose_of_two(
+            by_tier[Tier.REGION], Tier.REGION, demand, now
+        )
+        best = _prefer_nearer(near, region, rule.region_margin)
+        if best is not None and best.load <= rule.near_load:
+            return best
+        remote = self._choose_remote(by_tier[Tier.REMOTE], demand, now)
+        if isinstance(remote, NoTarget):
+            return best or remote
+        if best is None and self._has_region_server(demand.service, now):
+            if remote.load + rule.remote_margin > ABSENT_LOAD:
+                return NoTarget(
+                    is_shedding=True, level=0, reason='no room in the region'
+                )
+        return _prefer_nearer(best, remote, rule.remote_margin) or remote
+
+    def _has_region_server(self, service: str, now: float) -> bool:
+        return any(
+            target.is_available(now)
+            and self.find_tier(target.member) != Tier.REMOTE
+            for target in self._targets.get(service, {}).values()
+        )
 
     def _choose_remote(
-        self, targets: Sequence[Target], now: float, warmup_s: float
+        self, targets: Sequence[Target], demand: Demand, now: float
     ) -> Choice | NoTarget:
         permitted = [
             target
             for target in targets
             if self.links.permits(self.find_region_pair(target.member), now)
         ]
-        choice = self._choose_of_two(permitted, Tier.REMOTE, now, warmup_s)
+        choice = self._choose_of_two(permitted, Tier.REMOTE, demand, now)
         if choice is None:
             return NoTarget(
                 is_shedding=True,
@@ -266,15 +337,39 @@
         self,
         targets: Sequence[Target],
         tier: Tier,
+        demand: Demand,
         now: float,
-        warmup_s: float,
     ) -> Choice | None:
         if not targets:
             return None
         pair = targets if len(targets) <= 2 else self._source.sample(targets, 2)
+        usual_s = self._find_usual_service_time(demand.service, now)
         loads = [
-            (target.compute_load(now, warmup_s), index)
+            (target.compute_load(now, demand.warmup_s, usual_s), index)
             for index, target in enumerate(pair)
         ]
         load, index = min(loads)
         return Choice(pair[index], tier, load)
+
+    def _find_usual_service_time(self, service: str, now: float) -> float:
+        """Return the median service time of a service's backend servers."""
+        known = self._usual_times.get(service)
+        if known is not None and now - known.found_at < USUAL_TIME_MEMORY_S:
+            return known.service_s
+        times = sorted(
+            target.service_s
+            for target in self._targets.get(service, {}).values()
+            if target.service_s > 0
+        )
+        usual_s = times[len(times) // 2] if len(times) > 2 else 0.0
+        self._usual_times[service] = _UsualTime(usual_s, now)
+        return usual_s
+
+
+def _prefer_nearer(
+    nearer: Choice | None, farther: Choice | None, margin: float
+) -> Choice | None:
+    """Return the nearer choice unless the farther has clearly more room."""
+    if nearer is None or farther is None:
+        return nearer or farther
+    return farther if farther.load + margin < nearer.load else nearer
--- a/merlintrail/state/_shedding.py
+++ b/merlintrail/state/_shedding.py
@@ -4,12 +4,12 @@
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
-from merlintrail.protocol import MAX_PRIORITY
+from merlintrail.protocol import MAX_PRIORITY, SUBLEVELS
 
 #: Seconds of one window of the controller.
 WINDOW_S: Final = 0.1
 #: Offered load in relation to capacity at which the queue stays filled.
-FILL_RATIO: Final = 1.2
+FILL_RATIO: Final = 1.1
 #: Seconds over which counts of earlier windows fade, at least.
 MIN_MEMORY_S: Final = 0.3
 #: The same in service times, so that a slow backend server is judged by
@@ -18,11 +18,21 @@
 #: Seconds that a reported level holds before it falls back.
 HOLD_S: Final = 0.3
 #: Priorities a second by which an old level falls back.
-FALLBACK_PER_S: Final = 96.0
+FALLBACK_PER_S: Final = 48.0
+#: Places of each importance class that pass also when the class is shed, so
+#: that none is shut out and its levels stay known.
+OPEN_PLACES: Final = 4
 #: Entries of a level table above which stale ones are removed.
 MAX_ENTRIES: Final = 4096
 
 
+def is_shed(priority: int, level: int) -> bool:
+    """Tell whether a level keeps a priority out."""
+    if priority >= level:
+        return False
+    return priority % SUBLEVELS < SUBLEVELS - OPEN_PLACES
+
+
 class ShedController:
     """Sets the shedding level of one backend server.
 
--- a/merlintrail/state/tests/test_admission.py
+++ b/merlintrail/state/tests/test_admission.py
@@ -8,7 +8,12 @@
 from hypothesis import strategies as st
 
 from merlintrail.protocol import SUBLEVELS, Importance, Reason, Refusal
-from merlintrail.state import Admission, FixedLimit, ShedController
+from merlintrail.state import (
+    Admission,
+    Claim,
+    FixedLimit,
+    ShedController,
+)
 from merlintrail.testing import run_virtually
 
 
@@ -23,7 +28,7 @@
     """Ask for a slot, hold it, and return the refusal if there was one."""
     loop = asyncio.get_running_loop()
     refusal = await admission.admit(
-        importance * SUBLEVELS, loop.time() + patience_s
+        Claim(importance * SUBLEVELS, loop.time() + patience_s)
     )
     if refusal is None:
         await asyncio.sleep(held_s)
--- a/merlintrail/state/tests/test_limits.py
+++ b/merlintrail/state/tests/test_limits.py
@@ -45,16 +45,23 @@
         now = 0.0
         for _ in range(10):
             now += 0.5
-            limit.record_refusal(now)
+            limit.record_refusal(now, limit.limit)
         self.assertLess(limit.limit, 10)
         _drive(limit, lambda running: 0.01, 20, now)
-        self.assertEqual(limit.limit, 20)
+        self.assertEqual(limit.limit, 19)
+
+    def test_refusals_of_an_idle_server_are_its_own_fault(self) -> None:
+        """A server that fails part of its calls keeps its slots."""
+        limit = create_limit(20, 0.0)
+        for step in range(50):
+            limit.record_refusal(step * 0.5, 3)
+        self.assertEqual(limit.limit, 19)
 
     def test_never_above_the_announced_slots(self) -> None:
         """Slots are a ceiling, also when they change."""
         limit = create_limit(10, 0.0)
         now = _drive(limit, lambda running: 0.001, 10, 0.0)
-        self.assertEqual(limit.limit, 10)
+        self.assertEqual(limit.limit, 9)
         limit.resize(4)
         _drive(limit, lambda running: 0.001, 10, now)
         self.assertEqual(limit.limit, 4)
--- a/merlintrail/state/tests/test_retry_account.py
+++ b/merlintrail/state/tests/test_retry_account.py
@@ -71,6 +71,6 @@
         granted = 0
         for _ in range(10000):
             budget.record_attempt()
-            granted += budget.spend()
+            granted += budget.spend(0.0)
         self.assertLessEqual(granted, 10000 * 0.1 + 3)
         self.assertGreater(granted, 900)
--- a/merlintrail/state/tests/test_routing.py
+++ b/merlintrail/state/tests/test_routing.py
@@ -6,6 +6,7 @@
 from merlintrail.protocol import CallReport
 from merlintrail.state import (
     Choice,
+    Demand,
     LinkAllowance,
     Member,
     MemberStatus,
@@ -58,7 +59,7 @@
 
     def choose(self, priority: int, *tried: str) -> Choice | NoTarget:
         """Choose for a call."""
-        return self.table.choose('svc', priority, tried, 0.0)
+        return self.table.choose(Demand('svc', priority), tried)
 
     def find(self, node_id: str) -> Target:
         """Return the target at a node."""
