--- a/merlintrail/coordination/_relay.py
+++ b/merlintrail/coordination/_relay.py
@@ -145,19 +145,40 @@
         lease = await self._store.grant_lease(LEASE_S)
         if isinstance(lease, StoreFailure):
             return None
-        own = self._membership.own
         for offset in range(RELAYS):
-            key = build_relay_key(own.data_centre, (place + offset) % RELAYS)
-            written = await self._store.write(
-                key, {'address': own.peer_address}, 0, lease
-            )
-            if isinstance(written, int):
+            if await self._claim_place((place + offset) % RELAYS, lease):
                 return lease
-            if written.fault != StoreFault.CONFLICT:
-                break
         await self._store.revoke_lease(lease)
         return None
 
+    async def _claim_place(self, place: int, lease: str) -> bool:
+        """Write the key of a place that is free, or was an ended process's."""
+        own = self._membership.own
+        key = build_relay_key(own.data_centre, place)
+        found = await self._store.read(key)
+        version = 0
+        if isinstance(found, StoreValue):
+            if not self._is_abandoned(found):
+                return False
+            version = found.version
+        elif found.fault != StoreFault.NOT_FOUND:
+            return False
+        document = {
+            'address': own.peer_address,
+            'incarnation': own.incarnation,
+        }
+        written = await self._store.write(key, document, version, lease)
+        return isinstance(written, int)
+
+    def _is_abandoned(self, found: StoreValue) -> bool:
+        """Tell whether another process now has the address of a relay."""
+        address = str(found.document['address'])
+        incarnation = found.document.get('incarnation', 0)
+        return any(
+            member.peer_address == address and member.incarnation > incarnation
+            for member in self._membership.table.list_present()
+        )
+
     async def _serve(self, lease: str) -> None:
         self._membership.update_own(is_relay=True)
         _LOG.info(
--- a/merlintrail/node/_backend_exchange.py
+++ b/merlintrail/node/_backend_exchange.py
@@ -6,7 +6,7 @@
 
 from merlintrail.node._backend import BackendProber
 from merlintrail.node._calls import OutgoingCall
-from merlintrail.node._contexts import ParentCall
+from merlintrail.node._contexts import ParentCall, name_sort
 from merlintrail.node._gate import Gate
 from merlintrail.node._suspicions import Suspicions
 from merlintrail.observability import log_decision
@@ -114,7 +114,7 @@
         if verdict == BackendVerdict.ANSWERED or (
             verdict == BackendVerdict.SHED and not is_shed
         ):
-            gate.admission.record_service(held_s)
+            gate.admission.record_service(held_s, name_sort(parent.header))
             gate.limit.record_success(
                 now,
                 parent.compute_own_time(held_s),
--- a/merlintrail/node/_calls.py
+++ b/merlintrail/node/_calls.py
@@ -43,6 +43,9 @@
     caller_service: str = ''
     #: Milliseconds within which an answer is worth most, if stated.
     objective_ms: float | None = None
+    #: Backend servers that the call may be handed to, ``None`` for no bound
+    #: but the account.
+    attempts: int | None = None
 
 
 def compute_call_digest(call: OutgoingCall) -> str:
--- a/merlintrail/node/_contexts.py
+++ b/merlintrail/node/_contexts.py
@@ -64,6 +64,11 @@
             task.cancel()
 
 
+def name_sort(header: CallHeader) -> str:
+    """Name the sort of a call: calls of one sort take about as long."""
+    return f'{header.kind} {header.depth}'
+
+
 class ContextTable:
     """Finds the parent of a call by the token that it carries."""
 
--- a/merlintrail/node/_dispatch.py
+++ b/merlintrail/node/_dispatch.py
@@ -11,7 +11,11 @@
     OutgoingCall,
 )
 from merlintrail.node._exchange import PeerExchange
-from merlintrail.node._retry_policy import RetryPolicy, has_failed_there
+from merlintrail.node._retry_policy import (
+    Attempts,
+    RetryPolicy,
+    has_failed_there,
+)
 from merlintrail.node._suspicions import Suspicions
 from merlintrail.observability import NodeMetrics, log_decision
 from merlintrail.protocol import (
@@ -86,6 +90,7 @@
         self.tried: list[str] = []
         #: Shedding levels that the attempts met.
         self.levels: dict[str, int] = {}
+        self.attempts = Attempts()
         #: Calls made, at all depths.
         self.calls = 0
         #: The answer that ends the call.
@@ -96,6 +101,7 @@
     def take(self, gate_result: GateResult) -> None:
         """Take what came of an attempt."""
         answer = gate_result.answer
+        self.attempts = self.attempts.add(gate_result)
         self.calls += 1 + gate_result.report.calls_below
         if isinstance(answer, Refusal):
             self.take_refusal(answer, is_sent=True)
@@ -154,22 +160,23 @@
                 break
             progress.tried.append(choice.target.member.node_id)
             gate_result = await self._attempt(call, choice)
-            progress.levels = merge_levels(
-                progress.levels,
-                self._list_levels(choice.target, gate_result.report),
-            )
+            levels = self._list_levels(choice.target, gate_result.report)
+            progress.levels = merge_levels(progress.levels, levels)
+            if call.depth == 1:
+                self._routing.path_levels.record(
+                    call.kind,
+                    choice.target.member.data_centre,
+                    levels,
+                    self._clock(),
+                )
             progress.take(gate_result)
             if progress.answer is not None:
                 break
             if not self._retries.may_send_again(
-                call, gate_result, len(progress.tried)
+                call, gate_result, progress.attempts
             ):
                 break
             self._parts.metrics.record_retry(call.service)
-        if call.depth == 1:
-            self._routing.path_levels.record(
-                call.kind, progress.levels, self._clock()
-            )
         return CallResult(
             progress.choose_answer(), progress.levels, progress.calls
         )
@@ -178,7 +185,8 @@
         self, target: Target, report: CallReport
     ) -> dict[str, int]:
         """Return the levels that an attempt met, its own server's too."""
-        place = name_place(target.offer.service, target.member.data_centre)
+        data_centre = target.member.data_centre
+        place = name_place(target.offer.service, data_centre)
         levels = dict(report.path_levels)
         if self._shedding.should_tell(place, report.level, self._clock()):
             levels[place] = report.level
--- a/merlintrail/node/_gatekeeper.py
+++ b/merlintrail/node/_gatekeeper.py
@@ -16,7 +16,7 @@
     OutgoingCall,
     build_peer_answer,
 )
-from merlintrail.node._contexts import ContextTable, ParentCall
+from merlintrail.node._contexts import ContextTable, ParentCall, name_sort
 from merlintrail.node._gate import Gate
 from merlintrail.node._suspicions import Suspicions
 from merlintrail.observability import NodeMetrics, log_decision
@@ -123,15 +123,19 @@
         self._parts.on_change()
         return order
 
-    def dismiss(self, identity: str) -> bool:
+    def dismiss(self, identity: str, started_at_ms: int | None) -> bool:
         """Take note that a backend server leaves; it gets no new call.
 
+        :param started_at_ms: start of the run that leaves. Without it every
+            run of that identity that has begun by now is leaving.
         :returns: False when it is not one beside this node.
         """
+        if started_at_ms is None:
+            started_at_ms = int(self._parts.wall_clock() * _MS_PER_S)
+        self._departures.record(identity, started_at_ms)
         for gate in self.gates.values():
             announcement = gate.backend.announcement
-            if announcement.identity == identity:
-                self._departures.record(identity, announcement.started_at_ms)
+            if self._departures.includes(announcement):
                 gate.backend.is_draining = True
                 gate.admission.refuse_waiting(Reason.DRAINING)
                 self._log_announcement(announcement, None)
@@ -352,5 +356,9 @@
     if header.objective_ms is not None:
         objective_s = header.objective_ms / _MS_PER_S
     return Claim(
-        header.priority, parent.deadline, header.depth > 1, objective_s
+        header.priority,
+        parent.deadline,
+        header.depth > 1,
+        objective_s,
+        name_sort(header),
     )
--- a/merlintrail/node/_ingress.py
+++ b/merlintrail/node/_ingress.py
@@ -268,6 +268,7 @@
             arrival.headers.key,
             self._parts.find_own_service(),
             kind.objective_ms,
+            kind.attempts,
         )
 
     def _build_child(
--- a/merlintrail/node/_joiner.py
+++ b/merlintrail/node/_joiner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Final, NamedTuple
 
 from merlintrail.coordination import (
@@ -39,12 +39,27 @@
         self._source = source
 
     async def run(self) -> None:
-        """Find other nodes; go on until one is found or this is a relay."""
+        """Find other nodes; go on until one is found or this is a relay.
+
+        The configuration is fetched meanwhile: the others may have started
+        at the same time and know none either.
+        """
+        await asyncio.gather(
+            self._repeat(self._try_join), self._repeat(self._try_fetch)
+        )
+
+    async def _repeat(self, attempt: Callable[[], Awaitable[bool]]) -> None:
         pause_s = MIN_JOIN_PAUSE_S
-        while not await self._try_join():
+        while not await attempt():
             await asyncio.sleep(pause_s * self._source.uniform(0.5, 1.5))
             pause_s = min(MAX_JOIN_PAUSE_S, pause_s * 2)
 
+    async def _try_fetch(self) -> bool:
+        holder = self._parts.membership.holder
+        if holder.current is None:
+            await self._parts.relay.fetch()
+        return holder.current is not None
+
     async def _try_join(self) -> bool:
         own_data_centre = self._parts.settings.data_centre
         relays = await find_relays(self._parts.store)
@@ -55,8 +70,6 @@
         ]
         if await self._join_any([*near, *self._parts.settings.join]):
             return True
-        if self._parts.membership.holder.current is None:
-            await self._parts.relay.fetch()
         others = [
             relay.address
             for relay in relays
--- a/merlintrail/node/_retry_policy.py
+++ b/merlintrail/node/_retry_policy.py
@@ -1,11 +1,17 @@
 """Whether a call that failed or was refused is sent again."""
 
 from collections.abc import Callable
-from typing import Final
+from typing import Final, NamedTuple
 
 from merlintrail.node._calls import GateResult, OutgoingCall
 from merlintrail.node._suspicions import Suspicions
-from merlintrail.protocol import Outcome, Reason, Refusal
+from merlintrail.protocol import (
+    SUBLEVELS,
+    Importance,
+    Outcome,
+    Reason,
+    Refusal,
+)
 from merlintrail.state import RetryBudgets
 from merlintrail.transport import HttpResponse
 
@@ -33,6 +39,24 @@
 _HANDED: Final = frozenset((Reason.BACKEND_REFUSED, Reason.BACKEND_DISPLACED))
 
 
+class Attempts(NamedTuple):
+    """Attempts that were made of one call."""
+
+    #: Those in which a backend server was handed the call, or may have been.
+    handed: int = 0
+    #: Those in which none was.
+    redirects: int = 0
+
+    def add(self, gate_result: GateResult) -> 'Attempts':
+        """Count one more attempt."""
+        answer = gate_result.answer
+        if isinstance(answer, Refusal):
+            is_proved = answer.outcome == Outcome.NOT_RUN
+            if is_proved and answer.reason not in _HANDED:
+                return self._replace(redirects=self.redirects + 1)
+        return self._replace(handed=self.handed + 1)
+
+
 class RetryPolicy:
     """Decides on further attempts, within the bounds on retries.
 
@@ -53,12 +77,9 @@
         self.budgets.find(call.service).record_attempt()
 
     def may_send_again(
-        self, call: OutgoingCall, gate_result: GateResult, attempts: int
+        self, call: OutgoingCall, gate_result: GateResult, made: Attempts
     ) -> bool:
-        """Tell whether to send a call again, and take what that costs.
-
-        :param attempts: nodes that the call was sent to.
-        """
+        """Tell whether to send a call again, and take what that costs."""
         is_hopeless = (
             not gate_result.report.may_retry
             or call.deadline <= self._clock()
@@ -68,21 +89,26 @@
             return False
         answer = gate_result.answer
         cost = 1.0 + gate_result.report.calls_below
+        has_attempt = call.attempts is None or made.handed < call.attempts
         if isinstance(answer, HttpResponse):
-            return call.is_idempotent and self._take_retry(call, cost)
+            is_allowed = has_attempt and call.is_idempotent
+            return is_allowed and self._take_retry(call, cost)
         is_proved = answer.outcome == Outcome.NOT_RUN
         is_safe = is_proved or call.is_idempotent
         if answer.reason not in _ELSEWHERE or not is_safe:
             return False
         if is_proved and answer.reason not in _HANDED:
-            return attempts <= MAX_REDIRECTS
-        return self._take_retry(call, cost)
+            return made.redirects <= MAX_REDIRECTS
+        return has_attempt and self._take_retry(call, cost)
 
     def _take_retry(self, call: OutgoingCall, cost: float) -> bool:
         """Take a retry that will make about as many calls as before."""
         if not call.account.spend():
             return False
-        return self.budgets.find(call.service).spend(self._clock(), cost)
+        budget = self.budgets.find(call.service)
+        is_important = call.priority >= Importance.HIGH * SUBLEVELS
+        is_urgent = is_important or call.depth == 1
+        return budget.spend(self._clock(), cost, is_urgent=is_urgent)
 
 
 def has_failed_there(gate_result: GateResult) -> bool | None:
--- a/merlintrail/platform/_heartbeats.py
+++ b/merlintrail/platform/_heartbeats.py
@@ -24,8 +24,8 @@
     """What takes the announcements."""
 
     announce: Callable[[Announcement], AnnouncementOrder]
-    #: Takes the identity of a backend server that leaves.
-    dismiss: Callable[[str], bool]
+    #: Takes identity and start of a backend server that leaves.
+    dismiss: Callable[[str, int | None], bool]
     #: Tells whether the configuration names a service.
     is_service: Callable[[str], bool]
     #: ``host:port`` at which the backend server beside the node listens.
@@ -48,7 +48,7 @@
             return self._take_heartbeat(identity, request.body)
         if target.startswith(_LEAVE_PATH):
             identity = target.removeprefix(_LEAVE_PATH)
-            is_known = self._parts.dismiss(identity)
+            is_known = self._parts.dismiss(identity, _read_start(request.body))
             log_decision(
                 'backend-server-leave', identity=identity, is_known=is_known
             )
@@ -116,5 +116,12 @@
     return announcement
 
 
+def _read_start(body: bytes) -> int | None:
+    """Return the start that a leave tells, ``None`` when it tells none."""
+    document = decode_json(body or b'{}')
+    started = document.get('born') if isinstance(document, dict) else None
+    return started if isinstance(started, int) else None
+
+
 def _build_error(status: int, findings: tuple[str, ...]) -> HttpResponse:
     return HttpResponse(status, _JSON, encode_json({'findings': findings}))
--- a/merlintrail/state/_admission.py
+++ b/merlintrail/state/_admission.py
@@ -19,6 +19,11 @@
 #: faster than a fall, so that the queue shortens as soon as calls slow down.
 RISE_WEIGHT: Final = 0.2
 FALL_WEIGHT: Final = 0.05
+#: Weight of a new sample in the service time of one sort of calls.
+SORT_WEIGHT: Final = 0.1
+#: Part of the usual service time that must be left to begin a call; many
+#: calls take less than usual.
+MIN_TIME_LEFT: Final = 0.7
 #: Service time assumed before the first call, in seconds.
 INITIAL_SERVICE_S: Final = 0.005
 #: Share of the remaining time that may pass in the queue.
@@ -29,6 +34,8 @@
 OVERLOAD_WAIT: Final = 0.5
 #: Share of the objective that a call may wait before it is refused.
 OBJECTIVE_WAIT_SHARE: Final = 0.125
+#: Sorts of calls whose service times are kept.
+MAX_SORTS: Final = 256
 #: Longest pause that a refused caller is asked for, in seconds.
 MAX_RETRY_AFTER_S: Final = 5.0
 
@@ -43,6 +50,8 @@
     is_below: bool = False
     #: Seconds within which an answer is worth most, if stated.
     objective_s: float | None = None
+    #: Sort of call whose service time is kept apart.
+    sort: str = ''
 
     @property
     def queue(self) -> int:
@@ -88,6 +97,8 @@
         #: Mean time in seconds for which a call holds its slot.
         self.service_s = INITIAL_SERVICE_S
         self._clock = clock
+        self._service_by_sort: dict[str, float] = {}
+        self._waiting_below = 0
         self._queues: list[deque[QueuedCall]] = [
             deque() for _ in range(len(Importance) * 2)
         ]
@@ -108,15 +119,22 @@
         if refusal is not None:
             return refusal
         if self.running < self.limit.limit and not self.queued:
-            self.running += 1
+            self._take_slot()
             return None
         self.shedder.record_saturation()
-        return await self._wait(claim)
+        if not claim.is_below:
+            return await self._wait(claim)
+        self._count_waiting(1)
+        try:
+            return await self._wait(claim)
+        finally:
+            self._count_waiting(-1)
 
     def release(self) -> None:
         """Give a slot back and start what waits."""
         self.running -= 1
         self.start_waiting()
+        self._observe()
 
     def start_waiting(self) -> None:
         """Give free slots to waiting calls."""
@@ -124,7 +142,7 @@
             call = self._take_next()
             if call is None:
                 return
-            self.running += 1
+            self._take_slot()
             call.decision.set_result(None)
 
     def refuse_waiting(self, reason: Reason) -> None:
@@ -135,12 +153,19 @@
                 if not waiting.decision.done():
                     waiting.decision.set_result(self._refuse(reason))
 
-    def record_service(self, held_s: float) -> None:
+    def record_service(self, held_s: float, sort: str = '') -> None:
         """Take the time for which a completed call held its slot."""
         self.shedder.record_completion(self.service_s)
-        difference = held_s - self.service_s
-        weight = RISE_WEIGHT if difference > 0 else FALL_WEIGHT
-        self.service_s += difference * weight
+        self.service_s = _follow(self.service_s, held_s)
+        if len(self._service_by_sort) > MAX_SORTS:
+            self._service_by_sort.clear()
+        known_s = self._service_by_sort.get(sort, held_s)
+        self._service_by_sort[sort] = known_s + (held_s - known_s) * SORT_WEIGHT
+
+    def estimate_least_service(self, sort: str) -> float:
+        """Estimate the seconds that a call needs at least."""
+        usual_s = self._service_by_sort.get(sort, self.service_s)
+        return usual_s * MIN_TIME_LEFT
 
     def estimate_wait(self, claim: Claim) -> float:
         """Estimate the seconds until a call would start."""
@@ -153,7 +178,8 @@
         wait_s = self.estimate_wait(claim)
         if claim.is_below and wait_s > self.service_s * OVERLOAD_WAIT:
             self.shedder.record_overflow()
-        if now + wait_s + self.service_s > claim.deadline:
+        service_s = self.estimate_least_service(claim.sort)
+        if now + wait_s + service_s > claim.deadline:
             if wait_s > 0:
                 self.shedder.record_overflow()
                 self._give_up_lesser(claim)
@@ -167,7 +193,8 @@
         return None
 
     async def _wait(self, claim: Claim) -> Refusal | None:
-        call = QueuedCall(claim, claim.deadline - self.service_s)
+        service_s = self.estimate_least_service(claim.sort)
+        call = QueuedCall(claim, claim.deadline - service_s)
         if not self._make_room(call):
             self.shedder.record_overflow()
             return self._refuse(Reason.OVERLOAD)
@@ -270,3 +297,23 @@
             reason,
             retry_after_s=min(MAX_RETRY_AFTER_S, 1.0 + pause_s),
         )
+
+    def _take_slot(self) -> None:
+        self.running += 1
+        self._observe()
+
+    def _count_waiting(self, change: int) -> None:
+        self._waiting_below += change
+        self._observe()
+
+    def _observe(self) -> None:
+        self.shedder.observe(
+            self._clock(), self.running, self._waiting_below, self.limit.limit
+        )
+
+
+def _follow(mean_s: float, sample_s: float) -> float:
+    """Return a mean that follows a rise faster than a fall."""
+    difference = sample_s - mean_s
+    weight = RISE_WEIGHT if difference > 0 else FALL_WEIGHT
+    return mean_s + difference * weight
--- a/merlintrail/state/_document.py
+++ b/merlintrail/state/_document.py
@@ -8,6 +8,9 @@
 from merlintrail.state._kinds import RequestKind
 from merlintrail.state._routes import Route, RouteTable, ServiceShare
 
+#: Retries over the whole tree of a request for each further attempt that its
+#: route permits, unless the route states them.
+TREE_RETRIES: Final = 4
 _BYTES_PER_MEGABYTE: Final = 1000000
 _DEFAULT_RETRIES: Final = 2
 _DEFAULT_QUEUE_LIMIT_MS: Final = 100.0
@@ -149,6 +152,7 @@
     shares = tuple(
         ServiceShare(entry['service'], entry['weight']) for entry in split
     )
+    attempts = document.get('attempts', 1)
     kind = RequestKind(
         shares[0].service,
         document['name'],
@@ -157,8 +161,9 @@
         read_importance(document['importance']),
         document['idempotent'],
         document['timeout_ms'],
-        document.get('attempts', 1) - 1,
+        document.get('retries', (attempts - 1) * TREE_RETRIES),
         document.get('objective_ms'),
+        attempts,
     )
     return Route(document['host'], document['prefix'], shares, kind)
 
--- a/merlintrail/state/_kinds.py
+++ b/merlintrail/state/_kinds.py
@@ -21,6 +21,8 @@
     retries: int
     #: Milliseconds within which an answer is worth most, if stated.
     objective_ms: float | None = None
+    #: Backend servers that one call of the kind may be handed to.
+    attempts: int | None = None
 
     @property
     def full_name(self) -> str:
--- a/merlintrail/state/_path_levels.py
+++ b/merlintrail/state/_path_levels.py
@@ -29,15 +29,29 @@
         self._levels = LevelTable()
         self._reach: dict[str, dict[str, float]] = {}
 
-    def record(self, kind: str, levels: Mapping[str, int], now: float) -> None:
+    def record(
+        self,
+        kind: str,
+        data_centre: str,
+        levels: Mapping[str, int],
+        now: float,
+    ) -> None:
         """Take the levels that an answer of a kind told.
 
+        A call below that left the data centre of its request tells what the
+        next request there will meet.
+
+        :param data_centre: where the request was sent.
         :param levels: levels by the names that :func:`name_place` gives.
         """
+        met: dict[str, int] = {}
         for place, level in levels.items():
             service = place.partition('@')[0]
             self._reach.setdefault(kind, {})[service] = now
             self._levels.record(place, level, now)
+            met[service] = max(level, met.get(service, 0))
+        for service, highest in met.items():
+            self._levels.record(name_place(service, data_centre), highest, now)
 
     def read(self, kind: str, data_centre: str, now: float) -> int:
         """Return the highest level on the way of a kind in a data centre."""
--- a/merlintrail/state/_retry_account.py
+++ b/merlintrail/state/_retry_account.py
@@ -7,6 +7,9 @@
 #: Retries that a node may always make, so that low traffic can retry too.
 BUDGET_FLOOR: Final = 3.0
 
+#: Part of a budget that is kept for urgent calls.
+URGENT_SHARE: Final = 0.5
+
 
 class RetryAccount:
     """Retries left to one call and everything below it.
@@ -70,16 +73,22 @@
         """Credit the budget for one first attempt."""
         self._tokens = min(self._ceiling, self._tokens + self.share)
 
-    def spend(self, now: float, cost: float = 1.0) -> bool:
+    def spend(
+        self, now: float, cost: float = 1.0, *, is_urgent: bool = True
+    ) -> bool:
         """Take one retry; return False when the share is used up.
 
         :param cost: calls that the retry will make in all.
+        :param is_urgent: whether the last part of the budget may be used.
         """
         if self._refilled_at is not None:
             refill = (now - self._refilled_at) * self.base_per_s
             self._tokens = min(self._ceiling, self._tokens + refill)
         self._refilled_at = now
-        if self._tokens < min(cost, self._ceiling):
+        needed = min(cost, self._ceiling)
+        if not is_urgent:
+            needed = max(needed, self._ceiling * URGENT_SHARE)
+        if self._tokens < needed:
             return False
         self._tokens -= cost
         return True
