--- a/merlintrail/daemon/_main.py
+++ b/merlintrail/daemon/_main.py
@@ -13,22 +13,15 @@
 from absl import app, flags
 
 from merlintrail.console import start_console
-from merlintrail.coordination import create_http_store
+from merlintrail.daemon._process import create_process
+from merlintrail.daemon._reload import SettingsReloader
 from merlintrail.node import (
-    Environment,
     InvalidSettings,
     Node,
     Settings,
-    create_environment,
-    create_node,
     parse_settings,
 )
 from merlintrail.observability import JsonLinesHandler, open_log
-from merlintrail.platform import (
-    PlatformDialect,
-    PlatformStoreWire,
-    start_adapter,
-)
 
 #: Exit status for settings that have faults.
 EXIT_SETTINGS: Final = 2
@@ -55,8 +48,9 @@
     if len(arguments) > 1 or _SETTINGS.value is None:
         sys.stderr.write('usage: merlintraild --settings FILE\n')
         return EXIT_SETTINGS
-    settings = _load_settings(_SETTINGS.value)
-    if settings is None:
+    text = _read_settings(_SETTINGS.value)
+    settings = None if text is None else _check_settings(text)
+    if text is None or settings is None:
         return EXIT_SETTINGS
     try:
         log = open_log(settings.log_path, settings.log_level)
@@ -66,58 +60,58 @@
     sys.setswitchinterval(SWITCH_INTERVAL_S)
     gc.set_threshold(GC_THRESHOLD, 20, 100)
     with log.applicationbound():
-        status = uvloop.run(_serve(settings, log))
+        status = uvloop.run(_serve(settings, text, log))
     log.flush()
     sys.stderr.flush()
     # Threads that wait for the store must not delay the end.
     os._exit(status)
 
 
-def _load_settings(path: str) -> Settings | None:
+def _read_settings(path: str) -> str | None:
     try:
-        text = Path(path).read_text(encoding='utf-8')
-    except OSError as error:
-        sys.stderr.write(f'{path}: {error.strerror}\n')
+        return Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        sys.stderr.write(f'{path}: {error}\n')
         return None
+
+
+def _check_settings(text: str) -> Settings | None:
     settings = parse_settings(text)
     if isinstance(settings, InvalidSettings):
         for finding in settings.findings:
-            sys.stderr.write(f'{path}: {finding}\n')
+            sys.stderr.write(f'{_SETTINGS.value}: {finding}\n')
         return None
     return settings
 
 
-async def _serve(settings: Settings, log: JsonLinesHandler) -> int:
-    node = create_node(settings, _create_environment(settings))
+async def _serve(settings: Settings, text: str, log: JsonLinesHandler) -> int:
+    process = create_process(settings)
     loop = asyncio.get_running_loop()
+    reloader = SettingsReloader(str(_SETTINGS.value), text, process.apply)
+    node = process.node
+    loop.add_signal_handler(signal.SIGHUP, reloader.ask)
     loop.add_signal_handler(signal.SIGTERM, node.begin_stop, 'SIGTERM')
     loop.add_signal_handler(signal.SIGINT, node.lifecycle.stopped.set)
     try:
         await node.start()
-        if settings.platform is not None:
-            await start_adapter(node, settings.platform)
+        await process.start_adapter()
         console = start_console(node, loop)
     except OSError as error:
         sys.stderr.write(f'cannot listen: {error}\n')
         return EXIT_ADDRESS
-    flusher = loop.create_task(_flush_log(log))
+    tasks = [
+        loop.create_task(_flush_log(log)),
+        loop.create_task(reloader.run()),
+    ]
     gc.freeze()
     await node.lifecycle.stopped.wait()
-    flusher.cancel()
+    for task in tasks:
+        task.cancel()
     await _stop(node)
     console.stop()
     return 0
 
 
-def _create_environment(settings: Settings) -> Environment:
-    """Choose how store, callers and backend servers are spoken to."""
-    if settings.platform is None:
-        return create_environment(create_http_store(settings.store_addresses))
-    wire = PlatformStoreWire(settings.platform)
-    store = create_http_store(settings.store_addresses, wire)
-    return create_environment(store, PlatformDialect())
-
-
 async def _flush_log(log: JsonLinesHandler) -> None:
     while True:
         await asyncio.sleep(LOG_FLUSH_S)
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -142,6 +142,20 @@
         self._peer_pool.close()
         _LOG.info('node stopped', extra={'instance': self.settings.instance})
 
+    def update_settings(self, settings: Settings) -> None:
+        """Take changed settings; addresses and names need a new start."""
+        kept = self.settings._asdict()
+        changed = [
+            name
+            for name, known in settings._asdict().items()
+            if name != 'platform' and known != kept[name]
+        ]
+        if changed:
+            _LOG.warning(
+                'settings that need a new start', extra={'names': changed}
+            )
+        self.settings = self.settings._replace(platform=settings.platform)
+
     def begin_stop(self, reason: str) -> None:
         """End without cutting a call, in the time that the platform gives."""
         platform = self.settings.platform
--- a/merlintrail/platform/_adapter.py
+++ b/merlintrail/platform/_adapter.py
@@ -29,7 +29,7 @@
                 node.gatekeeper.announce,
                 node.gatekeeper.dismiss,
                 self._is_service,
-                settings.backend_address,
+                lambda: self._settings.backend_address,
             )
         )
 
@@ -45,6 +45,10 @@
             host, port = split_host_port(address)
             self._servers.append(await start_server(handler, host, port))
 
+    def update_settings(self, settings: PlatformSettings) -> None:
+        """Take changed settings."""
+        self._settings = settings
+
     def stop(self) -> None:
         """Close the listeners."""
         for server in self._servers:
--- a/merlintrail/platform/_heartbeats.py
+++ b/merlintrail/platform/_heartbeats.py
@@ -28,8 +28,8 @@
     dismiss: Callable[[str, int | None], bool]
     #: Tells whether the configuration names a service.
     is_service: Callable[[str], bool]
-    #: ``host:port`` at which the backend server beside the node listens.
-    backend_address: str
+    #: Returns the address of the backend server beside the node.
+    find_address: Callable[[], str]
 
 
 class HeartbeatService:
@@ -75,7 +75,7 @@
         findings = []
         if not self._parts.is_service(announcement.service):
             findings.append(f'no service {announcement.service!r}')
-        if announcement.address != self._parts.backend_address:
+        if announcement.address != self._parts.find_address():
             findings.append(f'{announcement.address} is not beside this node')
         return (
             InvalidAnnouncement(tuple(findings)) if findings else announcement
--- a/merlintrail/platform/_store_wire.py
+++ b/merlintrail/platform/_store_wire.py
@@ -34,7 +34,8 @@
     """Spells the calls as the platform's store takes them."""
 
     def __init__(self, settings: PlatformSettings) -> None:
-        self._settings = settings
+        #: Settings from which the document is completed.
+        self.settings = settings
 
     def build_read(self, key: str) -> StoreCall[StoreValue]:
         """Build the read of one key."""
@@ -152,7 +153,7 @@
         if isinstance(content, DecodeFailure):
             raise ValueError(content.reason)
         if key == CONFIGURATION_KEY:
-            content = build_envelope(content, self._settings)
+            content = build_envelope(content, self.settings)
         return StoreItem(key, content, entry['Revision'])
 
 
