--- a/merlintrail/node/_dispatch.py
+++ b/merlintrail/node/_dispatch.py
@@ -30,6 +30,7 @@
     Choice,
     ConfigurationHolder,
     Demand,
+    MessageSizes,
     NoTarget,
     RetryBudgetSettings,
     RoutingTable,
@@ -55,9 +56,16 @@
 #: Part of the allowed share of retries that is used, since requests are
 #: counted by each node as it sees them.
 SAFE_SHARE: Final = 0.8
+#: Bytes of the headers of a call and its answer between nodes.
+HEADER_BYTES: Final = 900
 _MS_PER_S: Final = 1000
 
 
+def _name_size(call: OutgoingCall) -> str:
+    """Name the calls that are about as large as a call."""
+    return call.kind if call.depth == 1 else call.service
+
+
 class LocalGate(Protocol):
     """The way to the backend servers beside this node."""
 
@@ -135,6 +143,7 @@
         self._clock = parts.clock
         self._retries = RetryPolicy(parts.suspicions, parts.clock)
         self._shedding = SheddingMemory()
+        self._sizes = MessageSizes()
 
     def configure_retries(
         self, settings: RetryBudgetSettings, nodes: int
@@ -163,12 +172,7 @@
             levels = self._list_levels(choice.target, gate_result.report)
             progress.levels = merge_levels(progress.levels, levels)
             if call.depth == 1:
-                self._routing.path_levels.record(
-                    call.kind,
-                    choice.target.member.data_centre,
-                    levels,
-                    self._clock(),
-                )
+                self._record_place(call, choice.target, gate_result, levels)
             progress.take(gate_result)
             if progress.answer is not None:
                 break
@@ -181,6 +185,27 @@
             progress.choose_answer(), progress.levels, progress.calls
         )
 
+    def _record_place(
+        self,
+        call: OutgoingCall,
+        target: Target,
+        gate_result: GateResult,
+        levels: dict[str, int],
+    ) -> None:
+        """Take note of what a request met where it was sent."""
+        now = self._clock()
+        data_centre = target.member.data_centre
+        self._routing.path_levels.record(call.kind, data_centre, levels, now)
+        answer = gate_result.answer
+        has_failed = gate_result.report.is_failure
+        if isinstance(answer, Refusal):
+            if answer.outcome == Outcome.NOT_RUN:
+                return
+            has_failed = True
+        self._routing.outcomes.record(
+            call.kind, data_centre, has_failed=has_failed, now=now
+        )
+
     def _list_levels(
         self, target: Target, report: CallReport
     ) -> dict[str, int]:
@@ -214,6 +239,7 @@
             warmup_s,
             is_below=call.depth > 1,
             kind=call.kind,
+            size=self._sizes.read(_name_size(call)),
         )
         choice = self._routing.choose(demand, tried)
         if isinstance(choice, Choice):
@@ -256,6 +282,9 @@
             target.in_flight -= 1
         now = self._clock()
         report = gate_result.report
+        if isinstance(gate_result.answer, HttpResponse):
+            size = len(call.body) + len(gate_result.answer.body)
+            self._sizes.record(_name_size(call), size + HEADER_BYTES)
         call.account.restore(share, report.retries)
         if report.call_id:
             target.record_report(report, now - started_at, now)
--- a/merlintrail/state/__init__.py
+++ b/merlintrail/state/__init__.py
@@ -29,6 +29,7 @@
     ServiceOffer,
     read_member,
 )
+from merlintrail.state._message_sizes import MessageSizes
 from merlintrail.state._path_levels import (
     PathLevels,
     SheddingMemory,
@@ -103,6 +104,7 @@
     'Member',
     'MemberStatus',
     'MemberTable',
+    'MessageSizes',
     'NoTarget',
     'ParsedDocument',
     'PathLevels',
--- a/merlintrail/state/_routing.py
+++ b/merlintrail/state/_routing.py
@@ -8,6 +8,7 @@
 from merlintrail.state._links import LinkAllowance
 from merlintrail.state._members import Member, MemberStatus, ServiceOffer
 from merlintrail.state._path_levels import PathLevels
+from merlintrail.state._place_outcomes import PlaceOutcomes
 from merlintrail.state._shedding import is_shed
 from merlintrail.state._targets import Target
 
@@ -46,9 +47,20 @@
     #: The same for another region.
     remote_margin: float
 
+    def add_size(self, size: float) -> 'SpillRule':
+        """Return the rule for a message of that many bytes."""
+        return self._replace(
+            region_margin=self.region_margin + size / REGION_BYTES,
+            remote_margin=self.remote_margin + size / REMOTE_BYTES,
+        )
+
 
+#: Bytes of a message and its answer that weigh as much as the whole load of a
+#: backend server, to another data centre of the region and to another region.
+REGION_BYTES: Final = 32000.0
+REMOTE_BYTES: Final = 8000.0
 #: Rule for a request: with it moves all that is called for it.
-REQUEST_RULE: Final = SpillRule(0.95, 0.3, 0.8)
+REQUEST_RULE: Final = SpillRule(0.95, 0.25, 0.6)
 #: Rule for a call below another: its request makes several of them.
 BELOW_RULE: Final = SpillRule(1.4, 0.6, 2.0)
 
@@ -64,11 +76,14 @@
     is_below: bool = False
     #: Name of the request kind, by which levels further down are known.
     kind: str = ''
+    #: Bytes that such a call and its answer take.
+    size: float = 0.0
 
     @property
     def rule(self) -> SpillRule:
         """When the call leaves its data centre."""
-        return BELOW_RULE if self.is_below else REQUEST_RULE
+        rule = BELOW_RULE if self.is_below else REQUEST_RULE
+        return rule.add_size(self.size)
 
 
 class Choice(NamedTuple):
@@ -115,6 +130,8 @@
         self._usual_times: dict[str, _UsualTime] = {}
         #: Shedding levels on the way of each request kind.
         self.path_levels = PathLevels()
+        #: How requests fare in each data centre.
+        self.outcomes = PlaceOutcomes()
         #: Allowance of bytes between regions.
         self.links = LinkAllowance()
         #: Whether members that appear are new rather than newly learnt.
@@ -345,12 +362,26 @@
         pair = targets if len(targets) <= 2 else self._source.sample(targets, 2)
         usual_s = self._find_usual_service_time(demand.service, now)
         loads = [
-            (target.compute_load(now, demand.warmup_s, usual_s), index)
+            (
+                target.compute_load(now, demand.warmup_s, usual_s)
+                + self._find_place_load(target, demand, now),
+                index,
+            )
             for index, target in enumerate(pair)
         ]
         load, index = min(loads)
         return Choice(pair[index], tier, load)
 
+    def _find_place_load(
+        self, target: Target, demand: Demand, now: float
+    ) -> float:
+        """Return the load that failing requests in a place stand for."""
+        if demand.is_below:
+            return 0.0
+        return self.outcomes.compute_load(
+            demand.kind, target.member.data_centre, now
+        )
+
     def _find_usual_service_time(self, service: str, now: float) -> float:
         """Return the median service time of a service's backend servers."""
         known = self._usual_times.get(service)
