--- a/merlintrail/node/_dispatch.py
+++ b/merlintrail/node/_dispatch.py
@@ -265,7 +265,7 @@
             service=call.service,
             reason=reason.value,
             detail=absence.reason,
-            level=absence.level,
+            shed_level=absence.level,
             priority=call.priority,
         )
         return Refusal(Outcome.NOT_RUN, reason, absence.reason)
--- a/merlintrail/node/_gatekeeper.py
+++ b/merlintrail/node/_gatekeeper.py
@@ -321,7 +321,7 @@
             outcome=report.outcome,
             reason=report.reason,
             priority=header.priority,
-            level=report.level,
+            shed_level=report.level,
             in_flight=report.in_flight,
         )
 
--- a/merlintrail/observability/_logs.py
+++ b/merlintrail/observability/_logs.py
@@ -2,6 +2,7 @@
 
 import sys
 from collections.abc import Mapping
+from datetime import UTC, datetime
 from pathlib import Path
 from typing import Any, Final, TextIO
 
@@ -9,9 +10,7 @@
 import orjson
 
 from merlintrail.observability._deferred import defer
-
-#: Bytes that are gathered before a log file is written.
-BUFFER_BYTES: Final = 65536
+from merlintrail.observability._writer import LineWriter
 
 
 class JsonLinesHandler(logbook.Handler):  # type: ignore[misc]
@@ -19,7 +18,7 @@
 
     def __init__(self, stream: TextIO, level: str = 'INFO') -> None:
         super().__init__(level=logbook.lookup_level(level), bubble=False)
-        self._stream = stream
+        self._writer = LineWriter(stream)
 
     def emit(self, record: Any) -> None:
         """Write one record; a failure of this process is flushed at once."""
@@ -33,25 +32,57 @@
             },
             default=str,
         )
-        self._stream.write(f'{line.decode()}\n')
-        if record.level >= logbook.ERROR:
-            self._stream.flush()
+        is_failure = record.level >= logbook.ERROR
+        self._writer.write(line, is_urgent=True)
+        if is_failure:
+            self.flush()
+
+    def write_decision(self, event: str, fields: Mapping[str, object]) -> None:
+        """Write a decision, within the bound on lines a second."""
+        now = datetime.now(UTC).replace(tzinfo=None)
+        line = orjson.dumps(
+            {
+                'time': now.isoformat(timespec='milliseconds'),
+                'level': 'info',
+                'channel': 'decision',
+                'event': event,
+                **fields,
+            },
+            default=str,
+        )
+        self._writer.write(line)
 
     def flush(self) -> None:
         """Write what is gathered."""
-        self._stream.flush()
+        self._writer.flush()
+
+
+class _Decisions:
+    """Where decisions are written: one log of the process, or by logbook."""
+
+    def __init__(self) -> None:
+        self.log: JsonLinesHandler | None = None
+
+
+_DECISIONS: Final = _Decisions()
 
 
 def open_log(path: str | None, level: str) -> JsonLinesHandler:
-    """Open the log.
+    """Open the log of this process.
+
+    Decisions are many: they go to the log directly, without a record of
+    logbook for each.
 
     :param path: a file to append to, or ``None`` for standard output.
     :raises OSError: when the file cannot be opened.
     """
-    if path is None:
-        return JsonLinesHandler(sys.stdout, level)
-    stream = Path(path).open('a', encoding='utf-8', buffering=BUFFER_BYTES)
-    return JsonLinesHandler(stream, level)
+    stream = sys.stdout
+    if path is not None:
+        stream = Path(path).open('a', encoding='utf-8')
+    log = JsonLinesHandler(stream, level)
+    if logbook.lookup_level(level) <= logbook.INFO:
+        _DECISIONS.log = log
+    return log
 
 
 def create_logger(channel: str) -> Any:
@@ -59,7 +90,7 @@
     return logbook.Logger(channel)
 
 
-_DECISIONS: Final = create_logger('decision')
+_LOGGER: Final = create_logger('decision')
 
 
 def log_decision(event: str, **fields: object) -> None:
@@ -72,4 +103,7 @@
 
 
 def _write_decision(event: str, fields: Mapping[str, object]) -> None:
-    _DECISIONS.info(event, extra=fields)
+    if _DECISIONS.log is None:
+        _LOGGER.info(event, extra=fields)
+        return
+    _DECISIONS.log.write_decision(event, fields)
--- a/merlintrail/observability/tests/test_logs_and_metrics.py
+++ b/merlintrail/observability/tests/test_logs_and_metrics.py
@@ -3,6 +3,7 @@
 import asyncio
 import io
 import json
+import os
 import threading
 import unittest
 
@@ -14,6 +15,7 @@
     do_deferred,
     log_decision,
 )
+from merlintrail.observability._writer import MAX_LINES_PER_S, LineWriter
 from merlintrail.transport import HttpRequest, HttpResponse, start_server
 
 
@@ -34,6 +36,49 @@
         self.assertEqual(lines[0]['level'], 'info')
 
 
+class WriterTest(unittest.TestCase):
+    """Log lines never hold up the process."""
+
+    def setUp(self) -> None:
+        self.now = 10.0
+        reading, writing = os.pipe()
+        self.reader = reading
+        self.stream = os.fdopen(writing, 'w', encoding='utf-8')
+        self.writer = LineWriter(self.stream, lambda: self.now)
+        self.addCleanup(self.stream.close)
+        self.addCleanup(os.close, self.reader)
+
+    def read_lines(self) -> list[str]:
+        """Read what the pipe holds."""
+        return os.read(self.reader, 1 << 24).decode().splitlines()
+
+    def test_full_pipe(self) -> None:
+        """Nobody reads: nothing waits, and what is left out is told."""
+        line = b'{"event":"' + b'x' * 1000 + b'"}'
+        for _ in range(5000):
+            self.writer.write(line, is_urgent=True)
+        self.writer.flush()
+        self.assertGreater(self.writer.left_out, 3000)
+        left_out = self.writer.left_out
+        received: list[str] = []
+        while not received or 'lines left out' not in received[-1]:
+            received.extend(self.read_lines())
+            self.writer.flush()
+        self.assertEqual(json.loads(received[-1])['lines'], left_out)
+
+    def test_flood(self) -> None:
+        """A second has a bound on its lines; the next begins anew."""
+        for _ in range(MAX_LINES_PER_S * 2):
+            self.writer.write(b'{}')
+        self.assertEqual(self.writer.left_out, MAX_LINES_PER_S)
+        self.writer.flush()
+        self.assertEqual(len(self.read_lines()), MAX_LINES_PER_S + 1)
+        self.now += 1
+        self.writer.write(b'{}')
+        self.writer.flush()
+        self.assertEqual(self.read_lines(), ['{}'])
+
+
 class _Collector:
     """A stand-in for a collector, on a thread of its own."""
 
--- /dev/null
+++ b/merlintrail/state/tests/test_load_decisions.py
@@ -0,0 +1,225 @@
+"""Decisions under the worst load, replayed without input and output."""
+
+import random
+import unittest
+
+from merlintrail.protocol import SUBLEVELS, CallReport, Importance
+from merlintrail.state import (
+    Choice,
+    Demand,
+    Member,
+    MemberStatus,
+    MessageSizes,
+    NoTarget,
+    Place,
+    RefusedRequests,
+    RetryBudget,
+    RoutingTable,
+    ServiceOffer,
+    ShedController,
+    compute_pause,
+    is_shed,
+    raise_priority,
+)
+
+_NORMAL = Importance.NORMAL * SUBLEVELS
+_REGIONS = {'a1': 'a', 'a2': 'a', 'b1': 'b'}
+
+
+class WaitingLoadTest(unittest.TestCase):
+    """A deep service whose callers wait, so that they call no more often."""
+
+    def drive(
+        self, shedder: ShedController, waiting: int, seconds: float
+    ) -> None:
+        """Complete as many calls as arrive while some wait."""
+        for _ in range(int(seconds * 100)):
+            self.now += 0.01
+            shedder.observe(self.now, 9, waiting, 9)
+            for place in range(0, SUBLEVELS, 8):
+                priority = _NORMAL + place + self.draw.randrange(8)
+                if not is_shed(priority, shedder.level):
+                    shedder.record_arrival(self.now, priority)
+                    shedder.record_completion(0.055)
+
+    def setUp(self) -> None:
+        self.now = 0.0
+        self.draw = random.Random(1)
+        self.shedder = ShedController(0.0)
+
+    def test_level_rises_with_the_waiting_load(self) -> None:
+        """Arrivals never exceed completions, and still it sheds."""
+        self.drive(self.shedder, 9, 1.5)
+        self.assertGreater(self.shedder.read_level(self.now), _NORMAL + 8)
+
+    def test_level_rises_no_faster_than_it_shows(self) -> None:
+        """One step, then time for it to show."""
+        self.drive(self.shedder, 9, 0.3)
+        first = self.shedder.read_level(self.now)
+        self.drive(self.shedder, 9, 0.15)
+        self.assertEqual(self.shedder.read_level(self.now), first)
+
+    def test_level_falls_slowly_while_slots_are_in_use(self) -> None:
+        """A service that is just full is not filled anew at once."""
+        self.drive(self.shedder, 9, 1.5)
+        high = self.shedder.read_level(self.now)
+        self.drive(self.shedder, 0, 1.0)
+        level = self.shedder.read_level(self.now)
+        self.assertLess(level, high)
+        self.assertGreater(level, high - 16)
+
+    def test_some_of_each_class_pass(self) -> None:
+        """No kind is shut out, whatever the level."""
+        for importance in Importance:
+            passing = [
+                place
+                for place in range(SUBLEVELS)
+                if not is_shed(importance * SUBLEVELS + place, 127)
+            ]
+            self.assertEqual(len(passing), 4)
+
+
+class PlacementTest(unittest.TestCase):
+    """Where requests and the calls below them go under load."""
+
+    def setUp(self) -> None:
+        self.now = 100.0
+        self.table = RoutingTable(
+            Place('self', 'a1'), lambda: self.now, random.Random(1)
+        )
+        self.table.update_regions(_REGIONS)
+        for data_centre in _REGIONS:
+            member = Member(
+                data_centre,
+                1,
+                1,
+                MemberStatus.ALIVE,
+                data_centre,
+                '',
+                '',
+                (ServiceOffer('svc', 10),),
+            )
+            self.table.update_member(None, member)
+
+    def load(self, in_flight: dict[str, int], service_ms: float = 50) -> None:
+        """Report calls in flight at some of the servers."""
+        for target in self.table.list_targets('svc'):
+            number = in_flight.get(target.member.node_id, 0)
+            report = CallReport(
+                'c', 'completed', '', 0, 0, {}, number, service_ms, False
+            )
+            target.record_report(report, 0.05, self.now)
+
+    def choose(self, *, is_below: bool = False, size: float = 0) -> str:
+        """Return the node that is chosen, empty for none."""
+        demand = Demand('svc', _NORMAL, is_below=is_below, kind='k', size=size)
+        choice = self.table.choose(demand, ())
+        return (
+            choice.target.member.node_id if isinstance(choice, Choice) else ''
+        )
+
+    def test_calls_below_stay_near(self) -> None:
+        """A request leaves a full server, a call below it does not."""
+        self.load({'a1': 10})
+        self.assertEqual(self.choose(), 'a2')
+        self.assertEqual(self.choose(is_below=True), 'a1')
+        self.load({'a1': 20})
+        self.assertEqual(self.choose(is_below=True), 'a2')
+
+    def test_large_messages_need_more_room_elsewhere(self) -> None:
+        """Bytes between regions cost as load does."""
+        self.load({'a1': 12, 'a2': 12})
+        self.assertEqual(self.choose(size=1000), 'b1')
+        self.assertEqual(self.choose(size=12000), 'a1')
+
+    def test_levels_further_down_choose_the_place(self) -> None:
+        """A place whose deep service sheds is left for another."""
+        self.table.path_levels.record(
+            'k', 'a1', {'deep@a1': _NORMAL + 31}, self.now
+        )
+        self.assertEqual(self.choose(), 'a2')
+        self.table.path_levels.record(
+            'k', 'a2', {'deep@a2': _NORMAL + 31}, self.now
+        )
+        self.assertEqual(self.choose(), 'b1')
+        self.load({'b1': 10})
+        refused = self.table.choose(Demand('svc', _NORMAL, kind='k'), ())
+        assert isinstance(refused, NoTarget), refused
+        self.assertTrue(refused.is_shedding)
+
+    def test_place_in_which_a_kind_fails_is_left(self) -> None:
+        """Not for other kinds, and it is tried again later."""
+        for _ in range(20):
+            self.table.outcomes.record('k', 'a1', has_failed=True, now=self.now)
+        self.assertEqual(self.choose(), 'a2')
+        other = self.table.choose(Demand('svc', _NORMAL, kind='other'), ())
+        assert isinstance(other, Choice)
+        self.assertEqual(other.target.member.node_id, 'a1')
+        self.now += 12
+        self.assertEqual(self.choose(), 'a1')
+
+    def test_failing_and_slow_servers_are_left(self) -> None:
+        """A server that fails half of its calls, one five times as slow."""
+        near = self.table.list_targets('svc')[0]
+        for _ in range(20):
+            near.record_health(has_failed=True, now=self.now)
+        self.assertEqual(self.choose(is_below=True), 'a2')
+        self.now += 30
+        self.assertEqual(self.choose(is_below=True), 'a1')
+        self.now += 1
+        self.load({})
+        slow = CallReport('c', 'completed', '', 0, 0, {}, 9, 500, False)
+        near.record_report(slow, 0.5, self.now)
+        self.assertEqual(self.choose(is_below=True), 'a2')
+
+    def test_message_sizes(self) -> None:
+        """The mean follows, an unknown sort takes nothing."""
+        sizes = MessageSizes()
+        self.assertEqual(sizes.read('k'), 0)
+        sizes.record('k', 1000)
+        sizes.record('k', 2000)
+        self.assertAlmostEqual(sizes.read('k'), 1100)
+
+
+class ReturnTest(unittest.TestCase):
+    """Refused callers that come back."""
+
+    def test_a_request_that_comes_back_is_ahead_once(self) -> None:
+        """Within its class, and only while it is remembered."""
+        refused = RefusedRequests()
+        refused.record('digest', 1.0)
+        self.assertTrue(refused.take('digest', 2.0))
+        self.assertFalse(refused.take('digest', 2.0))
+        refused.record('digest', 3.0)
+        self.assertFalse(refused.take('digest', 14.0))
+        self.assertEqual(raise_priority(_NORMAL + 3), _NORMAL + 19)
+        self.assertEqual(raise_priority(_NORMAL + 30), _NORMAL + 31)
+
+    def test_pause_leaves_time_for_an_answer(self) -> None:
+        """A part of the objective, spread; a second or more without one."""
+        for draw in (0.0, 0.5, 1.0):
+            pause_s = compute_pause(1.0, 2.0, draw)
+            self.assertGreaterEqual(pause_s, 0.4)
+            self.assertLessEqual(pause_s, 1.0)
+        self.assertEqual(compute_pause(1.0, 0.01, 0.5), 0.1)
+        self.assertEqual(compute_pause(1.0, None, 0.5), 2.0)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """Retries when most calls of a deep service fail."""
+
+    def test_part_of_the_budget_is_kept_for_urgent_calls(self) -> None:
+        """Lesser calls below others leave some of it."""
+        budget = RetryBudget(0.2)
+        spent = 0
+        while budget.spend(0.0, is_urgent=False):
+            spent += 1
+        self.assertLess(spent, 3)
+        self.assertTrue(budget.spend(0.0))
+
+    def test_base_is_refilled_by_time(self) -> None:
+        """Without any traffic, a few retries in each window."""
+        budget = RetryBudget(0.0, base_per_s=0.2)
+        granted = sum(budget.spend(step * 0.1) for step in range(1000))
+        self.assertLessEqual(granted, 3 + 0.2 * 100 + 1)
+        self.assertGreater(granted, 15)
--- a/merlintrail/transport/_server.py
+++ b/merlintrail/transport/_server.py
@@ -15,7 +15,6 @@
     RequestParser,
     ServerLimits,
 )
-from merlintrail.transport._socket_options import set_socket_options
 
 RequestHandler: TypeAlias = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
@@ -74,7 +73,6 @@
         self._transport = transport
         peer = transport.get_extra_info('peername')
         self._parser.remote_host = str(peer[0]) if peer else ''
-        set_socket_options(transport)
         self._server.connections.add(self)
         self._task = self._loop.create_task(self._serve())
 
