--- a/merlintrail/daemon/_main.py
+++ b/merlintrail/daemon/_main.py
@@ -63,7 +63,7 @@
         status = uvloop.run(_serve(settings, text, log))
     log.flush()
     sys.stderr.flush()
-    # Threads that wait for the store must not delay the end.
+    # Threads of the console and of the store must not delay the end.
     os._exit(status)
 
 
@@ -95,7 +95,7 @@
     try:
         await node.start()
         await process.start_adapter()
-        console = start_console(node, loop)
+        start_console(node, loop)
     except OSError as error:
         sys.stderr.write(f'cannot listen: {error}\n')
         return EXIT_ADDRESS
@@ -108,7 +108,6 @@
     for task in tasks:
         task.cancel()
     await _stop(node)
-    console.stop()
     return 0
 
 
--- a/merlintrail/node/_lifecycle.py
+++ b/merlintrail/node/_lifecycle.py
@@ -28,7 +28,9 @@
 #: Seconds before a node refuses calls at which it tells the others.
 TELL_S: Final = 0.5
 #: Share of the time to stop that is left when the process ends.
-END_SHARE: Final = 0.12
+END_SHARE: Final = 0.15
+#: Seconds in which the others are told of the end.
+FAREWELL_S: Final = 0.25
 #: Seconds after which a drain ends even with calls running.
 MAX_DRAIN_S: Final = 60.0
 _MS_PER_S: Final = 1000
@@ -138,7 +140,15 @@
                 reason=f'calls still running after {limit_s:.1f} s',
             )
         self._parts.membership.update_own(status=MemberStatus.LEFT)
-        await self._parts.heartbeats.tell_now()
+        try:
+            async with asyncio.timeout(FAREWELL_S):
+                await self._parts.heartbeats.tell_now()
+        except TimeoutError:
+            log_decision(
+                'drain',
+                instance=self._parts.instance,
+                reason='neighbours did not answer the farewell',
+            )
         self.stopped.set()
 
     async def _wait_until_idle(self) -> None:
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -115,9 +115,9 @@
                 ),
             )
         )
-        self._start_task(self._run_join())
+        self._start_task(self.join())
         self._start_task(self.heartbeats.run())
-        self._start_task(self._relay.run())
+        self._start_task(self.run_relay())
         self._start_task(self._follow_readiness())
         self._start_task(self._follow_hints())
         self._start_task(self.lifecycle.run())
@@ -142,6 +142,15 @@
         self._peer_pool.close()
         _LOG.info('node stopped', extra={'instance': self.settings.instance})
 
+    async def join(self) -> None:
+        """Find the configuration and other nodes."""
+        await self._joiner.run()
+        self.routing.is_settled = True
+
+    async def run_relay(self) -> None:
+        """Watch the store for the data centre while a place is free."""
+        await self._relay.run()
+
     def update_settings(self, settings: Settings) -> None:
         """Take changed settings; addresses and names need a new start."""
         kept = self.settings._asdict()
@@ -433,10 +442,6 @@
             await asyncio.sleep(HINT_INTERVAL_S)
             await self.gatekeeper.refresh_hints()
 
-    async def _run_join(self) -> None:
-        await self._joiner.run()
-        self.routing.is_settled = True
-
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(work))
 
--- a/merlintrail/node/tests/session.py
+++ b/merlintrail/node/tests/session.py
@@ -13,7 +13,7 @@
 from merlintrail.node._backend import Announcement
 from merlintrail.node.tests.fake_network import FakeNetwork, FakePool
 from merlintrail.observability import JsonLinesHandler, do_deferred
-from merlintrail.protocol import CONTEXT_HEADER
+from merlintrail.protocol import CONTEXT_HEADER, Dialect, OwnDialect
 from merlintrail.state import Envelope
 from merlintrail.transport import HttpRequest, HttpResponse
 
@@ -55,7 +55,13 @@
 class Session:
     """Nodes that know each other, with backend servers beside them."""
 
-    def __init__(self, document: dict[str, Any], names: Sequence[str]) -> None:
+    def __init__(
+        self,
+        document: dict[str, Any],
+        names: Sequence[str],
+        dialect: Dialect | None = None,
+    ) -> None:
+        self._dialect = dialect or OwnDialect()
         self._loop = asyncio.get_running_loop()
         self._started_at = self._loop.time()
         self._log = io.StringIO()
@@ -92,6 +98,17 @@
         )
         self._introduce()
 
+    def add_node(self, name: str) -> Node:
+        """Create a node that knows nobody and no configuration."""
+        node = self._create_node(name)
+        self.nodes[name] = node
+        return node
+
+    async def call_with(self, request: HttpRequest) -> HttpResponse:
+        """Send a request to the first node."""
+        node = next(iter(self.nodes.values()))
+        return await node.local_service.handle(request)
+
     async def call(
         self,
         name: str,
@@ -153,6 +170,7 @@
             self._read_wall_clock,
             random.Random(name),
             lambda: FakePool(self.network),
+            self._dialect,
         )
         node = create_node(settings, environment)
         self.network.handlers[f'{name}:2'] = node.peer_service.handle
--- /dev/null
+++ b/merlintrail/node/tests/test_recovery.py
@@ -0,0 +1,85 @@
+"""Nodes that all start at once find configuration and each other."""
+
+import asyncio
+import unittest
+
+from merlintrail.coordination import (
+    CONFIGURATION_KEY,
+    StoreValue,
+    build_relay_key,
+)
+from merlintrail.node.tests.session import (
+    Session,
+    build_document,
+    build_kind,
+)
+from merlintrail.state import Envelope
+from merlintrail.testing import run_virtually
+
+_DOCUMENT = build_document({'svc': [build_kind('read')]})
+_NAMES = ('three', 'four', 'five')
+
+
+def _create_session() -> Session:
+    """Create nodes after a kill: the store still holds the dead relays."""
+    session = Session(_DOCUMENT, ())
+    envelope = Envelope(7, 'change-7', 'op', 0.0, _DOCUMENT)
+    session.store.swap(CONFIGURATION_KEY, envelope._asdict(), 0)
+    for place, name in enumerate(_NAMES[:2]):
+        session.store.swap(
+            build_relay_key('dc', place),
+            {'address': f'{name}:2', 'incarnation': 1},
+            0,
+        )
+    for name in _NAMES:
+        session.add_node(name)
+    return session
+
+
+class RecoveryTest(unittest.TestCase):
+    """Every process was killed, and all start again at their addresses."""
+
+    def test_configuration_is_in_force_at_once(self) -> None:
+        """Although each joins a relay that knows none either."""
+
+        async def scenario() -> None:
+            session = _create_session()
+            joining = [
+                asyncio.create_task(node.join())
+                for node in session.nodes.values()
+            ]
+            await asyncio.sleep(0.5)
+            for started in session.nodes.values():
+                self.assertEqual(started.holder.generation, 7)
+            for task in joining:
+                task.cancel()
+
+        run_virtually(scenario())
+
+    def test_places_of_dead_relays_are_taken_over(self) -> None:
+        """Before their leases end."""
+
+        async def scenario() -> None:
+            session = _create_session()
+            tasks = []
+            for node in session.nodes.values():
+                tasks.append(asyncio.create_task(node.join()))
+                tasks.append(asyncio.create_task(node.run_relay()))
+            await asyncio.sleep(3)
+            self.assertTrue(
+                any(
+                    started.membership.own.is_relay
+                    for started in session.nodes.values()
+                )
+            )
+            for place in range(2):
+                found = session.store.documents[build_relay_key('dc', place)]
+                assert isinstance(found, StoreValue)
+                if found.document['incarnation'] != 1:
+                    break
+            else:
+                self.fail('both places still belong to dead processes')
+            for task in tasks:
+                task.cancel()
+
+        run_virtually(scenario())
--- /dev/null
+++ b/merlintrail/transport/tests/test_request_parser.py
@@ -0,0 +1,64 @@
+"""Whatever arrives: whole requests, then at most one fault."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from merlintrail.transport import BadRequest, HttpRequest, ServerLimits
+from merlintrail.transport._request_parser import RequestParser
+
+_GOOD = b'POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nhi'
+_LIMITS = ServerLimits(max_header_bytes=300, max_body_bytes=100)
+_FAULTS = (
+    b'GET / HTTP/1.1\r\n\r\n',
+    b'GET / HTTP/1.1\r\nhost: a\r\nhost: a\r\n\r\n',
+    b'GET /\r\n\r\n',
+    b'GET / HTTP/2.0\r\nhost: a\r\n\r\n',
+    b'GET / HTTP/1.1\r\nhost: a\r\nx: ' + b'y' * 400 + b'\r\n\r\n',
+    b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 101\r\n\r\n',
+    b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: -1\r\n\r\n',
+    b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1, 2\r\n\r\nhi',
+    b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n'
+    b'transfer-encoding: chunked\r\n\r\n',
+    b'GET / HTTP/1.1\r\nhost : a\r\n\r\n',
+    b'GET / HTTP/1.1\r\n folded: a\r\n\r\n',
+)
+
+
+class RequestParserTest(unittest.TestCase):
+    """One connection's bytes."""
+
+    def test_each_fault_is_told_once(self) -> None:
+        """Behind a good request, in one piece or byte by byte."""
+        for payload in _FAULTS:
+            for size in (1, 7, 10000):
+                with self.subTest(f'{payload!r} by {size}'):
+                    parsed = self.parse(_GOOD + payload, size)
+                    self.assertEqual(len(parsed), 2, parsed)
+                    self.assertIsInstance(parsed[0], HttpRequest)
+                    self.assertIsInstance(parsed[1], BadRequest)
+
+    def parse(
+        self, payload: bytes, size: int
+    ) -> list[HttpRequest | BadRequest]:
+        """Feed pieces until the first fault."""
+        parser = RequestParser(_LIMITS)
+        parsed: list[HttpRequest | BadRequest] = []
+        for start in range(0, len(payload), size):
+            parsed.extend(parser.feed(payload[start : start + size]))
+            if parsed and isinstance(parsed[-1], BadRequest):
+                break
+        return parsed
+
+    @given(st.binary(max_size=400), st.integers(1, 50))
+    def test_any_bytes_behind_a_good_request(
+        self, payload: bytes, size: int
+    ) -> None:
+        """The good one is whole; nothing follows a fault."""
+        parsed = self.parse(_GOOD + payload, size)
+        first = parsed[0]
+        assert isinstance(first, HttpRequest)
+        self.assertEqual(first.body, b'hi')
+        for request in parsed[1:-1]:
+            self.assertIsInstance(request, HttpRequest)
