--- a/merlintrail/node/_dispatch.py
+++ b/merlintrail/node/_dispatch.py
@@ -323,8 +323,19 @@
     def _count_failure(
         self, target: Target, answer: HttpResponse | Refusal
     ) -> None:
+        """Leave a server that takes nothing; eject one that falls silent.
+
+        A lone answer that a backend server lost says neither: it counts in
+        the share of its calls that fail.
+        """
         if isinstance(answer, HttpResponse):
             return
+        is_lone_loss = (
+            answer.reason == Reason.BACKEND_LOST
+            and answer.outcome != Outcome.NOT_RUN
+        )
+        if is_lone_loss:
+            return
         if answer.reason in _CLOSED:
             target.pass_over(self._clock())
         if answer.reason not in _FAILURES:
