Explain a request from logs, and serve metrics as text

Cause: an engineer with the id of a failed request had to search logs by hand; a retry that was not made, an error that was answered and a call that was cancelled left no line; no line named its node; metrics were JSON behind a key. Ruled out: a line for each successful answer (the admit line says it, and each line costs 5 us); reading metrics from a second library of counters.

--- a/merlintrail/cli/_main.py
+++ b/merlintrail/cli/_main.py
@@ -11,6 +11,7 @@
 from merlintrail.cli import _config_commands, _fleet_commands
 from merlintrail.cli._admin_client import AdminClient
 from merlintrail.cli._exit_codes import ExitCode
+from merlintrail.cli._explain import explain_request
 from merlintrail.cli._load_command import send_load
 from merlintrail.cli._output import print_lines
 from merlintrail.node import InvalidSettings, parse_settings
@@ -49,13 +50,15 @@
   settings check FILE     check the settings of a node
   status                  every node, a line each (--json)
   members                 the members that the node knows
+  routes                  the routes in force at the node
   metrics                 the metrics of the node
   console                 the address of the console
+  explain ID [FILE ...]   the way of a request, from the logs of nodes
   load TARGET             send requests to --node's call address (--rate,
                           --duration, --deadline_ms, --keyed)
   help                    this text
 
-FILE may be - for standard input. Flags: --node, --key_file; --helpfull
+FILE may be - for standard input, which explain reads without one. Flags: --node, --key_file; --helpfull
 lists all. The operator key may stand in $MERLINTRAIL_KEY.
 
 exit status: 0 done, 1 failed, 2 usage, 3 findings, 4 another operator was
@@ -70,6 +73,8 @@
     run: Callable[[Sequence[str]], ExitCode]
     #: Number of arguments that it takes.
     arguments: int = 0
+    #: Whether it takes any number of arguments beyond.
+    takes_more: bool = False
 
 
 def _create_client() -> AdminClient:
@@ -137,11 +142,19 @@
     'members': Command(
         lambda _: _fleet_commands.show_resource(_create_client(), '/v1/members')
     ),
+    'routes': Command(
+        lambda _: _fleet_commands.show_resource(_create_client(), '/v1/routes')
+    ),
     'metrics': Command(
         lambda _: _fleet_commands.show_resource(_create_client(), '/v1/metrics')
     ),
     'console': Command(_show_console),
     'load': Command(lambda words: send_load(str(_NODE.value), words[0]), 1),
+    'explain': Command(
+        lambda words: explain_request(words[0], words[1:]),
+        1,
+        takes_more=True,
+    ),
     'help': Command(_show_help),
 }
 
@@ -152,11 +165,17 @@
         command = _COMMANDS.get(' '.join(words[:count]))
         if command is not None and len(words) >= count:
             arguments = words[count:]
-            if len(arguments) == command.arguments:
+            if _is_fitting(command, len(arguments)):
                 return command, arguments
     return None
 
 
+def _is_fitting(command: Command, count: int) -> bool:
+    if command.takes_more:
+        return count >= command.arguments
+    return count == command.arguments
+
+
 def run_command() -> None:
     """Run the program; the entry point ``merlintrail``."""
     if '--help' in sys.argv[1:] or '-h' in sys.argv[1:]:
--- a/merlintrail/cli/tests/test_command_line.py
+++ b/merlintrail/cli/tests/test_command_line.py
@@ -6,6 +6,7 @@
 import tempfile
 import unittest
 from pathlib import Path
+from typing import Final
 
 from merlintrail.cli._exit_codes import ExitCode
 
@@ -25,6 +26,38 @@
     )
 
 
+_SETTINGS: Final = {
+    'instance': 'one',
+    'data_centre': 'marmara-1',
+    'call_address': '127.0.0.1:7300',
+    'peer_address': '127.0.0.1:7301',
+    'admin_address': '127.0.0.1:7302',
+    'store_addresses': ['127.0.0.1:7400'],
+    'fleet_key': 'fleet-key',
+}
+
+
+def _start_daemon(
+    settings: str, *words: str
+) -> 'subprocess.CompletedProcess[str]':
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / 'settings.json'
+        path.write_text(settings)
+        return subprocess.run(
+            [
+                sys.executable,
+                '-m',
+                'merlintrail.daemon',
+                f'--settings={path}',
+                *words,
+            ],
+            capture_output=True,
+            text=True,
+            check=False,
+            timeout=30,
+        )
+
+
 class CommandLineTest(unittest.TestCase):
     """Commands that need no node, and nodes that are not there."""
 
@@ -83,21 +116,16 @@
 
     def test_bad_settings(self) -> None:
         """Every finding with its place, and no start."""
-        with tempfile.TemporaryDirectory() as folder:
-            path = Path(folder) / 'settings.json'
-            path.write_text('{"instance": 7, "unknown": true}')
-            finished = subprocess.run(
-                [
-                    sys.executable,
-                    '-m',
-                    'merlintrail.daemon',
-                    f'--settings={path}',
-                ],
-                capture_output=True,
-                text=True,
-                check=False,
-                timeout=30,
-            )
+        finished = _start_daemon('{"instance": 7, "unknown": true}')
         self.assertEqual(finished.returncode, 2)
         self.assertIn('/instance', finished.stderr)
         self.assertIn('unknown', finished.stderr)
+
+    def test_check_settings(self) -> None:
+        """A check says that all is well, or every finding; no start."""
+        finished = _start_daemon(json.dumps(_SETTINGS), '--check_settings')
+        self.assertEqual(finished.returncode, 0, finished.stderr)
+        self.assertIn('no findings', finished.stdout)
+        finished = _start_daemon('{"instance": 7}', '--check_settings')
+        self.assertEqual(finished.returncode, 2)
+        self.assertIn('/instance', finished.stderr)
--- /dev/null
+++ b/merlintrail/cli/tests/test_explain.py
@@ -0,0 +1,152 @@
+"""The way of a request through the logs of several nodes."""
+
+import contextlib
+import io
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any, Final
+
+from merlintrail.cli._exit_codes import ExitCode
+from merlintrail.cli._explain import (
+    LogLine,
+    explain_request,
+    find_causes,
+    find_gaps,
+    read_log,
+    select_lines,
+)
+
+_SECOND: Final = '2026-01-02T03:04:0'
+
+
+def _write(node: str, second: str, event: str, **fields: Any) -> str:
+    time = f'{_SECOND}{second}'
+    return json.dumps({'time': time, 'node': node, 'event': event, **fields})
+
+
+_FRONT: Final = [
+    _write('front', '5.100', 'route', request_id='a', instance='back'),
+    _write('front', '5.400', 'retry', request_id='a', outcome='given up'),
+    _write('front', '5.401', 'answer', request_id='a', status=503),
+    _write('front', '5.402', 'route', request_id='other', instance='back'),
+]
+_BACK: Final = [
+    _write(
+        'back',
+        '5.200',
+        'route',
+        request_id='b',
+        parent_id='a',
+        instance='deep',
+        service='leaf',
+    ),
+    _write(
+        'back',
+        '5.300',
+        'refuse',
+        request_id='a',
+        reason='overload',
+        service='middle',
+    ),
+]
+_DEEP: Final = [
+    _write(
+        'deep',
+        '5.250',
+        'refuse',
+        request_id='b',
+        reason='deadline-unreachable',
+        service='leaf',
+    ),
+]
+
+
+def _read_all(*logs: list[str]) -> list[LogLine]:
+    return [
+        line
+        for number, log in enumerate(logs)
+        for line in read_log(log, f'file {number}')
+    ]
+
+
+class SelectionTest(unittest.TestCase):
+    """Which lines belong to a request."""
+
+    def test_order(self) -> None:
+        """Lines of all nodes in order of time, those of calls below too."""
+        lines = select_lines('a', _read_all(_FRONT, _DEEP, _BACK))
+        self.assertEqual(
+            [(line.node, line.event) for line in lines],
+            [
+                ('front', 'route'),
+                ('back', 'route'),
+                ('deep', 'refuse'),
+                ('back', 'refuse'),
+                ('front', 'retry'),
+                ('front', 'answer'),
+            ],
+        )
+
+    def test_foreign_text(self) -> None:
+        """What is no line of a node is passed over, a prefix cut off."""
+        lines = read_log(
+            ['', 'text', '{broken', f'  5.100 s front: {_FRONT[0]}\n'], 'x'
+        )
+        self.assertEqual([line.request_id for line in lines], ['a'])
+
+    def test_lines_without_node(self) -> None:
+        """The name of the file stands in for the node's."""
+        lines = read_log(['{"event":"route","request_id":"a"}'], 'node-1')
+        self.assertEqual(lines[0].node, 'node-1')
+
+
+class FindingsTest(unittest.TestCase):
+    """What the lines tell together."""
+
+    def test_causes(self) -> None:
+        """Each reason once, with the service and what it means."""
+        lines = select_lines('a', _read_all(_FRONT, _BACK, _DEEP, _DEEP))
+        causes = find_causes(lines)
+        self.assertEqual(len(causes), 2)
+        self.assertIn('leaf: deadline-unreachable: too little', causes[0])
+        self.assertIn('middle: overload: ', causes[1])
+
+    def test_gaps(self) -> None:
+        """A node that was sent a call and says nothing, lines left out."""
+        left_out = [_write('back', '6.000', 'lines left out', lines=7)]
+        lines = _read_all(_FRONT, _BACK, left_out)
+        gaps = find_gaps(select_lines('a', lines), lines)
+        self.assertEqual(len(gaps), 2)
+        self.assertIn('deep says nothing of b', gaps[0])
+        self.assertIn('back left out 7 lines', gaps[1])
+        whole = _read_all(_FRONT, _BACK, _DEEP)
+        self.assertEqual(find_gaps(select_lines('a', whole), whole), [])
+
+
+class CommandTest(unittest.TestCase):
+    """The command as a user meets it."""
+
+    def test_files(self) -> None:
+        """Files of several nodes; a request that none of them names."""
+        with tempfile.TemporaryDirectory() as folder:
+            paths = []
+            for name, log in (('front', _FRONT), ('back', _BACK)):
+                path = Path(folder) / f'{name}.log'
+                path.write_text('\n'.join(log))
+                paths.append(str(path))
+            output = io.StringIO()
+            errors = io.StringIO()
+            with (
+                contextlib.redirect_stdout(output),
+                contextlib.redirect_stderr(errors),
+            ):
+                self.assertEqual(explain_request('a', paths), ExitCode.OK)
+                status = explain_request('unknown', paths)
+            self.assertEqual(status, ExitCode.FAILED)
+        text = output.getvalue()
+        self.assertIn('03:04:05.300  back   refuse    a  reason=overload', text)
+        self.assertIn('cause: middle: overload', text)
+        self.assertIn('missing: deep says nothing of b', text)
+        self.assertIn('none of 6 log lines names unknown', errors.getvalue())
--- a/merlintrail/console/_api.py
+++ b/merlintrail/console/_api.py
@@ -35,6 +35,7 @@
         self._handlers: Mapping[tuple[str, str], Handler] = {
             ('GET', '/v1/status'): self._tell_status,
             ('GET', '/v1/members'): self._tell_members,
+            ('GET', '/v1/routes'): self._tell_routes,
             ('GET', '/v1/metrics'): self._tell_metrics,
             ('GET', '/v1/fleet'): self._tell_fleet,
             ('GET', '/v1/configuration'): self._tell_configuration,
@@ -62,6 +63,11 @@
             200, self._access.call_node(self._access.node.list_members)
         )
 
+    def _tell_routes(self, _: AdminRequest) -> AdminAnswer:
+        return answer_json(
+            200, self._access.call_node(self._access.node.list_routes)
+        )
+
     def _tell_metrics(self, _: AdminRequest) -> AdminAnswer:
         return answer_json(200, self._access.node.metrics.read_all())
 
--- a/merlintrail/console/_application.py
+++ b/merlintrail/console/_application.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Final
 
+from prometheus_client import CONTENT_TYPE_LATEST
+
 from merlintrail.console._access import NodeAccess
 from merlintrail.console._api import AdminApi
 from merlintrail.console._form_console import FormConsole
@@ -18,6 +20,8 @@
 
 #: Bytes of the largest request.
 MAX_BODY_BYTES: Final = 2097152
+#: Path of the metrics as text, which needs no key.
+METRICS_PATH: Final = '/metrics'
 _REASONS: Final = {
     200: 'OK',
     303: 'See Other',
@@ -37,6 +41,7 @@
 
     def __init__(self, access: NodeAccess) -> None:
         self._operators = Operators(access.node.settings.operator_keys)
+        self._metrics = access.node.metrics
         self._api = AdminApi(access)
         self._console = FormConsole(access, self._operators)
 
@@ -78,6 +83,9 @@
             operator,
             session,
         )
+        if request.path == METRICS_PATH:
+            text = self._metrics.render_text()
+            return AdminAnswer(200, text, CONTENT_TYPE_LATEST)
         if request.path.startswith('/v1/'):
             return self._api.serve(request)
         return self._console.serve(request)
--- a/merlintrail/console/tests/test_application.py
+++ b/merlintrail/console/tests/test_application.py
@@ -148,6 +148,19 @@
         _, envelope = self.ask('GET', '/v1/configuration')
         self.assertEqual(envelope['generation'], 0)
 
+    def test_metrics_need_no_key(self) -> None:
+        """As text, for a program that collects them."""
+        answer = self.http.request(
+            'GET', f'http://{self.server.address}/metrics'
+        )
+        self.assertEqual(answer.status, 200)
+        self.assertIn('text/plain', answer.headers['Content-Type'])
+        self.assertIn(b'merlintrail_members', answer.data)
+
+    def test_routes(self) -> None:
+        """None without a configuration, then those in force."""
+        self.assertEqual(self.ask('GET', '/v1/routes'), (200, []))
+
     def test_api_applies_and_refuses(self) -> None:
         """Applied, then a conflict, then findings, then history."""
         self.assertEqual(self.apply(0), (200, {'generation': 1}))
--- a/merlintrail/daemon/_main.py
+++ b/merlintrail/daemon/_main.py
@@ -37,6 +37,9 @@
 _SETTINGS: Final = flags.DEFINE_string(
     'settings', None, 'Path of the JSON settings file.'
 )
+_CHECK: Final = flags.DEFINE_bool(
+    'check_settings', False, 'Check the settings, print findings, and end.'
+)
 
 
 def run_daemon() -> None:
@@ -46,14 +49,19 @@
 
 def _run(arguments: Sequence[str]) -> int:
     if len(arguments) > 1 or _SETTINGS.value is None:
-        sys.stderr.write('usage: merlintraild --settings FILE\n')
+        sys.stderr.write(
+            'usage: merlintraild --settings FILE [--check_settings]\n'
+        )
         return EXIT_SETTINGS
     text = _read_settings(_SETTINGS.value)
     settings = None if text is None else _check_settings(text)
     if text is None or settings is None:
         return EXIT_SETTINGS
+    if _CHECK.value:
+        sys.stdout.write(f'{_SETTINGS.value}: no findings\n')
+        return 0
     try:
-        log = open_log(settings.log_path, settings.log_level)
+        log = open_log(settings.log_path, settings.log_level, settings.instance)
     except OSError as error:
         sys.stderr.write(f'{settings.log_path}: {error.strerror}\n')
         return EXIT_SETTINGS
--- a/merlintrail/node/_calls.py
+++ b/merlintrail/node/_calls.py
@@ -46,6 +46,9 @@
     #: Backend servers that the call may be handed to, ``None`` for no bound
     #: but the account.
     attempts: int | None = None
+    #: Identifier of the request that it was made for, where it has another
+    #: of its own.
+    parent_id: str | None = None
 
 
 def compute_call_digest(call: OutgoingCall) -> str:
--- a/merlintrail/node/_dispatch.py
+++ b/merlintrail/node/_dispatch.py
@@ -13,6 +13,7 @@
 from merlintrail.node._exchange import PeerExchange
 from merlintrail.node._retry_policy import (
     Attempts,
+    RetryDecision,
     RetryPolicy,
     has_failed_there,
 )
@@ -66,6 +67,21 @@
     return call.kind if call.depth == 1 else call.service
 
 
+def _log_retry(
+    call: OutgoingCall, decision: RetryDecision, made: Attempts
+) -> None:
+    log_decision(
+        'retry',
+        request_id=call.request_id,
+        service=call.service,
+        outcome='sent again' if decision.is_allowed else 'given up',
+        decision=decision.value,
+        handed=made.handed,
+        redirects=made.redirects,
+        retries_left=call.account.balance,
+    )
+
+
 class LocalGate(Protocol):
     """The way to the backend servers beside this node."""
 
@@ -176,9 +192,11 @@
             progress.take(gate_result)
             if progress.answer is not None:
                 break
-            if not self._retries.may_send_again(
+            decision = self._retries.decide(
                 call, gate_result, progress.attempts
-            ):
+            )
+            _log_retry(call, decision, progress.attempts)
+            if not decision.is_allowed:
                 break
             self._parts.metrics.record_retry(call.service)
         return CallResult(
@@ -246,6 +264,7 @@
             log_decision(
                 'route',
                 request_id=call.request_id,
+                parent_id=call.parent_id,
                 service=call.service,
                 instance=choice.target.member.node_id,
                 tier=choice.tier.name.lower(),
@@ -259,9 +278,11 @@
         reason = Reason.NO_BACKEND_SERVER
         if absence.is_shedding:
             reason = Reason.SHED_EARLY
+        self._parts.metrics.record_refusal(call.service, reason.value)
         log_decision(
             'refuse',
             request_id=call.request_id,
+            parent_id=call.parent_id,
             service=call.service,
             reason=reason.value,
             detail=absence.reason,
--- a/merlintrail/node/_gatekeeper.py
+++ b/merlintrail/node/_gatekeeper.py
@@ -161,6 +161,7 @@
             answer = await self._run(header, call, parent)
         except asyncio.CancelledError:
             self._parts.calls.abandon(header.call_id)
+            self._log_cancellation(header, deadline)
             raise
         finally:
             self._parts.contexts.close(parent)
@@ -325,6 +326,18 @@
             in_flight=report.in_flight,
         )
 
+    def _log_cancellation(self, header: CallHeader, deadline: float) -> None:
+        """Tell that whoever sent the call no longer waits for it."""
+        remaining_s = deadline - self._clock()
+        log_decision(
+            'cancel',
+            request_id=header.request_id,
+            call_id=header.call_id,
+            service=header.service,
+            instance=self._parts.node_id,
+            remaining_ms=round(remaining_s * _MS_PER_S, 1),
+        )
+
     def _log_announcement(
         self, announcement: Announcement, order: AnnouncementOrder | None
     ) -> None:
--- a/merlintrail/node/_ingress.py
+++ b/merlintrail/node/_ingress.py
@@ -37,6 +37,7 @@
 from merlintrail.transport import HttpRequest, HttpResponse
 
 _MS_PER_S: Final = 1000
+_FIRST_ERROR_STATUS: Final = 400
 _UNSUPPORTED_METHODS: Final = frozenset(('CONNECT', 'TRACE'))
 
 
@@ -97,10 +98,18 @@
         finally:
             self.running -= 1
         response = self._build_response(answer, request_id)
+        duration_s = self._clock() - started_at
+        if response.status >= _FIRST_ERROR_STATUS:
+            log_decision(
+                'answer',
+                request_id=request_id,
+                status=response.status,
+                duration_ms=round(duration_s * _MS_PER_S, 1),
+            )
         self._parts.metrics.record_request(
             '' if isinstance(resolution, Refusal) else resolution.service,
             response.status,
-            self._clock() - started_at,
+            duration_s,
         )
         return response
 
@@ -283,8 +292,11 @@
         is_idempotent = call.is_idempotent and (
             resolution.is_routed or parent.header.is_idempotent
         )
+        parent_id = parent.header.request_id
+        request_id = arrival.headers.request_id or parent_id
         return call._replace(
-            request_id=arrival.headers.request_id or parent.header.request_id,
+            request_id=request_id,
+            parent_id=None if parent_id == request_id else parent_id,
             kind=parent.header.kind,
             priority=parent.header.priority,
             is_idempotent=is_idempotent,
@@ -307,6 +319,7 @@
         kind: str,
         refusal: Refusal,
     ) -> None:
+        self._parts.metrics.record_refusal('', refusal.reason.value)
         log_decision(
             'refuse',
             request_id=request_id,
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -30,7 +30,11 @@
 from merlintrail.node._local_service import LocalService
 from merlintrail.node._peer_service import PeerParts, PeerService
 from merlintrail.node._settings import Settings
-from merlintrail.node._status import describe_backends, describe_members
+from merlintrail.node._status import (
+    describe_backends,
+    describe_members,
+    describe_routes,
+)
 from merlintrail.node._suspicions import Suspicions
 from merlintrail.observability import (
     NodeMetrics,
@@ -216,6 +220,12 @@
         """Return every member known, for operators."""
         return describe_members(self.table)
 
+    def list_routes(self) -> Sequence[Mapping[str, Any]]:
+        """Return the routes in force, none without a configuration."""
+        if self.holder.current is None:
+            return ()
+        return describe_routes(self.holder.current)
+
     def _create_coordination(self) -> None:
         settings = self.settings
         self._pool = self._environment.create_pool()
--- a/merlintrail/node/_retry_policy.py
+++ b/merlintrail/node/_retry_policy.py
@@ -1,5 +1,6 @@
 """Whether a call that failed or was refused is sent again."""
 
+import enum
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
@@ -57,6 +58,32 @@
         return self._replace(handed=self.handed + 1)
 
 
+class RetryDecision(enum.StrEnum):
+    """Why a call is sent again, or is not."""
+
+    #: No backend server was handed the call: another is asked.
+    REDIRECT = 'redirect'
+    #: The account and the budget had room.
+    RETRY = 'retry'
+    #: The report, the time left or a conviction rules it out.
+    HOPELESS = 'hopeless'
+    #: The call may have run and must not run twice.
+    NOT_IDEMPOTENT = 'not-idempotent'
+    #: Another backend server would refuse for the same reason.
+    FINAL = 'final-reason'
+    #: It was sent to as many backend servers as the route allows.
+    NO_ATTEMPT_LEFT = 'no-attempt-left'
+    #: The request has no retry left.
+    ACCOUNT_EMPTY = 'account-empty'
+    #: This node has sent as many retries to the service as it may.
+    BUDGET_EMPTY = 'budget-empty'
+
+    @property
+    def is_allowed(self) -> bool:
+        """Whether the call is sent again."""
+        return self in {RetryDecision.REDIRECT, RetryDecision.RETRY}
+
+
 class RetryPolicy:
     """Decides on further attempts, within the bounds on retries.
 
@@ -76,39 +103,49 @@
         """Credit the budget of the service."""
         self.budgets.find(call.service).record_attempt()
 
-    def may_send_again(
+    def decide(
         self, call: OutgoingCall, gate_result: GateResult, made: Attempts
-    ) -> bool:
-        """Tell whether to send a call again, and take what that costs."""
+    ) -> RetryDecision:
+        """Decide whether to send a call again, and take what that costs."""
         is_hopeless = (
             not gate_result.report.may_retry
             or call.deadline <= self._clock()
             or self._suspicions.is_convicted(call)
         )
         if is_hopeless:
-            return False
+            return RetryDecision.HOPELESS
         answer = gate_result.answer
         cost = 1.0 + gate_result.report.calls_below
         has_attempt = call.attempts is None or made.handed < call.attempts
-        if isinstance(answer, HttpResponse):
-            is_allowed = has_attempt and call.is_idempotent
-            return is_allowed and self._take_retry(call, cost)
-        is_proved = answer.outcome == Outcome.NOT_RUN
-        is_safe = is_proved or call.is_idempotent
-        if answer.reason not in _ELSEWHERE or not is_safe:
-            return False
-        if is_proved and answer.reason not in _HANDED:
-            return made.redirects <= MAX_REDIRECTS
-        return has_attempt and self._take_retry(call, cost)
-
-    def _take_retry(self, call: OutgoingCall, cost: float) -> bool:
+        is_proved = False
+        if isinstance(answer, Refusal):
+            if answer.reason not in _ELSEWHERE:
+                return RetryDecision.FINAL
+            is_proved = answer.outcome == Outcome.NOT_RUN
+            if is_proved and answer.reason not in _HANDED:
+                return _decide_redirect(made)
+        if not (is_proved or call.is_idempotent):
+            return RetryDecision.NOT_IDEMPOTENT
+        if not has_attempt:
+            return RetryDecision.NO_ATTEMPT_LEFT
+        return self._take_retry(call, cost)
+
+    def _take_retry(self, call: OutgoingCall, cost: float) -> RetryDecision:
         """Take a retry that will make about as many calls as before."""
         if not call.account.spend():
-            return False
+            return RetryDecision.ACCOUNT_EMPTY
         budget = self.budgets.find(call.service)
         is_important = call.priority >= Importance.HIGH * SUBLEVELS
         is_urgent = is_important or call.depth == 1
-        return budget.spend(self._clock(), cost, is_urgent=is_urgent)
+        if budget.spend(self._clock(), cost, is_urgent=is_urgent):
+            return RetryDecision.RETRY
+        return RetryDecision.BUDGET_EMPTY
+
+
+def _decide_redirect(made: Attempts) -> RetryDecision:
+    if made.redirects <= MAX_REDIRECTS:
+        return RetryDecision.REDIRECT
+    return RetryDecision.NO_ATTEMPT_LEFT
 
 
 def has_failed_there(gate_result: GateResult) -> bool | None:
--- a/merlintrail/node/_status.py
+++ b/merlintrail/node/_status.py
@@ -4,7 +4,8 @@
 from typing import Any, Final
 
 from merlintrail.node._gatekeeper import Gatekeeper
-from merlintrail.state import Member, MemberStatus
+from merlintrail.protocol import Importance
+from merlintrail.state import Configuration, Member, MemberStatus
 
 _MS_PER_S: Final = 1000
 
@@ -31,6 +32,25 @@
     ]
 
 
+def describe_routes(
+    configuration: Configuration,
+) -> Sequence[Mapping[str, Any]]:
+    """Describe the routes of a configuration."""
+    return [
+        {
+            'host': route.host,
+            'prefix': route.prefix,
+            'services': [share._asdict() for share in route.shares],
+            'importance': Importance(route.kind.importance).name.lower(),
+            'is_idempotent': route.kind.is_idempotent,
+            'deadline_ms': route.kind.deadline_ms,
+            'objective_ms': route.kind.objective_ms,
+            'attempts': route.kind.attempts,
+        }
+        for route in configuration.routes
+    ]
+
+
 def describe_members(members: Iterable[Member]) -> Sequence[Mapping[str, Any]]:
     """Describe members."""
     return [
--- a/merlintrail/observability/_logs.py
+++ b/merlintrail/observability/_logs.py
@@ -17,15 +17,20 @@
 class JsonLinesHandler(logbook.Handler):  # type: ignore[misc]
     """Writes each record as one JSON object."""
 
-    def __init__(self, stream: TextIO, level: str = 'INFO') -> None:
+    def __init__(
+        self, stream: TextIO, level: str = 'INFO', node: str | None = None
+    ) -> None:
         super().__init__(level=logbook.lookup_level(level), bubble=False)
-        self._writer = LineWriter(stream)
+        #: Members of each line that say which node wrote it.
+        self._origin = {} if node is None else {'node': node}
+        self._writer = LineWriter(stream, origin=self._origin)
 
     def emit(self, record: Any) -> None:
         """Write one record; a failure of this process is flushed at once."""
         line = orjson.dumps(
             {
                 'time': record.time.isoformat(timespec='milliseconds'),
+                **self._origin,
                 'level': record.level_name.lower(),
                 'channel': record.channel,
                 'event': record.msg,
@@ -49,6 +54,7 @@
         line = orjson.dumps(
             {
                 'time': moment.isoformat(timespec='milliseconds'),
+                **self._origin,
                 'level': 'info',
                 'channel': 'decision',
                 'event': event,
@@ -73,19 +79,22 @@
 _DECISIONS: Final = _Decisions()
 
 
-def open_log(path: str | None, level: str) -> JsonLinesHandler:
+def open_log(
+    path: str | None, level: str, node: str | None = None
+) -> JsonLinesHandler:
     """Open the log of this process.
 
     Decisions are many: they go to the log directly, without a record of
     logbook for each.
 
     :param path: a file to append to, or ``None`` for standard output.
+    :param node: name of the instance, told in each line.
     :raises OSError: when the file cannot be opened.
     """
     stream = sys.stdout
     if path is not None:
         stream = Path(path).open('a', encoding='utf-8')
-    log = JsonLinesHandler(stream, level)
+    log = JsonLinesHandler(stream, level, node)
     if logbook.lookup_level(level) <= logbook.INFO:
         _DECISIONS.log = log
     return log
@@ -103,9 +112,12 @@
     """Log a routing, placement, admission or refusal decision.
 
     The line is written after what the current task sends next, so that it
-    does not delay a call.
+    does not delay a call. Fields that are ``None`` are left out.
     """
-    defer(_write_decision, time.time(), event, fields)
+    known = {
+        name: member for name, member in fields.items() if member is not None
+    }
+    defer(_write_decision, time.time(), event, known)
 
 
 def _write_decision(
--- a/merlintrail/observability/_metrics.py
+++ b/merlintrail/observability/_metrics.py
@@ -5,6 +5,7 @@
 from typing import Any, Final, NamedTuple, TypeAlias
 
 import orjson
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import (
@@ -13,8 +14,9 @@
     PeriodicExportingMetricReader,
 )
 from opentelemetry.sdk.resources import Resource
+from prometheus_client import CollectorRegistry, generate_latest
 
-from merlintrail.observability._deferred import defer, do_deferred
+from merlintrail.observability._deferred import defer
 
 #: Milliseconds between exports to a collector.
 EXPORT_INTERVAL_MS: Final = 10000
@@ -39,13 +41,30 @@
     reason: str
 
 
+class RetryLabels(NamedTuple):
+    """What retries are counted by."""
+
+    service: str
+
+
+class RefusalLabels(NamedTuple):
+    """What refusals are counted by."""
+
+    service: str
+    reason: str
+
+
 class NodeMetrics:
     """The instruments of a node."""
 
     def __init__(
-        self, provider: MeterProvider, reader: InMemoryMetricReader
+        self,
+        provider: MeterProvider,
+        reader: InMemoryMetricReader,
+        registry: CollectorRegistry,
     ) -> None:
         self._reader = reader
+        self._registry = registry
         self._provider = provider
         self._meter = provider.get_meter('merlintrail')
         self._duration = self._meter.create_histogram(
@@ -54,19 +73,26 @@
             description='Time from request to answer.',
         )
         self._calls: Counter[CallLabels] = Counter()
-        self._retries: Counter[str] = Counter()
+        self._retries: Counter[RetryLabels] = Counter()
+        self._refusals: Counter[RefusalLabels] = Counter()
         self._meter.create_observable_counter(
             'merlintrail.calls',
-            [self._observe_calls],
+            [lambda _: _observe(self._calls)],
             unit='{call}',
             description='Calls by service, outcome and reason.',
         )
         self._meter.create_observable_counter(
             'merlintrail.retries',
-            [self._observe_retries],
+            [lambda _: _observe(self._retries)],
             unit='{retry}',
             description='Attempts beyond the first of a call.',
         )
+        self._meter.create_observable_counter(
+            'merlintrail.refusals',
+            [lambda _: _observe(self._refusals)],
+            unit='{call}',
+            description='Calls refused before they were sent to a node.',
+        )
 
     def record_request(
         self, service: str, status: int, duration_s: float
@@ -87,7 +113,14 @@
 
     def record_retry(self, service: str) -> None:
         """Record a further attempt."""
-        self._retries[service] += 1
+        self._retries[RetryLabels(service)] += 1
+
+    def record_refusal(self, service: str, reason: str) -> None:
+        """Record a call that was refused before it was sent.
+
+        :param service: empty where the call was not routed.
+        """
+        self._refusals[RefusalLabels(service, reason)] += 1
 
     def observe_gauge(
         self, name: str, unit: str, description: str, read: GaugeReader
@@ -107,31 +140,29 @@
 
     def read_all(self) -> Mapping[str, Any]:
         """Return every metric in the JSON form of OpenTelemetry."""
-        do_deferred()
         collected = self._reader.get_metrics_data()
         if collected is None:
             return {}
         document: Mapping[str, Any] = orjson.loads(collected.to_json())
         return document
 
+    def render_text(self) -> bytes:
+        """Return every metric in the text format of Prometheus."""
+        return generate_latest(self._registry)
+
     def shut_down(self) -> None:
         """Export what is left."""
         self._provider.shutdown()
 
-    def _observe_calls(self, _: CallbackOptions) -> Iterable[Observation]:
-        for labels, count in tuple(self._calls.items()):
-            yield Observation(
-                count,
-                {
-                    'merlintrail.service': labels.service,
-                    'merlintrail.outcome': labels.outcome,
-                    'merlintrail.reason': labels.reason,
-                },
-            )
 
-    def _observe_retries(self, _: CallbackOptions) -> Iterable[Observation]:
-        for service, count in tuple(self._retries.items()):
-            yield Observation(count, {'merlintrail.service': service})
+def _observe(counts: Mapping[Any, int]) -> Iterable[Observation]:
+    """Observe counts by labels, of which each member is an attribute."""
+    for labels, count in tuple(counts.items()):
+        attributes = {
+            f'merlintrail.{name}': text
+            for name, text in labels._asdict().items()
+        }
+        yield Observation(count, attributes)
 
 
 def create_metrics(
@@ -142,14 +173,18 @@
     :param otlp_endpoint: URL of a collector's OTLP/HTTP metrics endpoint.
     """
     memory_reader = InMemoryMetricReader()
-    readers: list[MetricReader] = [memory_reader]
+    registry = CollectorRegistry()
+    readers: list[MetricReader] = [
+        memory_reader,
+        PrometheusMetricReader(scope_info_enabled=False, registry=registry),
+    ]
     if otlp_endpoint is not None:
         readers.append(_create_export_reader(otlp_endpoint))
     resource = Resource.create(
         {'service.name': 'merlintrail', 'service.instance.id': instance}
     )
     provider = MeterProvider(metric_readers=readers, resource=resource)
-    return NodeMetrics(provider, memory_reader)
+    return NodeMetrics(provider, memory_reader, registry)
 
 
 def _create_export_reader(endpoint: str) -> MetricReader:
--- a/merlintrail/observability/_writer.py
+++ b/merlintrail/observability/_writer.py
@@ -3,7 +3,8 @@
 import os
 import stat
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from datetime import UTC, datetime
 from typing import Final, TextIO
 
 import orjson
@@ -24,10 +25,15 @@
     """
 
     def __init__(
-        self, stream: TextIO, clock: Callable[[], float] = time.monotonic
+        self,
+        stream: TextIO,
+        clock: Callable[[], float] = time.monotonic,
+        origin: Mapping[str, str] | None = None,
     ) -> None:
         self._stream = stream
         self._clock = clock
+        #: Members that say who writes, for lines of the writer's own.
+        self._origin = origin or {}
         self._lines: list[bytes] = []
         self._waiting_bytes = 0
         self._second = 0
@@ -55,7 +61,7 @@
     def flush(self) -> None:
         """Write what the reader takes now."""
         if self.left_out and self._waiting_bytes < BUFFER_BYTES:
-            self._lines.append(_build_notice(self.left_out))
+            self._lines.append(self._build_notice())
             self.left_out = 0
         if not self._lines:
             return
@@ -70,6 +76,19 @@
         self._lines = [rest.removesuffix(b'\n')] if rest else []
         self._waiting_bytes = len(rest)
 
+    def _build_notice(self) -> bytes:
+        now = datetime.now(UTC).replace(tzinfo=None)
+        return orjson.dumps(
+            {
+                'time': now.isoformat(timespec='milliseconds'),
+                **self._origin,
+                'level': 'warning',
+                'channel': 'log',
+                'event': 'lines left out',
+                'lines': self.left_out,
+            }
+        )
+
     def _is_within_rate(self) -> bool:
         second = int(self._clock())
         if second != self._second:
@@ -102,14 +121,3 @@
     except OSError:
         # Nobody reads any more: the lines have no other place to go.
         return len(payload)
-
-
-def _build_notice(left_out: int) -> bytes:
-    return orjson.dumps(
-        {
-            'level': 'warning',
-            'channel': 'log',
-            'event': 'lines left out',
-            'lines': left_out,
-        }
-    )
--- a/merlintrail/observability/tests/test_logs_and_metrics.py
+++ b/merlintrail/observability/tests/test_logs_and_metrics.py
@@ -7,6 +7,8 @@
 import threading
 import unittest
 
+from prometheus_client.parser import text_string_to_metric_families
+
 from merlintrail.observability import (
     GaugePoint,
     JsonLinesHandler,
@@ -131,3 +133,39 @@
             'merlintrail.limit',
         ):
             self.assertIn(name, text)
+
+    def test_read_as_text(self) -> None:
+        """The same in the text format of Prometheus, with its units."""
+        metrics = create_metrics('one')
+        metrics.observe_gauge(
+            'merlintrail.limit', '1', '', lambda: [GaugePoint(7, 'svc')]
+        )
+        metrics.record_request('svc', 200, 0.01)
+        metrics.record_call('svc', 'not-run', 'overload')
+        metrics.record_refusal('svc', 'shed-early')
+        families = {
+            family.name: family.samples
+            for family in text_string_to_metric_families(
+                metrics.render_text().decode()
+            )
+        }
+        duration = families['http_server_request_duration_seconds']
+        counts = [
+            sample.value for sample in duration if sample.name.endswith('count')
+        ]
+        self.assertEqual(counts, [1])
+        labels = {
+            'merlintrail_service': 'svc',
+            'merlintrail_reason': 'shed-early',
+        }
+        refusals = families['merlintrail_refusals'][0]
+        self.assertEqual((refusals.labels, refusals.value), (labels, 1))
+        calls = families['merlintrail_calls'][0]
+        self.assertEqual(calls.labels['merlintrail_reason'], 'overload')
+        limits = [
+            sample.value
+            for name, samples in families.items()
+            if name.startswith('merlintrail_limit')
+            for sample in samples
+        ]
+        self.assertEqual(limits, [7])
--- a/merlintrail/state/_routes.py
+++ b/merlintrail/state/_routes.py
@@ -1,6 +1,6 @@
 """Routes by host and path prefix, and splits of a route by weight."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Final, NamedTuple
 
 from merlintrail.state._kinds import RequestKind
@@ -42,6 +42,12 @@
         """Tell whether there is any route."""
         return bool(self._by_host)
 
+    def __iter__(self) -> Iterator[Route]:
+        """Return every route, by host and prefix."""
+        for _, prefixes in sorted(self._by_host.items()):
+            for _, route in sorted(prefixes.items()):
+                yield route
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a request, ``None`` when there is none.
 
