Tell in the log how a connection to a backend server ended

Ruled out: a field in the report between nodes (bytes between regions are dear). Change: the refuse line of the node beside the backend server has the detail: closed or lost with the error, malformed, too large, of another request.

--- a/merlintrail/node/_gatekeeper.py
+++ b/merlintrail/node/_gatekeeper.py
@@ -174,7 +174,7 @@
         encoded = build_peer_answer(gate_result, header.request_id)
         self._parts.calls.finish(header.call_id, encoded)
         gate_result = gate_result._replace(encoded=encoded)
-        self._record(header, gate_result.report)
+        self._record(header, gate_result)
         return gate_result
 
     async def _run(
@@ -276,8 +276,9 @@
             refusal = Refusal(Outcome.NOT_RUN, Reason.TOMBSTONE)
         parent = ParentCall('', header, 0.0)
         report = self._build_report(header, parent, refusal)
-        self._record(header, report)
-        return GateResult(refusal, report)
+        gate_result = GateResult(refusal, report)
+        self._record(header, gate_result)
+        return gate_result
 
     def _build_report(
         self,
@@ -309,7 +310,10 @@
             calls_below=parent.calls_below,
         )
 
-    def _record(self, header: CallHeader, report: CallReport) -> None:
+    def _record(self, header: CallHeader, gate_result: GateResult) -> None:
+        report = gate_result.report
+        answer = gate_result.answer
+        detail = answer.detail if isinstance(answer, Refusal) else ''
         self._parts.metrics.record_call(
             header.service, report.outcome, report.reason
         )
@@ -321,6 +325,7 @@
             instance=self._parts.node_id,
             outcome=report.outcome,
             reason=report.reason,
+            detail=detail or None,
             priority=header.priority,
             shed_level=report.level,
             in_flight=report.in_flight,
--- a/merlintrail/transport/_client.py
+++ b/merlintrail/transport/_client.py
@@ -126,7 +126,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange in progress."""
         self.is_reusable = False
-        self._fail('connection lost before the whole answer')
+        end = 'closed' if exc is None else f'lost: {exc}'
+        self._fail(f'connection {end} before the whole answer')
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
         """Feed the parser; bytes outside an exchange end the connection."""
--- a/merlintrail/transport/tests/test_client.py
+++ b/merlintrail/transport/tests/test_client.py
@@ -18,20 +18,27 @@
 
 _WHOLE = b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole'
 _BROKEN = (
-    ('dies in the head', b'HTTP/1.1 200 OK\r\ncontent-le'),
-    ('dies in the body', b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabc'),
+    ('dies in the head', b'HTTP/1.1 200 OK\r\ncontent-le', 'closed'),
+    (
+        'dies in the body',
+        b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabc',
+        'closed',
+    ),
     (
         'chunk cut',
         b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab',
+        'closed',
     ),
     (
         'last chunk missing',
         b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n',
+        'closed',
     ),
-    ('not HTTP', b'garbage\r\n\r\n'),
+    ('not HTTP', b'garbage\r\n\r\n', 'malformed'),
     (
         'too large',
         b'HTTP/1.1 200 OK\r\ncontent-length: 200000\r\n\r\n' + b'x' * 200000,
+        'too large',
     ),
 )
 
@@ -84,14 +91,18 @@
         )
 
     async def test_fragments_are_no_answers(self) -> None:
-        """Whatever is cut becomes a failure, and the next call succeeds."""
-        for name, fragment in _BROKEN:
+        """What is cut becomes a failure that says how it ended.
+
+        The next call succeeds.
+        """
+        for name, fragment, words in _BROKEN:
             with self.subTest(name):
                 server = _ScriptedServer([fragment, _WHOLE], closes=True)
                 await server.start()
                 answer = await self.get(server)
                 assert isinstance(answer, TransportFailure), answer
                 self.assertEqual(answer.stage, FailureStage.ANSWER)
+                self.assertIn(words, answer.reason)
                 answer = await self.get(server)
                 assert isinstance(answer, HttpResponse), answer
                 self.assertEqual(answer.body, b'whole')
