--- a/merlintrail/lab/tests/test_store.py
+++ b/merlintrail/lab/tests/test_store.py
@@ -1,6 +1,5 @@
 """The store client against the stand-in, over HTTP, with its faults."""
 
-import asyncio
 import threading
 import unittest
 from typing import Any
@@ -19,35 +18,17 @@
     create_store_client,
 )
 from merlintrail.lab.store import start_store
+from merlintrail.testing import ServerThread
 
 
 class StoreTest(unittest.TestCase):
     """One stand-in on a thread of its own."""
 
     def setUp(self) -> None:
-        ready = threading.Event()
-        self.thread = threading.Thread(
-            target=lambda: asyncio.run(self.serve(ready))
-        )
-        self.thread.start()
-        ready.wait(10)
-        self.client: StoreClient = create_store_client([self.address])
-        self.addCleanup(self.stop)
-
-    async def serve(self, ready: threading.Event) -> None:
-        """Run the stand-in until it is stopped."""
-        self.loop = asyncio.get_running_loop()
-        self.stopped = asyncio.Event()
-        server = await start_store('127.0.0.1', 0)
-        self.address = f'127.0.0.1:{server.port}'
-        ready.set()
-        await self.stopped.wait()
-        server.close()
-
-    def stop(self) -> None:
-        """Stop the stand-in and its thread."""
-        self.loop.call_soon_threadsafe(self.stopped.set)
-        self.thread.join(10)
+        thread = ServerThread(lambda: start_store('127.0.0.1', 0))
+        self.addCleanup(thread.stop)
+        self.address = thread.address
+        self.client: StoreClient = create_store_client([thread.address])
 
     def set_faults(self, **faults: Any) -> None:
         """Switch faults on or off."""
--- a/merlintrail/platform/tests/test_store_wire.py
+++ b/merlintrail/platform/tests/test_store_wire.py
@@ -1,6 +1,5 @@
 """The store client speaks to the platform's store by one more wire."""
 
-import asyncio
 import threading
 import time
 import unittest
@@ -19,6 +18,7 @@
 from merlintrail.platform import PlatformStoreWire
 from merlintrail.platform.tests.platform_store import PlatformStore
 from merlintrail.platform.tests.samples import CONTENT, SETTINGS
+from merlintrail.testing import ServerThread
 from merlintrail.transport import start_server
 
 
@@ -26,31 +26,15 @@
     """One stand-in on a thread of its own."""
 
     def setUp(self) -> None:
-        ready = threading.Event()
-        self.thread = threading.Thread(
-            target=lambda: asyncio.run(self.serve(ready))
-        )
-        self.thread.start()
-        ready.wait(10)
-        self.client = StoreClient([self.address], PlatformStoreWire(SETTINGS))
-        self.addCleanup(self.stop)
-
-    async def serve(self, ready: threading.Event) -> None:
-        """Run the stand-in until it is stopped."""
-        self.loop = asyncio.get_running_loop()
-        self.stopped = asyncio.Event()
         self.state = StoreState(time.monotonic)
         store = PlatformStore(self.state)
-        server = await start_server(store.handle, '127.0.0.1', 0)
-        self.address = f'127.0.0.1:{server.port}'
-        ready.set()
-        await self.stopped.wait()
-        server.close()
-
-    def stop(self) -> None:
-        """Stop the stand-in and its thread."""
-        self.loop.call_soon_threadsafe(self.stopped.set)
-        self.thread.join(10)
+        self.thread = ServerThread(
+            lambda: start_server(store.handle, '127.0.0.1', 0)
+        )
+        self.addCleanup(self.thread.stop)
+        self.client = StoreClient(
+            [self.thread.address], PlatformStoreWire(SETTINGS)
+        )
 
     def operate(self, content: Any) -> None:
         """Write the operator's configuration."""
@@ -62,7 +46,7 @@
                 {'op/config': version}, {'op/config': content}, (), None
             )
 
-        asyncio.run_coroutine_threadsafe(write(), self.loop).result(10)
+        self.thread.call(write())
 
     def assert_fault(self, answer: object, fault: StoreFault) -> None:
         """Check that a call failed in a certain way."""
@@ -131,7 +115,7 @@
         async def drop() -> None:
             self.state.drop_history()
 
-        asyncio.run_coroutine_threadsafe(drop(), self.loop).result(10)
+        self.thread.call(drop())
         self.assert_fault(
             self.client.watch(CONFIGURATION_KEY, 1, 5), StoreFault.HISTORY_LOST
         )
--- a/merlintrail/testing/__init__.py
+++ b/merlintrail/testing/__init__.py
@@ -1,5 +1,6 @@
-"""Helpers for tests: an event loop whose time is virtual."""
+"""Helpers for tests: a loop whose time is virtual, servers on threads."""
 
+from merlintrail.testing._server_thread import ServerThread
 from merlintrail.testing._virtual_loop import VirtualLoop, run_virtually
 
-__all__ = ('VirtualLoop', 'run_virtually')
+__all__ = ('ServerThread', 'VirtualLoop', 'run_virtually')
