--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -12,20 +12,12 @@
     Knowledge,
     Membership,
     Relay,
-    SlotParts,
-    create_ledger,
 )
 from merlintrail.node._backend import HINT_INTERVAL_S
-from merlintrail.node._backend_exchange import BackendExchange, ExchangeParts
-from merlintrail.node._contexts import ContextTable
-from merlintrail.node._dispatch import Dispatcher, DispatchParts
+from merlintrail.node._call_path import PathParts, create_call_path
 from merlintrail.node._environment import Environment, split_host_port
-from merlintrail.node._exchange import PeerExchange
 from merlintrail.node._gauges import register_gauges
-from merlintrail.node._gatekeeper import Gatekeeper, GateParts
-from merlintrail.node._ingress import Ingress, IngressParts
 from merlintrail.node._joiner import Joiner, JoinParts
-from merlintrail.node._keyed import KeyedCalls, KeyedParts
 from merlintrail.node._lifecycle import Lifecycle, LifecycleParts
 from merlintrail.node._local_service import LocalService
 from merlintrail.node._peer_service import PeerParts, PeerService
@@ -35,24 +27,19 @@
     describe_members,
     describe_routes,
 )
-from merlintrail.node._suspicions import Suspicions
 from merlintrail.observability import (
     NodeMetrics,
     create_logger,
     create_metrics,
     log_decision,
 )
-from merlintrail.protocol import create_id
 from merlintrail.state import (
-    CallTable,
     Configuration,
     ConfigurationHolder,
     Member,
     MemberStatus,
     MemberTable,
-    Place,
     Quarantine,
-    RoutingTable,
     ServiceOffer,
 )
 from merlintrail.transport import (
@@ -261,98 +248,33 @@
         )
 
     def _create_call_path(self) -> None:
-        settings = self.settings
-        place = Place(settings.instance, settings.data_centre)
-        self.routing = RoutingTable(place, self._clock, self._source)
-        self.calls = CallTable(self._clock)
-        self.suspicions = Suspicions(
-            self.quarantine,
-            self._wall_clock,
-            self.membership.tell_suspicions,
-            f'{settings.instance}/{self.incarnation}',
-        )
-        dialect = self._environment.dialect
-        self.contexts = ContextTable(dialect, self._source)
-        backend_exchange = BackendExchange(
-            ExchangeParts(
-                settings.instance,
-                self._pool,
-                dialect,
-                self.suspicions,
-                self._clock,
-                self._update_offers,
-            )
-        )
-        self.gatekeeper = Gatekeeper(
-            GateParts(
-                settings.instance,
+        path = create_call_path(
+            PathParts(
+                self.settings,
                 self.incarnation,
-                backend_exchange,
-                self.calls,
-                self.contexts,
-                self.suspicions,
-                self.metrics,
-                self._clock,
-                self._wall_clock,
-                self._update_offers,
-            )
-        )
-        exchange = PeerExchange(
-            self._pool, self.peers, settings.fleet_key, self._clock
-        )
-        self.dispatcher = Dispatcher(
-            DispatchParts(
-                settings.instance,
-                self.holder,
-                self.routing,
-                exchange,
-                self.gatekeeper,
-                self.metrics,
-                self.suspicions,
-                self._clock,
-                self._source,
-            )
-        )
-        self.keyed = KeyedCalls(
-            KeyedParts(
-                settings.instance,
+                self._environment,
                 self.holder,
                 self.table,
-                self.dispatcher,
-                exchange,
+                self.quarantine,
+                self.membership,
                 self.peers,
-                self._clock,
-                self._wall_clock,
-                self._source,
+                self._pool,
+                self.metrics,
+                self._update_offers,
+                self._find_own_service,
             )
         )
-        slot_parts = SlotParts(
-            self._environment.store,
-            settings.instance,
-            self._wall_clock,
-            lambda: create_id(self._source),
-        )
-        self.keyed.attach(create_ledger(slot_parts, self.keyed.recall))
+        self.routing = path.routing
+        self.calls = path.calls
+        self.suspicions = path.suspicions
+        self.contexts = path.contexts
+        self.gatekeeper = path.gatekeeper
+        self.dispatcher = path.dispatcher
+        self.keyed = path.keyed
+        self.ingress = path.ingress
 
     def _create_services(self) -> None:
         settings = self.settings
-        self.ingress = Ingress(
-            IngressParts(
-                settings.instance,
-                settings.data_centre,
-                self.holder,
-                self.contexts,
-                self.dispatcher,
-                self.keyed,
-                self.suspicions,
-                self.metrics,
-                self._environment.dialect,
-                self._find_own_service,
-                self._clock,
-                self._wall_clock,
-                self._source,
-            )
-        )
         self.lifecycle = Lifecycle(
             LifecycleParts(
                 settings.instance,
