Read request targets in absolute form

Cause: RFC 9112 section 3.2.2 wants servers to take them; they were routed as a path that begins with http: and answered 404. Ruled out: forwarding them as they came (a backend server is the origin and gets the path). Change: a target is read at one place; its host goes before the header's; other forms are refused with 400. BadRequest and targets are modules of their own. Measured: tables of forms and faults; the fault table fails before.

--- a/merlintrail/transport/__init__.py
+++ b/merlintrail/transport/__init__.py
@@ -1,5 +1,6 @@
 """Listeners and pooled connections for HTTP/1.1 on asyncio."""
 
+from merlintrail.transport._bad_request import BadRequest
 from merlintrail.transport._client import (
     TIMEOUT,
     ClientConnection,
@@ -14,7 +15,7 @@
     encode_response,
 )
 from merlintrail.transport._pool import ConnectionPool, create_pool
-from merlintrail.transport._request_parser import BadRequest, ServerLimits
+from merlintrail.transport._request_parser import ServerLimits
 from merlintrail.transport._server import (
     HttpServer,
     RequestHandler,
--- a/merlintrail/transport/_request_parser.py
+++ b/merlintrail/transport/_request_parser.py
@@ -5,7 +5,9 @@
 
 import httptools
 
+from merlintrail.transport._bad_request import BadRequest
 from merlintrail.transport._message import HttpRequest
+from merlintrail.transport._request_target import read_target
 
 _VERSIONS: Final = frozenset(('1.0', '1.1'))
 #: Bytes around the name and value of a header.
@@ -25,13 +27,6 @@
     idle_timeout_s: float = 75.0
 
 
-class BadRequest(NamedTuple):
-    """A request that cannot be served, with the status that says so."""
-
-    status: int
-    reason: str
-
-
 class RequestParser:
     """Parses the requests of one connection.
 
@@ -121,10 +116,18 @@
         if self._fault is not None:
             return
         self.keeps_alive = self._parser.should_keep_alive()
+        method = self._parser.get_method().decode('latin-1')
+        target = read_target(self._target.decode('latin-1'), method)
+        if isinstance(target, BadRequest):
+            self._find_fault(target.status, target.reason)
+            return
+        if target.host is not None:
+            # The host of the target goes before that of the header.
+            self._headers['host'] = target.host
         self._parsed.append(
             HttpRequest(
-                self._parser.get_method().decode('latin-1'),
-                self._target.decode('latin-1'),
+                method,
+                target.path,
                 self._headers,
                 b''.join(self._body),
                 self.remote_host,
--- a/merlintrail/transport/_server.py
+++ b/merlintrail/transport/_server.py
@@ -5,16 +5,13 @@
 from collections.abc import Awaitable, Callable
 from typing import Final, NamedTuple, TypeAlias, cast
 
+from merlintrail.transport._bad_request import BadRequest
 from merlintrail.transport._message import (
     HttpRequest,
     HttpResponse,
     encode_response,
 )
-from merlintrail.transport._request_parser import (
-    BadRequest,
-    RequestParser,
-    ServerLimits,
-)
+from merlintrail.transport._request_parser import RequestParser, ServerLimits
 
 RequestHandler: TypeAlias = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
--- a/merlintrail/transport/tests/test_request_parser.py
+++ b/merlintrail/transport/tests/test_request_parser.py
@@ -23,6 +23,20 @@
     b'transfer-encoding: chunked\r\n\r\n',
     b'GET / HTTP/1.1\r\nhost : a\r\n\r\n',
     b'GET / HTTP/1.1\r\n folded: a\r\n\r\n',
+    b'GET http:///x HTTP/1.1\r\nhost: a\r\n\r\n',
+    b'GET http://u:p@b/x HTTP/1.1\r\nhost: a\r\n\r\n',
+    b'GET ftp://b/x HTTP/1.1\r\nhost: a\r\n\r\n',
+    b'GET * HTTP/1.1\r\nhost: a\r\n\r\n',
+    b'GET x/y HTTP/1.1\r\nhost: a\r\n\r\n',
+)
+#: Target as sent, target and host as read.
+_TARGETS = (
+    ('/x?y=1', '/x?y=1', 'a'),
+    ('http://b.example/x?y=1', '/x?y=1', 'b.example'),
+    ('HTTP://b.example:80/x', '/x', 'b.example:80'),
+    ('https://b.example', '/', 'b.example'),
+    ('http://b.example?y=1', '/?y=1', 'b.example'),
+    ('http://b.example?y=/z', '/?y=/z', 'b.example'),
 )
 
 
@@ -39,6 +53,16 @@
                     self.assertIsInstance(parsed[0], HttpRequest)
                     self.assertIsInstance(parsed[1], BadRequest)
 
+    def test_forms_of_targets(self) -> None:
+        """A host in the target goes before that of the header."""
+        for sent, target, host in _TARGETS:
+            with self.subTest(sent):
+                payload = f'GET {sent} HTTP/1.1\r\nhost: a\r\n\r\n'
+                request = self.parse(payload.encode(), 10000)[0]
+                assert isinstance(request, HttpRequest), request
+                self.assertEqual(request.target, target)
+                self.assertEqual(request.headers['host'], host)
+
     def parse(
         self, payload: bytes, size: int
     ) -> list[HttpRequest | BadRequest]:
