Give the registry of backend servers, demands and the soak's flags their modules

Change: BackendRegistry, _demand.py, _progress.py; the soak in _fault_soak.py and its flags in fault_soak.py; `make fault-soak`.

--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,10 @@
 SEED ?= 1
 NODES ?= 200
 SOAK_DURATION ?= 600
+SEEDS ?= 1
+FAULT_DURATION ?= 8
 
-.PHONY: run test bench soak format golden
+.PHONY: run test bench soak fault-soak format golden
 
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -37,3 +39,6 @@
 
 golden: $(STAMP)
 	GOLDEN_WRITE=1 $(PY) -m unittest merlintrail.node.tests.test_golden_sessions
+
+fault-soak: $(STAMP)
+	$(PY) -m merlintrail.bench.fault_soak --seed=$(SEED) --seeds=$(SEEDS) --duration=$(FAULT_DURATION)
--- a/merlintrail/bench/_figures.py
+++ b/merlintrail/bench/_figures.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from typing import NamedTuple, TypeAlias
 
-
 #: Benches by name; each takes a seed.
 Benches: TypeAlias = dict[str, Callable[[int], None]]
 
--- a/merlintrail/bench/_worlds.py
+++ b/merlintrail/bench/_worlds.py
@@ -3,8 +3,8 @@
 from collections.abc import Mapping, Sequence
 from typing import Any, Final, NamedTuple
 
-from merlintrail.load import LoadKind
 from merlintrail.lab.processes import WorkerPlan
+from merlintrail.load import LoadKind
 
 #: Workers of each service.
 WORKERS: Final = 3
--- a/merlintrail/bench/fault_soak.py
+++ b/merlintrail/bench/fault_soak.py
@@ -1,34 +1,14 @@
-"""A soak with faults: ``python -m merlintrail.bench.fault_soak``.
+"""A soak with faults: ``python -m merlintrail.bench.fault_soak``."""
 
-Callers send requests to a small deployment of real processes while these are
-killed, paused and restarted, their links are disturbed and the store
-misbehaves. What callers and backend servers saw is held against the promises.
-"""
-
-import asyncio
-import contextlib
 import signal
 import sys
-import time
-from collections.abc import Mapping, Sequence
-from pathlib import Path
-from typing import Any, Final, NamedTuple
+from collections.abc import Sequence
+from typing import Any, Final
 
 import orjson
-import uvloop
 from absl import app, flags
 
-from merlintrail.bench._latency import build_document, start_deployment
-from merlintrail.bench._soak_callers import SoakCallers, SoakRecord
-from merlintrail.bench._soak_checks import (
-    RECOVERED_SHARE,
-    check_records,
-    compute_success,
-    count_runs,
-)
-from merlintrail.bench._soak_faults import SoakFaults, SoakTargets
-from merlintrail.lab.processes import Deployment, WorkerPlan
-from merlintrail.lab.relay import Relay
+from merlintrail.bench._fault_soak import run_soak
 
 _SEED: Final = flags.DEFINE_integer('seed', 1, 'First seed.')
 _SEEDS: Final = flags.DEFINE_integer('seeds', 1, 'Number of seeds.')
@@ -37,157 +17,6 @@
     'keep', None, 'Folder to which the logs of a seed with findings go.'
 )
 
-#: Seeds that ever showed a finding, by its cause; with 8 s of faults.
-FAILED_SEEDS: Final[Mapping[int, str]] = {
-    21: 'a refusal of a resend was held against the run of the first sending',
-    37: 'the same',
-}
-WORKERS: Final = ('echo-0', 'echo-1', 'echo-2')
-#: Bytes that a silent connection to each of them swallows.
-DIRECTIONS: Final = ('forward', 'backward', 'both')
-ENTRIES: Final = ('entry-0', 'entry-1')
-#: Seconds of load before the first fault.
-CALM_S: Final = 1.0
-#: Seconds after the last fault until requests are to succeed again.
-SETTLING_S: Final = 10.0
-#: Seconds of load from which that is judged.
-JUDGED_S: Final = 3.0
-
-
-class SoakResult(NamedTuple):
-    """What one seed showed."""
-
-    seed: int
-    findings: Sequence[str]
-    faults: Mapping[str, int]
-    records: Sequence[SoakRecord]
-    #: Share of successes once everything has settled.
-    recovered_share: float
-
-    def summarise(self) -> dict[str, Any]:
-        """Build a summary that can be printed as JSON."""
-        statuses: dict[str, int] = {}
-        for record in self.records:
-            name = f'{record.kind.name} {record.status} {record.outcome}'
-            statuses[name] = statuses.get(name, 0) + 1
-        return {
-            'seed': self.seed,
-            'findings': list(self.findings),
-            'recovered_share': round(self.recovered_share, 3),
-            'faults': dict(self.faults),
-            'answers': dict(sorted(statuses.items())),
-        }
-
-
-def _list_run_logs(deployment: Deployment) -> list[Path]:
-    return [deployment.folder / f'{name}.runs' for name in WORKERS]
-
-
-def _start_workers(deployment: Deployment, relays: Sequence[Relay]) -> None:
-    """Start the workers, their peer addresses behind relays."""
-    plans = [
-        WorkerPlan(
-            name,
-            f'dc-{number % 2}',
-            {
-                'service': 'echo',
-                'slots': 16,
-                'service_ms': 15,
-                'run_log': str(deployment.folder / f'{name}.runs'),
-            },
-        )
-        for number, name in enumerate(WORKERS)
-    ]
-    deployment.place_workers(plans)
-    for relay, name in zip(relays, WORKERS, strict=True):
-        relay.target = deployment.hide_peer_address(name, relay.address)
-        deployment.start_node(name)
-    deployment.start_backends(plans)
-    generation = deployment.apply_configuration(build_document(2))
-    deployment.wait_until_ready(generation)
-
-
-async def _start_relays() -> list[Relay]:
-    relays = [Relay(direction) for direction in DIRECTIONS]
-    for relay in relays:
-        await relay.start()
-    return relays
-
-
-async def _run_load(
-    callers: SoakCallers, faults: SoakFaults, duration_s: float
-) -> float:
-    """Send requests before, during and after the faults.
-
-    :returns: seconds after the first request from which all is settled.
-    """
-    sending = asyncio.create_task(callers.run())
-    started_at = time.monotonic()
-    await asyncio.sleep(CALM_S)
-    await faults.run(duration_s)
-    await asyncio.sleep(SETTLING_S)
-    settled_s = time.monotonic() - started_at
-    await asyncio.sleep(JUDGED_S)
-    sending.cancel()
-    await callers.finish()
-    return settled_s
-
-
-async def _soak(
-    deployment: Deployment, seed: int, duration_s: float
-) -> SoakResult:
-    relays = await _start_relays()
-    await asyncio.to_thread(_start_workers, deployment, relays)
-    callers = SoakCallers(
-        [deployment.workers[name].call_address for name in ENTRIES], seed
-    )
-    faults = SoakFaults(SoakTargets(deployment, WORKERS, ENTRIES, relays), seed)
-    settled_s = await _run_load(callers, faults, duration_s)
-    for relay in relays:
-        relay.stop()
-    findings = check_records(
-        callers.records, count_runs(_list_run_logs(deployment))
-    )
-    share = compute_success(callers.records, settled_s)
-    if share < RECOVERED_SHARE:
-        findings.append(
-            f'{share:.2f} of the requests succeed {SETTLING_S} s after the '
-            'last fault'
-        )
-    return SoakResult(seed, findings, faults.counts, callers.records, share)
-
-
-def run_soak(
-    seed: int, duration_s: float, keep: str | None = None
-) -> SoakResult:
-    """Run one seed.
-
-    :param keep: folder to which the logs go when promises were broken.
-    """
-    deployment = start_deployment(
-        [
-            WorkerPlan(name, f'dc-{number % 2}', None)
-            for number, name in enumerate(ENTRIES)
-        ],
-        2,
-    )
-    with contextlib.closing(_Stopping(deployment)):
-        found = uvloop.run(_soak(deployment, seed, duration_s))
-        if found.findings and keep is not None:
-            deployment.folder.rename(Path(keep) / f'seed-{seed}')
-    return found
-
-
-class _Stopping:
-    """Stops a deployment when it is closed."""
-
-    def __init__(self, deployment: Deployment) -> None:
-        self._deployment = deployment
-
-    def close(self) -> None:
-        """End every process."""
-        self._deployment.stop()
-
 
 def _end(*_: Any) -> None:
     """End at SIGTERM as at the end of a run, with every process."""
--- a/merlintrail/bench/tests/test_fault_soak.py
+++ b/merlintrail/bench/tests/test_fault_soak.py
@@ -3,9 +3,9 @@
 import unittest
 from typing import Final
 
+from merlintrail.bench._fault_soak import FAILED_SEEDS, run_soak
 from merlintrail.bench._soak_callers import SOAK_KINDS, SoakRecord
 from merlintrail.bench._soak_checks import check_records, compute_success
-from merlintrail.bench.fault_soak import FAILED_SEEDS, run_soak
 
 _IDEMPOTENT, _ONCE, _KEYED = SOAK_KINDS
 
--- a/merlintrail/node/_call_path.py
+++ b/merlintrail/node/_call_path.py
@@ -10,6 +10,7 @@
     create_ledger,
 )
 from merlintrail.node._backend_exchange import BackendExchange, ExchangeParts
+from merlintrail.node._backend_registry import BackendRegistry
 from merlintrail.node._contexts import ContextTable
 from merlintrail.node._dispatch import Dispatcher, DispatchParts
 from merlintrail.node._environment import Environment
@@ -160,7 +161,9 @@
             parts.metrics,
             environment.clock,
             environment.wall_clock,
-            parts.on_change,
+            BackendRegistry(
+                environment.clock, environment.wall_clock, parts.on_change
+            ),
         )
     )
 
--- a/merlintrail/node/_dispatch.py
+++ b/merlintrail/node/_dispatch.py
@@ -4,13 +4,14 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple, Protocol
 
-from merlintrail.node._answers import combine_refusals, read_peer_answer
+from merlintrail.node._answers import read_peer_answer
 from merlintrail.node._calls import (
     CallResult,
     GateResult,
     OutgoingCall,
 )
 from merlintrail.node._exchange import PeerExchange
+from merlintrail.node._progress import Progress
 from merlintrail.node._retry_policy import (
     Attempts,
     RetryDecision,
@@ -106,50 +107,6 @@
     source: random.Random
 
 
-class _Progress:
-    """What came of the attempts of one call so far."""
-
-    def __init__(self) -> None:
-        #: Nodes that the call was sent to.
-        self.tried: list[str] = []
-        #: Shedding levels that the attempts met.
-        self.levels: dict[str, int] = {}
-        self.attempts = Attempts()
-        #: Calls made, at all depths.
-        self.calls = 0
-        #: The answer that ends the call.
-        self.answer: HttpResponse | None = None
-        self._failed: HttpResponse | None = None
-        self._refusal: Refusal | None = None
-
-    def take(self, gate_result: GateResult) -> None:
-        """Take what came of an attempt."""
-        answer = gate_result.answer
-        self.attempts = self.attempts.add(gate_result)
-        self.calls += 1 + gate_result.report.calls_below
-        if isinstance(answer, Refusal):
-            self.take_refusal(answer, is_sent=True)
-            if answer.reason == Reason.TOMBSTONE:
-                # The peer is well, only its old connections were not.
-                self.tried.pop()
-        elif gate_result.report.is_failure:
-            self._failed = answer
-        else:
-            self.answer = answer
-
-    def take_refusal(self, refusal: Refusal, *, is_sent: bool) -> None:
-        """Take a refusal, of an attempt or of the choice of a server."""
-        self._refusal = combine_refusals(
-            self._refusal, refusal, is_sent=is_sent
-        )
-
-    def choose_answer(self) -> HttpResponse | Refusal:
-        """Return the answer, a backend server's failure, or the refusal."""
-        chosen = self.answer or self._failed or self._refusal
-        assert chosen is not None
-        return chosen
-
-
 class Dispatcher:
     """Sends calls to backend servers of their service."""
 
@@ -177,7 +134,7 @@
     async def dispatch(self, call: OutgoingCall) -> CallResult:
         """Send a call until it is answered or no try is left."""
         self._retries.record_first_attempt(call)
-        progress = _Progress()
+        progress = Progress()
         while True:
             choice = self._find_target(call, progress.tried)
             if isinstance(choice, Refusal):
--- a/merlintrail/node/_gatekeeper.py
+++ b/merlintrail/node/_gatekeeper.py
@@ -4,13 +4,8 @@
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple
 
-from merlintrail.node._backend import (
-    Announcement,
-    AnnouncementOrder,
-    Departures,
-    compare_announcements,
-)
 from merlintrail.node._backend_exchange import BackendExchange
+from merlintrail.node._backend_registry import BackendRegistry
 from merlintrail.node._calls import (
     GateResult,
     OutgoingCall,
@@ -55,8 +50,8 @@
     metrics: NodeMetrics
     clock: Callable[[], float]
     wall_clock: Callable[[], float]
-    #: Told when a backend server's readiness changes.
-    on_change: Callable[[], None]
+    #: Backend servers that announced themselves to this node.
+    registry: BackendRegistry
 
 
 class Gatekeeper:
@@ -66,14 +61,13 @@
         self._parts = parts
         self._clock = parts.clock
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._departures = Departures()
+        self.registry = parts.registry
         #: Gates by service.
-        self.gates: dict[str, Gate] = {}
+        self.gates = parts.registry.gates
         #: The next planned stop of this instance.
         self.planned_stop: PlannedStop | None = None
         #: Whether this node no longer takes calls.
         self.is_draining = False
-        self._configuration: Configuration | None = None
 
     @property
     def running(self) -> int:
@@ -83,65 +77,10 @@
             for gate in self.gates.values()
         )
 
-    def find_own_service(self) -> str:
-        """Return the service of the backend server, empty without one."""
-        return next(iter(self.gates), '')
-
     def update_configuration(self, configuration: Configuration) -> None:
         """Take a new configuration."""
-        self._configuration = configuration
         self._parts.suspicions.expiry_s = configuration.quarantine_expiry_s
-        for name, gate in self.gates.items():
-            self._configure_gate(name, gate)
-
-    def announce(self, announcement: Announcement) -> AnnouncementOrder:
-        """Take a backend server's announcement, its renewal or its drain.
-
-        :returns: ``STALE`` when it changes nothing.
-        """
-        gate = self._find_gate(announcement)
-        known = None if gate is None else gate.backend.announcement
-        order = compare_announcements(known, announcement)
-        if self._departures.includes(announcement):
-            order = AnnouncementOrder.STALE
-        if order == AnnouncementOrder.STALE:
-            self._log_announcement(announcement, order)
-            return order
-        is_changed = True
-        if gate is None or order == AnnouncementOrder.NEW_RUN:
-            gate = self._replace_gate(gate, announcement)
-        else:
-            is_changed = gate.backend.announcement.is_ready != (
-                announcement.is_ready
-            )
-            gate.backend.renew(announcement, self._clock())
-            gate.limit.resize(announcement.slots)
-        if not announcement.is_ready:
-            gate.admission.refuse_waiting(Reason.DRAINING)
-        if is_changed:
-            self._log_announcement(announcement, order)
-        self._parts.on_change()
-        return order
-
-    def dismiss(self, identity: str, started_at_ms: int | None) -> bool:
-        """Take note that a backend server leaves; it gets no new call.
-
-        :param started_at_ms: start of the run that leaves. Without it every
-            run of that identity that has begun by now is leaving.
-        :returns: False when it is not one beside this node.
-        """
-        if started_at_ms is None:
-            started_at_ms = int(self._parts.wall_clock() * _MS_PER_S)
-        self._departures.record(identity, started_at_ms)
-        for gate in self.gates.values():
-            announcement = gate.backend.announcement
-            if self._departures.includes(announcement):
-                gate.backend.is_draining = True
-                gate.admission.refuse_waiting(Reason.DRAINING)
-                self._log_announcement(announcement, None)
-                self._parts.on_change()
-                return True
-        return False
+        self.registry.update_configuration(configuration)
 
     async def refresh_hints(self) -> None:
         """Look at the endpoints of every backend server."""
@@ -227,28 +166,6 @@
             await running
             raise
 
-    def _find_gate(self, announcement: Announcement) -> Gate | None:
-        """Return the gate of a service, or of another at its address."""
-        gate = self.gates.get(announcement.service)
-        if gate is not None:
-            return gate
-        for other in self.gates.values():
-            if other.backend.announcement.address == announcement.address:
-                return other
-        return None
-
-    def _replace_gate(
-        self, known: Gate | None, announcement: Announcement
-    ) -> Gate:
-        """Begin a gate for a new run of a backend server."""
-        if known is not None:
-            known.admission.refuse_waiting(Reason.NO_BACKEND_SERVER)
-            del self.gates[known.backend.announcement.service]
-        gate = Gate(announcement, self._clock)
-        self._configure_gate(announcement.service, gate)
-        self.gates[announcement.service] = gate
-        return gate
-
     def _check(self, header: CallHeader, gate: Gate | None) -> Refusal | None:
         remaining_s = header.deadline_ms / _MS_PER_S
         if header.incarnation != self._parts.incarnation:
@@ -343,26 +260,6 @@
             remaining_ms=round(remaining_s * _MS_PER_S, 1),
         )
 
-    def _log_announcement(
-        self, announcement: Announcement, order: AnnouncementOrder | None
-    ) -> None:
-        log_decision(
-            'backend-server',
-            service=announcement.service,
-            identity=announcement.identity,
-            started_at_ms=announcement.started_at_ms,
-            sequence=announcement.sequence,
-            is_ready=announcement.is_ready and order is not None,
-            outcome='leaving' if order is None else order.value,
-        )
-
-    def _configure_gate(self, name: str, gate: Gate) -> None:
-        if self._configuration is None:
-            return
-        service = self._configuration.services.get(name)
-        if service is not None:
-            gate.admission.queue_limit_s = service.queue_limit_ms / _MS_PER_S
-
     def _keep_task(self, task: 'asyncio.Task[Any]') -> None:
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/merlintrail/node/_local_service.py
+++ b/merlintrail/node/_local_service.py
@@ -66,7 +66,7 @@
         announcement = read_announcement(document)
         if isinstance(announcement, InvalidAnnouncement):
             return _build_answer(400, {'findings': announcement.findings})
-        self._gatekeeper.announce(announcement)
+        self._gatekeeper.registry.announce(announcement)
         return _build_answer(200, {'ttl_s': announcement.ttl_s})
 
     def _drain(self, document: Mapping[str, Any]) -> HttpResponse:
@@ -78,6 +78,6 @@
                 404, {'error': f'{service!r} is not announced; known: {known}'}
             )
         announcement = gate.backend.announcement._replace(is_ready=False)
-        self._gatekeeper.announce(announcement)
+        self._gatekeeper.registry.announce(announcement)
         log_decision('drain', service=announcement.service)
         return _build_answer(200, {'running': gate.admission.running})
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -309,7 +309,7 @@
         platform = self.settings.platform
         if platform is not None and platform.service:
             return platform.service
-        return self.gatekeeper.find_own_service()
+        return self.gatekeeper.registry.find_own_service()
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         self.routing.update_regions(configuration.regions)
--- a/merlintrail/node/tests/test_announcements.py
+++ b/merlintrail/node/tests/test_announcements.py
@@ -71,16 +71,18 @@
         async def scenario() -> None:
             session = _create_session()
             gatekeeper = session.nodes['one'].gatekeeper
-            gatekeeper.announce(_KNOWN)
+            gatekeeper.registry.announce(_KNOWN)
             drain = _KNOWN._replace(sequence=6, is_ready=False)
-            gatekeeper.announce(drain)
+            gatekeeper.registry.announce(drain)
             answer = await session.call('one', '/svc/read')
             self.assertEqual(answer.status, 503)
-            gatekeeper.announce(_KNOWN._replace(sequence=4))
+            gatekeeper.registry.announce(_KNOWN._replace(sequence=4))
             self.assertEqual(
                 (await session.call('one', '/svc/read')).status, 503
             )
-            gatekeeper.announce(_KNOWN._replace(started_at_ms=2000, sequence=1))
+            gatekeeper.registry.announce(
+                _KNOWN._replace(started_at_ms=2000, sequence=1)
+            )
             self.assertEqual(
                 (await session.call('one', '/svc/read')).status, 200
             )
@@ -95,8 +97,10 @@
                 session = _create_session()
                 gatekeeper = session.nodes['one'].gatekeeper
                 gatekeeper.gates.clear()
-                gatekeeper.dismiss('i-1', started_at_ms)
-                order = gatekeeper.announce(_KNOWN._replace(sequence=4))
+                gatekeeper.registry.dismiss('i-1', started_at_ms)
+                order = gatekeeper.registry.announce(
+                    _KNOWN._replace(sequence=4)
+                )
                 self.assertEqual(order, AnnouncementOrder.STALE)
                 self.assertEqual(gatekeeper.gates, {})
 
@@ -108,8 +112,8 @@
         async def scenario() -> None:
             session = _create_session()
             gatekeeper = session.nodes['one'].gatekeeper
-            gatekeeper.announce(_KNOWN)
-            gatekeeper.announce(
+            gatekeeper.registry.announce(_KNOWN)
+            gatekeeper.registry.announce(
                 _KNOWN._replace(
                     service='other', identity='i-2', started_at_ms=3000
                 )
--- a/merlintrail/node/tests/test_hints.py
+++ b/merlintrail/node/tests/test_hints.py
@@ -30,7 +30,7 @@
 
     for name in ('one', 'two'):
         session.add_backend(name, 'svc', handle)
-        session.nodes[name].gatekeeper.announce(
+        session.nodes[name].gatekeeper.registry.announce(
             Announcement(
                 'svc',
                 f'{name}:svc',
--- a/merlintrail/state/__init__.py
+++ b/merlintrail/state/__init__.py
@@ -2,6 +2,13 @@
 
 from merlintrail.state._admission import Admission, Claim
 from merlintrail.state._call_table import CallRecord, CallTable
+from merlintrail.state._demand import (
+    Choice,
+    Demand,
+    NoTarget,
+    Place,
+    Tier,
+)
 from merlintrail.state._difference import Difference, find_differences
 from merlintrail.state._document import (
     CallerLimits,
@@ -58,14 +65,7 @@
     RouteTable,
     ServiceShare,
 )
-from merlintrail.state._routing import (
-    Choice,
-    Demand,
-    NoTarget,
-    Place,
-    RoutingTable,
-    Tier,
-)
+from merlintrail.state._routing import RoutingTable
 from merlintrail.state._shedding import LevelTable, ShedController, is_shed
 from merlintrail.state._stops import find_stop, outlasts_start
 from merlintrail.state._targets import Target
