--- a/merlintrail/cli/_explain.py
+++ b/merlintrail/cli/_explain.py
@@ -17,6 +17,8 @@
 )
 #: Events of the node that a call was sent to.
 _ARRIVALS: Final = frozenset(('admit', 'refuse', 'cancel'))
+#: Beginning of each line that a node writes.
+_FIRST_MEMBER: Final = '{"time":'
 _STANDARD_INPUT: Final = '-'
 #: What an engineer does with a reason.
 _HINTS: Final[Mapping[str, str]] = {
@@ -51,16 +53,13 @@
     """Read the lines of one log; what is no JSON object is passed over.
 
     Text in front of the object, such as a time and a name that a collector
-    of logs adds, is passed over too.
+    of logs adds, is passed over too, and so is the beginning of a line that
+    the collector cut.
     """
     read = []
     for line in lines:
-        start = line.find('{')
-        if start < 0:
-            continue
-        try:
-            fields = orjson.loads(line[start:])
-        except orjson.JSONDecodeError:
+        fields = _find_object(line)
+        if fields is None:
             continue
         read.append(
             LogLine(
@@ -74,6 +73,20 @@
     return read
 
 
+def _find_object(line: str) -> Mapping[str, Any] | None:
+    """Return the JSON object at the end of a line."""
+    for start in (line.find('{'), line.rfind(_FIRST_MEMBER)):
+        if start < 0:
+            continue
+        try:
+            fields = orjson.loads(line[start:])
+        except orjson.JSONDecodeError:
+            continue
+        if isinstance(fields, dict):
+            return fields
+    return None
+
+
 def select_lines(request_id: str, lines: Sequence[LogLine]) -> list[LogLine]:
     """Return the lines of a request and of the calls below it, in order."""
     selected_ids = {request_id}
--- a/merlintrail/cli/tests/test_explain.py
+++ b/merlintrail/cli/tests/test_explain.py
@@ -92,10 +92,17 @@
     def test_foreign_text(self) -> None:
         """What is no line of a node is passed over, a prefix cut off."""
         lines = read_log(
-            ['', 'text', '{broken', f'  5.100 s front: {_FRONT[0]}\n'], 'x'
+            ['', 'text', '{broken', '[7]', f'  5.1 s front: {_FRONT[0]}\n'],
+            'x',
         )
         self.assertEqual([line.request_id for line in lines], ['a'])
 
+    def test_cut_line(self) -> None:
+        """A whole object behind the beginning of another is read."""
+        whole = '{"time":"t","event":"route","request_id":"a"}'
+        lines = read_log([f'{whole[:20]}  5.1 s back {whole}'], 'x')
+        self.assertEqual([line.request_id for line in lines], ['a'])
+
     def test_lines_without_node(self) -> None:
         """The name of the file stands in for the node's."""
         lines = read_log(['{"event":"route","request_id":"a"}'], 'node-1')
