--- a/merlintrail/lab/relay.py
+++ b/merlintrail/lab/relay.py
@@ -92,6 +92,8 @@
                     continue
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
+                if sink.is_closing():
+                    return
                 sink.write(chunk)
         except OSError:
             return
