--- /dev/null
+++ b/merlintrail/node/tests/test_inquiries.py
@@ -0,0 +1,154 @@
+"""What an inquiry proves of a call that went missing."""
+
+import asyncio
+import unittest
+
+from merlintrail.node.tests.fake_network import get_header
+from merlintrail.node.tests.session import (
+    Session,
+    answer_after,
+    build_document,
+    build_kind,
+)
+from merlintrail.protocol import (
+    OUTCOME_HEADER,
+    InquiryState,
+)
+from merlintrail.testing import run_virtually
+from merlintrail.transport import HttpResponse
+
+_DOCUMENT = build_document(
+    {
+        'svc': [
+            build_kind('read', deadline_ms=2000),
+            build_kind('write', idempotent=False, deadline_ms=2000),
+        ]
+    }
+)
+
+
+def _create_session(*servers: str) -> Session:
+    session = Session(_DOCUMENT, ('ingress', *servers))
+    for name in servers:
+        session.add_backend(name, 'svc', answer_after(0.01))
+    return session
+
+
+class InquiryTest(unittest.TestCase):
+    """``not-run`` is proved by inquiry and tombstone."""
+
+    def test_swallowed_call_is_sent_again(self) -> None:
+        """A pooled connection swallows the call: proved, sent anew, run once.
+
+        The peer is well, so the only backend server there is gets it.
+        """
+
+        async def scenario() -> None:
+            session = _create_session('one')
+            session.network.swallowing.add('one:2')
+            loop = asyncio.get_running_loop()
+            started_at = loop.time()
+            answer = await session.call('ingress', '/svc/write', 'a')
+            self.assertEqual((answer.status, answer.body), (200, b'a'))
+            self.assertLess(loop.time() - started_at, 1.0)
+            self.assertEqual(session.executions['svc a'], 1)
+
+        run_virtually(scenario())
+
+    def test_lost_answer_is_fetched(self) -> None:
+        """The call ran and its answer is lost: it is not run again."""
+
+        async def scenario() -> None:
+            for fault in ('losing', 'deaf'):
+                session = _create_session('one', 'two')
+                for address in ('one:2', 'two:2'):
+                    if fault == 'losing':
+                        session.network.losing[address] = 1
+                    else:
+                        session.network.deaf.add(address)
+                answer = await session.call('ingress', '/svc/write', 'a')
+                self.assertEqual((answer.status, answer.body), (200, b'a'))
+                self.assertEqual(session.executions['svc a'], 1)
+
+        run_virtually(scenario())
+
+    def test_silent_node_gives_may_have_run(self) -> None:
+        """No word at all: a non-idempotent call goes nowhere else."""
+
+        async def scenario() -> None:
+            session = _create_session('one')
+            session.network.silent.add('one:2')
+            answer = await session.call('ingress', '/svc/write', 'a')
+            self.assertEqual(get_header(answer, OUTCOME_HEADER), 'may-have-run')
+
+        run_virtually(scenario())
+
+    def test_silent_node_costs_an_idempotent_call_nothing(self) -> None:
+        """It is tried elsewhere within its deadline."""
+
+        async def scenario() -> None:
+            session = _create_session('one', 'two')
+            session.network.silent.add('one:2')
+            for number in range(8):
+                answer = await session.call('ingress', '/svc/read', str(number))
+                self.assertEqual(answer.status, 200)
+
+        run_virtually(scenario())
+
+    def test_not_run_counts_every_attempt(self) -> None:
+        """One attempt may have run: the refusal of the next proves nothing."""
+
+        async def scenario() -> None:
+            for _ in range(4):
+                session = _create_session('one', 'two')
+                session.network.silent.add('one:2')
+                session.nodes['two'].gatekeeper.is_draining = True
+                answer = await session.call('ingress', '/svc/read', 'a')
+                if session.network.counts['one:2']:
+                    self.assertEqual(
+                        get_header(answer, OUTCOME_HEADER), 'may-have-run'
+                    )
+
+        run_virtually(scenario())
+
+    def test_orders_of_call_and_inquiry(self) -> None:
+        """Every order of arrival, duplicate and inquiry is consistent."""
+
+        async def scenario() -> None:
+            session = _create_session('one')
+            calls = session.nodes['one'].calls
+            self.assertIsNone(calls.begin('early'))
+            self.assertEqual(calls.inquire('early').state, InquiryState.RUNNING)
+            self.assertEqual(calls.begin('early'), InquiryState.RUNNING)
+            calls.finish('early', HttpResponse(200, (), b'x'))
+            self.assertEqual(
+                calls.inquire('early').state, InquiryState.FINISHED
+            )
+            self.assertEqual(calls.begin('early'), InquiryState.FINISHED)
+            self.assertEqual(
+                calls.inquire('late').state, InquiryState.TOMBSTONE
+            )
+            self.assertEqual(calls.begin('late'), InquiryState.TOMBSTONE)
+
+        run_virtually(scenario())
+
+    def test_other_incarnation_proves_nothing(self) -> None:
+        """A restarted node cannot say what its predecessor did."""
+
+        async def scenario() -> None:
+            session = _create_session('one')
+            node = session.nodes['one']
+            session.network.losing['one:2'] = 1
+            call = asyncio.create_task(
+                session.call('ingress', '/svc/write', 'a')
+            )
+            await asyncio.sleep(0.005)
+            service = node.peer_service
+            service._parts = service._parts._replace(  # noqa: SLF001
+                incarnation=node.incarnation + 1
+            )
+            answer = await call
+            self.assertEqual(get_header(answer, OUTCOME_HEADER), 'may-have-run')
+            self.assertEqual(session.executions['svc a'], 1)
+
+        run_virtually(scenario())
--- /dev/null
+++ b/merlintrail/node/tests/test_stops_and_crashes.py
@@ -0,0 +1,138 @@
+"""Backend servers that leave, by plan or by a request that kills them."""
+
+import asyncio
+import unittest
+
+from merlintrail.node.tests.fake_network import get_header
+from merlintrail.node.tests.session import (
+    Session,
+    answer_after,
+    build_document,
+    build_kind,
+)
+from merlintrail.protocol import (
+    REASON_HEADER,
+    Reason,
+)
+from merlintrail.testing import run_virtually
+from merlintrail.transport import HttpRequest, HttpResponse
+
+_DOCUMENT = build_document(
+    {
+        'svc': [
+            build_kind('read', deadline_ms=2000),
+            build_kind('write', idempotent=False, deadline_ms=2000),
+        ]
+    }
+)
+
+
+def _create_session(*servers: str) -> Session:
+    session = Session(_DOCUMENT, ('ingress', *servers))
+    for name in servers:
+        session.add_backend(name, 'svc', answer_after(0.01))
+    return session
+
+
+class DrainTest(unittest.TestCase):
+    """A draining backend server gets nothing new."""
+
+    def test_draining_server_refuses_and_others_serve(self) -> None:
+        """Refused as not run, tried elsewhere, nobody notices."""
+
+        async def scenario() -> None:
+            session = _create_session('one', 'two')
+            session.nodes['one'].gatekeeper.is_draining = True
+            for number in range(10):
+                answer = await session.call(
+                    'ingress', '/svc/write', str(number)
+                )
+                self.assertEqual(answer.status, 200)
+            self.assertEqual(session.network.counts['one:svc'], 0)
+            self.assertLessEqual(session.network.counts['one:2'], 1)
+
+        run_virtually(scenario())
+
+    def test_planned_stop_takes_no_call_that_outlasts_it(self) -> None:
+        """Calls whose deadline lies beyond the start are refused."""
+
+        async def scenario() -> None:
+            session = _create_session('one')
+            document = {
+                **_DOCUMENT,
+                'planned_stops': [
+                    {
+                        'id': 'x',
+                        'instances': ['one'],
+                        'starts_at': '2027-01-15T08:00:05+00:00',
+                        'ends_at': '2027-01-15T09:00:00+00:00',
+                    }
+                ],
+            }
+            session.apply(document, 2)
+            node = session.nodes['one']
+            node.lifecycle._check_stop()  # noqa: SLF001
+            answer = await session.call('ingress', '/svc/read', 'a')
+            self.assertIn(
+                get_header(answer, REASON_HEADER),
+                {Reason.PLANNED_STOP.value, Reason.DRAINING.value},
+            )
+            self.assertEqual(session.executions['svc a'], 0)
+
+        run_virtually(scenario())
+
+
+class CrashTest(unittest.TestCase):
+    """A request that crashes backend servers."""
+
+    def test_at_most_two_servers_are_lost(self) -> None:
+        """Sent again and again, while innocent calls run beside it."""
+
+        async def scenario() -> None:
+            servers = ('one', 'two', 'three', 'four')
+            session = Session(_DOCUMENT, ('ingress', *servers))
+            deaths = 0
+
+            def create_backend(name: str) -> None:
+                async def run(request: HttpRequest) -> HttpResponse:
+                    nonlocal deaths  # noqa: WPS420
+                    if request.body == b'bad':
+                        deaths += 1
+                        session.network.refusing.add(f'{name}:svc')
+                        raise ConnectionAbortedError
+                    await asyncio.sleep(0.02)
+                    if f'{name}:svc' in session.network.refusing:
+                        raise ConnectionAbortedError
+                    return HttpResponse(200, (), request.body)
+
+                session.add_backend(name, 'svc', run)
+
+            for name in servers:
+                create_backend(name)
+            for attempt in range(12):
+                good = asyncio.create_task(
+                    session.call('ingress', '/svc/read', f'good {attempt}')
+                )
+                await session.call('ingress', '/svc/read', 'bad')
+                await good
+                await self.spread(session)
+            self.assertLessEqual(deaths, 2)
+            answer = await session.call('ingress', '/svc/read', 'bad')
+            self.assertEqual(
+                get_header(answer, REASON_HEADER), Reason.QUARANTINED.value
+            )
+            answer = await session.call('ingress', '/svc/read', 'good 0')
+            self.assertEqual(answer.status, 200, answer)
+
+        run_virtually(scenario())
+
+    async def spread(self, session: Session) -> None:
+        """Tell every node what the others suspect, as gossip does."""
+        for node in session.nodes.values():
+            for other in session.nodes.values():
+                for suspicion in node.quarantine.list_suspicions(0.0):
+                    other.quarantine.merge(suspicion, 0.0)
+
+
+if __name__ == '__main__':
+    unittest.main()
