Let a timer that fails stop no other

Cause: read as a newcomer: a call that raised left the queue without a timer of the event loop, so that later calls waited for the next one to be asked for. Change: the next time is asked for in any case. Measured: the new test fails before (no later call is made) and passes.

--- a/merlintrail/bench/_fault_soak.py
+++ b/merlintrail/bench/_fault_soak.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import contextlib
 import time
 from collections.abc import Mapping, Sequence
 from pathlib import Path
@@ -160,19 +159,10 @@
         ],
         2,
     )
-    with contextlib.closing(_Stopping(deployment)):
+    try:
         found = uvloop.run(_soak(deployment, seed, duration_s))
         if found.findings and keep is not None:
             deployment.folder.rename(Path(keep) / f'seed-{seed}')
+    finally:
+        deployment.stop()
     return found
-
-
-class _Stopping:
-    """Stops a deployment when it is closed."""
-
-    def __init__(self, deployment: Deployment) -> None:
-        self._deployment = deployment
-
-    def close(self) -> None:
-        """End every process."""
-        self._deployment.stop()
--- a/merlintrail/transport/_timers.py
+++ b/merlintrail/transport/_timers.py
@@ -83,8 +83,13 @@
         if called_at == self._called_at:
             self._called_at = float('inf')
         limit = max(called_at, self._loop.time())
-        while self._entries and self._entries[0].due_at <= limit:
-            heapq.heappop(self._entries).timer.run()
+        try:
+            while self._entries and self._entries[0].due_at <= limit:
+                heapq.heappop(self._entries).timer.run()
+        finally:
+            self._ask_for_next()
+
+    def _ask_for_next(self) -> None:
         while self._entries and self._entries[0].timer.is_cancelled:
             heapq.heappop(self._entries)
         if self._entries and self._entries[0].due_at < self._called_at:
--- a/merlintrail/transport/tests/test_timers.py
+++ b/merlintrail/transport/tests/test_timers.py
@@ -62,6 +62,25 @@
 
         self.assertEqual(run_virtually(scenario()), 10)
 
+    def test_a_call_that_fails_stops_no_other(self) -> None:
+        """The error goes to the event loop; later calls are made."""
+
+        async def scenario() -> tuple[int, int]:
+            loop = asyncio.get_running_loop()
+            errors: list[object] = []
+            loop.set_exception_handler(
+                lambda _, context: errors.append(context)
+            )
+            made: list[int] = []
+            timers = TimerQueue(loop)
+            timers.call_later(1, _fail)
+            timers.call_later(1, made.append, 1)
+            timers.call_later(2, made.append, 2)
+            await asyncio.sleep(3)
+            return len(errors), len(made)
+
+        self.assertEqual(run_virtually(scenario()), (1, 2))
+
     def test_cost(self) -> None:
         """A thousand exchanges with a timeout ask the event loop once."""
 
