--- a/merlintrail/bench/_fault_soak.py
+++ b/merlintrail/bench/_fault_soak.py
@@ -31,7 +31,7 @@
     37: 'the same',
 }
 WORKERS: Final = ('echo-0', 'echo-1', 'echo-2')
-#: Bytes that a silent connection to each of them swallows.
+#: Which bytes a silent connection to a worker swallows, for each worker.
 DIRECTIONS: Final = ('forward', 'backward', 'both')
 ENTRIES: Final = ('entry-0', 'entry-1')
 #: Seconds of load before the first fault.
--- a/merlintrail/bench/_soak_callers.py
+++ b/merlintrail/bench/_soak_callers.py
@@ -53,18 +53,18 @@
     #: Unique; a number behind it makes the name of a sending.
     label: str
     kind: SoakKind
+    #: Place of the entry that it was sent to.
+    entry: int
     #: Seconds since the start of the soak.
-    sent_at: float
-    #: Status of the last answer, 0 without one.
-    status: int
+    sent_at: float = 0.0
+    #: Status of the last answer, 0 without one in time.
+    status: int = 0
     #: Outcome that the last answer states.
-    outcome: str
+    outcome: str = ''
     #: Whether the body of a success is the one that belongs to it.
-    is_own: bool
-    #: Seconds until the last answer, of that sending.
-    waited_s: float
+    is_own: bool = False
     #: Times that the caller sent it.
-    sends: int
+    sends: int = 1
 
 
 def name_sending(label: str, send: int) -> str:
@@ -91,7 +91,7 @@
             await asyncio.sleep(self._source.expovariate(RATE))
             self._sent += 1
             kind = self._source.choice(SOAK_KINDS)
-            entry = self._source.choice(self._entries)
+            entry = self._source.randrange(len(self._entries))
             sent_at = loop.time() - started_at
             task = loop.create_task(self._send(kind, entry, sent_at))
             self._tasks.add(task)
@@ -102,7 +102,7 @@
         await asyncio.gather(*self._tasks)
         self._pool.close()
 
-    async def _send(self, kind: SoakKind, entry: str, sent_at: float) -> None:
+    async def _send(self, kind: SoakKind, entry: int, sent_at: float) -> None:
         label = f'{kind.name}-{self._sent}'
         sends = 0
         while True:
@@ -116,37 +116,31 @@
         self.records.append(record)
 
     async def _send_once(
-        self, kind: SoakKind, entry: str, label: str, send: int
+        self, kind: SoakKind, entry: int, label: str, send: int
     ) -> SoakRecord:
-        loop = asyncio.get_running_loop()
+        address = self._entries[entry]
         headers = [
-            ('host', entry),
+            ('host', address),
             (RUN_LABEL_HEADER, name_sending(label, send)),
             (DEADLINE_HEADER, str(DEADLINE_MS)),
         ]
         if kind.is_keyed:
             headers.append((IDEMPOTENCY_KEY_HEADER, label))
-        started_at = loop.time()
         answer = await self._pool.exchange(
-            entry,
+            address,
             'POST',
             kind.target,
             headers,
             label.encode(),
             timeout_s=DEADLINE_MS / _MS_PER_S + PATIENCE_S,
         )
-        waited_s = loop.time() - started_at
+        record = SoakRecord(label, kind, entry)
         if not isinstance(answer, HttpResponse):
-            return SoakRecord(label, kind, 0.0, 0, '', False, waited_s, 1)
-        return SoakRecord(
-            label,
-            kind,
-            0.0,
-            answer.status,
-            answer.find_header(OUTCOME_HEADER) or '',
-            answer.status == _OK and _is_echo(answer, label),
-            waited_s,
-            1,
+            return record
+        return record._replace(
+            status=answer.status,
+            outcome=answer.find_header(OUTCOME_HEADER) or '',
+            is_own=answer.status == _OK and _is_echo(answer, label),
         )
 
 
--- a/merlintrail/bench/_soak_checks.py
+++ b/merlintrail/bench/_soak_checks.py
@@ -9,6 +9,8 @@
 
 #: Share of requests that must succeed once the faults have ended.
 RECOVERED_SHARE: Final = 0.95
+#: Place of the entry that no fault is brought about in.
+STEADY_ENTRY: Final = 0
 _OK: Final = 200
 _NOT_RUN: Final = 'not-run'
 
@@ -36,6 +38,8 @@
     runs = sum(runs_by_sending.get(name, 0) for name in names)
     runs_of_last = runs_by_sending.get(names[-1], 0)
     seen = f'{record.label}: status {record.status} {record.outcome}'
+    if record.entry == STEADY_ENTRY and not record.status:
+        yield f'{seen}: no answer of a node that ran all the while'
     if record.status == _OK and not record.is_own:
         yield f'{seen}: the answer belongs to another request'
     if record.status == _OK and not runs:
--- a/merlintrail/bench/_soak_faults.py
+++ b/merlintrail/bench/_soak_faults.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any, Final, NamedTuple, TypeAlias
 
+from merlintrail.bench._soak_checks import STEADY_ENTRY
 from merlintrail.lab.processes import Deployment
 from merlintrail.lab.relay import Relay
 
@@ -19,12 +20,14 @@
 DELAY_S: Final = 0.4
 #: Faults that may last at the same time.
 MAX_AT_ONCE: Final = 3
-StoreFaults: TypeAlias = dict[str, Any]
-Fault: TypeAlias = Callable[[str, float], Awaitable[None]]
-
 #: Seconds between two looks at a process that is to end.
 _POLL_S: Final = 0.05
 
+#: Members of the store stand-in's faults.
+StoreFaults: TypeAlias = dict[str, Any]
+#: Brings about a fault in a subject, by its name, for some seconds.
+Fault: TypeAlias = Callable[[str, float], Awaitable[None]]
+
 _STORE_FAULTS: Final[Sequence[StoreFaults]] = (
     {'is_down': True},
     {'is_busy': True},
@@ -95,17 +98,12 @@
             return f'relay {self._source.randrange(len(self._targets.relays))}'
         if fault == self._kill_backend:
             return self._source.choice(self._targets.workers)
-        # One entry stays, so that there is always one to judge by.
-        return self._source.choice(
-            [*self._targets.workers, *self._targets.entries[1:]]
-        )
+        entries = list(self._targets.entries)
+        # Each of its requests must be answered.
+        entries.pop(STEADY_ENTRY)
+        return self._source.choice([*self._targets.workers, *entries])
 
-    async def _last(
-        self,
-        fault: Fault,
-        subject: str,
-        lasts_s: float,
-    ) -> None:
+    async def _last(self, fault: Fault, subject: str, lasts_s: float) -> None:
         try:
             await fault(subject, lasts_s)
         finally:
--- a/merlintrail/bench/tests/test_fault_soak.py
+++ b/merlintrail/bench/tests/test_fault_soak.py
@@ -11,7 +11,7 @@
 
 
 def _build_record(**changes: object) -> SoakRecord:
-    record = SoakRecord('a', _ONCE, 0.0, 200, 'completed', True, 0.1, 1)
+    record = SoakRecord('a', _ONCE, 1, 0.0, 200, 'completed', is_own=True)
     return record._replace(**changes)  # type: ignore[arg-type]
 
 
@@ -32,6 +32,12 @@
     ('refused', _build_record(status=503, outcome='not-run'), 0, ''),
     ('lost', _build_record(status=504, outcome='may-have-run'), 1, ''),
     ('no answer', _build_record(status=0, outcome='', is_own=False), 1, ''),
+    (
+        'no answer of a node that ran',
+        _build_record(status=0, outcome='', is_own=False, entry=0),
+        1,
+        'ran all the while',
+    ),
 )
 
 
--- a/merlintrail/cli/_explain.py
+++ b/merlintrail/cli/_explain.py
@@ -128,7 +128,7 @@
     shown = [
         f'{name}={shown}'
         for name, shown in line.fields.items()
-        if name not in _PLACED and shown not in {'', None}
+        if name not in _PLACED and shown is not None and shown != ''
     ]
     return ' '.join(shown)
 
--- a/merlintrail/cli/tests/test_explain.py
+++ b/merlintrail/cli/tests/test_explain.py
@@ -11,6 +11,7 @@
 from merlintrail.cli._exit_codes import ExitCode
 from merlintrail.cli._explain import (
     LogLine,
+    describe_lines,
     explain_request,
     find_causes,
     find_gaps,
@@ -120,6 +121,16 @@
         self.assertIn('leaf: deadline-unreachable: too little', causes[0])
         self.assertIn('middle: overload: ', causes[1])
 
+    def test_any_field_is_shown(self) -> None:
+        """Lists and objects too; what is empty or absent is not."""
+        line = _write(
+            'a', '1', 'x', request_id='a', many=['b'], none=None, empty='', no=0
+        )
+        text = describe_lines(_read_all([line]))[0]
+        self.assertIn("many=['b'] no=0", text)
+        self.assertNotIn('none', text)
+        self.assertNotIn('empty', text)
+
     def test_gaps(self) -> None:
         """A node that was sent a call and says nothing, lines left out."""
         left_out = [_write('back', '6.000', 'lines left out', lines=7)]
