--- a/merlintrail/bench/_soak_faults.py
+++ b/merlintrail/bench/_soak_faults.py
@@ -110,18 +110,18 @@
             self._busy.discard(subject)
 
     async def _kill_node(self, instance: str, lasts_s: float) -> None:
-        name = f'node {instance}'
-        self._targets.deployment.send_signal(name, signal.SIGKILL)
-        await self._wait_for_end(name)
-        await asyncio.sleep(lasts_s)
+        await self._kill(f'node {instance}', lasts_s)
         self._targets.deployment.start_node(instance)
 
     async def _kill_backend(self, instance: str, lasts_s: float) -> None:
-        name = f'backend {instance}'
+        await self._kill(f'backend {instance}', lasts_s)
+        self._targets.deployment.start_backend(instance)
+
+    async def _kill(self, name: str, lasts_s: float) -> None:
+        """Kill a process and wait before it is started again."""
         self._targets.deployment.send_signal(name, signal.SIGKILL)
         await self._wait_for_end(name)
         await asyncio.sleep(lasts_s)
-        self._targets.deployment.start_backend(instance)
 
     async def _stop_node(self, instance: str, _: float) -> None:
         name = f'node {instance}'
--- a/merlintrail/node/tests/session.py
+++ b/merlintrail/node/tests/session.py
@@ -216,3 +216,22 @@
         return HttpResponse(200, (), request.body)
 
     return handle
+
+
+#: A service with an idempotent kind and one that is not.
+READ_AND_WRITE = build_document(
+    {
+        'svc': [
+            build_kind('read', deadline_ms=2000),
+            build_kind('write', idempotent=False, deadline_ms=2000),
+        ]
+    }
+)
+
+
+def create_read_write_session(*servers: str) -> Session:
+    """Create nodes with a backend server each, and one for callers."""
+    session = Session(READ_AND_WRITE, ('ingress', *servers))
+    for name in servers:
+        session.add_backend(name, 'svc', answer_after(0.01))
+    return session
--- a/merlintrail/node/tests/test_inquiries.py
+++ b/merlintrail/node/tests/test_inquiries.py
@@ -5,10 +5,7 @@
 
 from merlintrail.node.tests.fake_network import get_header
 from merlintrail.node.tests.session import (
-    Session,
-    answer_after,
-    build_document,
-    build_kind,
+    create_read_write_session,
 )
 from merlintrail.protocol import (
     OUTCOME_HEADER,
@@ -17,22 +14,6 @@
 from merlintrail.testing import run_virtually
 from merlintrail.transport import HttpResponse
 
-_DOCUMENT = build_document(
-    {
-        'svc': [
-            build_kind('read', deadline_ms=2000),
-            build_kind('write', idempotent=False, deadline_ms=2000),
-        ]
-    }
-)
-
-
-def _create_session(*servers: str) -> Session:
-    session = Session(_DOCUMENT, ('ingress', *servers))
-    for name in servers:
-        session.add_backend(name, 'svc', answer_after(0.01))
-    return session
-
 
 class InquiryTest(unittest.TestCase):
     """``not-run`` is proved by inquiry and tombstone."""
@@ -44,7 +25,7 @@
         """
 
         async def scenario() -> None:
-            session = _create_session('one')
+            session = create_read_write_session('one')
             session.network.swallowing.add('one:2')
             loop = asyncio.get_running_loop()
             started_at = loop.time()
@@ -60,7 +41,7 @@
 
         async def scenario() -> None:
             for fault in ('losing', 'deaf'):
-                session = _create_session('one', 'two')
+                session = create_read_write_session('one', 'two')
                 for address in ('one:2', 'two:2'):
                     if fault == 'losing':
                         session.network.losing[address] = 1
@@ -76,7 +57,7 @@
         """No word at all: a non-idempotent call goes nowhere else."""
 
         async def scenario() -> None:
-            session = _create_session('one')
+            session = create_read_write_session('one')
             session.network.silent.add('one:2')
             answer = await session.call('ingress', '/svc/write', 'a')
             self.assertEqual(get_header(answer, OUTCOME_HEADER), 'may-have-run')
@@ -87,7 +68,7 @@
         """It is tried elsewhere within its deadline."""
 
         async def scenario() -> None:
-            session = _create_session('one', 'two')
+            session = create_read_write_session('one', 'two')
             session.network.silent.add('one:2')
             for number in range(8):
                 answer = await session.call('ingress', '/svc/read', str(number))
@@ -100,7 +81,7 @@
 
         async def scenario() -> None:
             for _ in range(4):
-                session = _create_session('one', 'two')
+                session = create_read_write_session('one', 'two')
                 session.network.silent.add('one:2')
                 session.nodes['two'].gatekeeper.is_draining = True
                 answer = await session.call('ingress', '/svc/read', 'a')
@@ -115,7 +96,7 @@
         """Every order of arrival, duplicate and inquiry is consistent."""
 
         async def scenario() -> None:
-            session = _create_session('one')
+            session = create_read_write_session('one')
             calls = session.nodes['one'].calls
             self.assertIsNone(calls.begin('early'))
             self.assertEqual(calls.inquire('early').state, InquiryState.RUNNING)
@@ -136,7 +117,7 @@
         """A restarted node cannot say what its predecessor did."""
 
         async def scenario() -> None:
-            session = _create_session('one')
+            session = create_read_write_session('one')
             node = session.nodes['one']
             session.network.losing['one:2'] = 1
             call = asyncio.create_task(
--- a/merlintrail/node/tests/test_outcomes.py
+++ b/merlintrail/node/tests/test_outcomes.py
@@ -5,10 +5,12 @@
 
 from merlintrail.node.tests.fake_network import get_header
 from merlintrail.node.tests.session import (
+    READ_AND_WRITE,
     Session,
     answer_after,
     build_document,
     build_kind,
+    create_read_write_session,
 )
 from merlintrail.protocol import (
     OUTCOME_HEADER,
@@ -16,22 +18,6 @@
 from merlintrail.testing import run_virtually
 from merlintrail.transport import HttpRequest, HttpResponse
 
-_DOCUMENT = build_document(
-    {
-        'svc': [
-            build_kind('read', deadline_ms=2000),
-            build_kind('write', idempotent=False, deadline_ms=2000),
-        ]
-    }
-)
-
-
-def _create_session(*servers: str) -> Session:
-    session = Session(_DOCUMENT, ('ingress', *servers))
-    for name in servers:
-        session.add_backend(name, 'svc', answer_after(0.01))
-    return session
-
 
 class DeadlineTest(unittest.TestCase):
     """Deadlines and cancellation go down the chain."""
@@ -40,7 +26,7 @@
         """The caller gets its answer at the deadline, not later."""
 
         async def scenario() -> None:
-            session = Session(_DOCUMENT, ('ingress', 'one'))
+            session = Session(READ_AND_WRITE, ('ingress', 'one'))
             session.add_backend('one', 'svc', answer_after(10))
             loop = asyncio.get_running_loop()
             started_at = loop.time()
@@ -184,7 +170,7 @@
         """A request to it is counted without its name."""
 
         async def scenario() -> None:
-            session = _create_session('one')
+            session = create_read_write_session('one')
             await session.call('ingress', '/invented-name/x')
             metrics = session.nodes['ingress'].metrics.read_all()
             self.assertNotIn('invented-name', str(metrics))
--- a/merlintrail/node/tests/test_stops_and_crashes.py
+++ b/merlintrail/node/tests/test_stops_and_crashes.py
@@ -5,10 +5,9 @@
 
 from merlintrail.node.tests.fake_network import get_header
 from merlintrail.node.tests.session import (
+    READ_AND_WRITE,
     Session,
-    answer_after,
-    build_document,
-    build_kind,
+    create_read_write_session,
 )
 from merlintrail.protocol import (
     REASON_HEADER,
@@ -17,22 +16,6 @@
 from merlintrail.testing import run_virtually
 from merlintrail.transport import HttpRequest, HttpResponse
 
-_DOCUMENT = build_document(
-    {
-        'svc': [
-            build_kind('read', deadline_ms=2000),
-            build_kind('write', idempotent=False, deadline_ms=2000),
-        ]
-    }
-)
-
-
-def _create_session(*servers: str) -> Session:
-    session = Session(_DOCUMENT, ('ingress', *servers))
-    for name in servers:
-        session.add_backend(name, 'svc', answer_after(0.01))
-    return session
-
 
 class DrainTest(unittest.TestCase):
     """A draining backend server gets nothing new."""
@@ -41,7 +24,7 @@
         """Refused as not run, tried elsewhere, nobody notices."""
 
         async def scenario() -> None:
-            session = _create_session('one', 'two')
+            session = create_read_write_session('one', 'two')
             session.nodes['one'].gatekeeper.is_draining = True
             for number in range(10):
                 answer = await session.call(
@@ -57,9 +40,9 @@
         """Calls whose deadline lies beyond the start are refused."""
 
         async def scenario() -> None:
-            session = _create_session('one')
+            session = create_read_write_session('one')
             document = {
-                **_DOCUMENT,
+                **READ_AND_WRITE,
                 'planned_stops': [
                     {
                         'id': 'x',
@@ -90,7 +73,7 @@
 
         async def scenario() -> None:
             servers = ('one', 'two', 'three', 'four')
-            session = Session(_DOCUMENT, ('ingress', *servers))
+            session = Session(READ_AND_WRITE, ('ingress', *servers))
             deaths = 0
 
             def create_backend(name: str) -> None:
