Log what each node holds against a request, and on what evidence

Callers saw a request that crashes backend servers arrive again and again; the logs could not tell why. A crash now says how it was noticed and which of its requests ran in earlier crashes, a refusal names digest and crashes, and a line tells when a node learns, decides or clears (one line a message, so the volume stays bounded). Two gauges count suspects and quarantined requests.

--- a/merlintrail/coordination/_membership.py
+++ b/merlintrail/coordination/_membership.py
@@ -19,6 +19,7 @@
     choose_neighbours,
     compute_hash,
 )
+from merlintrail.observability import log_decision
 from merlintrail.state import (
     ConfigurationHolder,
     Member,
@@ -239,12 +240,17 @@
         self, suspicions: Iterable[Suspicion], sender: str
     ) -> None:
         now = self._wall_clock()
-        for suspicion in suspicions:
-            if not self.quarantine.merge(suspicion, now):
-                continue
+        changed = [
+            suspicion
+            for suspicion in suspicions
+            if self.quarantine.merge(suspicion, now)
+        ]
+        for suspicion in changed:
             for node_id, outbox in self.outboxes.items():
                 if node_id != sender:
                     outbox.put_suspicion(suspicion)
+        if changed:
+            _log_learned(changed, sender)
 
     def _track_suspects(self, previous: Member | None, member: Member) -> None:
         if member.status == MemberStatus.SUSPECT:
@@ -253,5 +259,18 @@
             self._suspected_at.pop(member.node_id, None)
 
 
+def _log_learned(changed: Sequence[Suspicion], sender: str) -> None:
+    """Log in one line which suspicions a message changed."""
+    log_decision(
+        'quarantine',
+        outcome='learned',
+        source=f'message of {sender or "a joining node"}',
+        changed=len(changed),
+        convicted=[
+            suspicion.digest for suspicion in changed if suspicion.is_convicted
+        ],
+    )
+
+
 def _find_bucket(node_id: str) -> int:
     return compute_hash(node_id) % BUCKET_COUNT
--- a/merlintrail/node/_backend_exchange.py
+++ b/merlintrail/node/_backend_exchange.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any, Final, NamedTuple
 
 from merlintrail.node._backend import BackendProber
 from merlintrail.node._calls import OutgoingCall
@@ -27,6 +27,9 @@
     TransportFailure,
 )
 
+#: Suspects that the line of one crash looks at.
+MAX_LOGGED_SUSPECTS: Final = 64
+
 
 class BackendExchangeDependencies(NamedTuple):
     """Dependencies of :class:`BackendExchange`."""
@@ -160,21 +163,32 @@
             return Refusal(Outcome.MAY_HAVE_RUN, Reason.DEADLINE_PASSED)
         running = gate.backend.list_running_digests()
         digests = gate.backend.record_lost_call(header.call_id, self._clock())
+        evidence = 'all calls lost'
         if not digests and not await self.prober.is_listening(gate.backend):
             digests = running
+            evidence = 'no connection accepted'
         if digests:
-            self._record_crash(gate, digests)
+            self._record_crash(gate, digests, evidence)
         return Refusal(
             Outcome.MAY_HAVE_RUN, Reason.BACKEND_LOST, failure.reason
         )
 
-    def _record_crash(self, gate: AdmissionGate, digests: list[str]) -> None:
+    def _record_crash(
+        self, gate: AdmissionGate, digests: list[str], evidence: str
+    ) -> None:
         suspicions = self._deps.suspect_quarantine.record_death(digests)
         log_decision(
             'backend-server-death',
             instance=self._deps.node_id,
             service=gate.backend.announcement.service,
+            identity=gate.backend.announcement.identity,
+            evidence=evidence,
             suspects=len(suspicions),
+            repeated={
+                suspicion.digest: len(suspicion.deaths)
+                for suspicion in suspicions[:MAX_LOGGED_SUSPECTS]
+                if len(suspicion.deaths) > 1
+            },
             convicted=[
                 suspicion.digest
                 for suspicion in suspicions
--- a/merlintrail/node/_backend_gateway.py
+++ b/merlintrail/node/_backend_gateway.py
@@ -130,15 +130,12 @@
         if refusal is not None or gate is None:
             return refusal or Refusal(Outcome.NOT_RUN, Reason.NO_BACKEND_SERVER)
         self._deps.suspect_quarantine.merge_record(header.suspicion)
+        refusal = self._deps.suspect_quarantine.check(call)
+        if refusal is not None:
+            return refusal
         suspicion = self._deps.suspect_quarantine.find(call)
         if suspicion is None:
             return await self._admit(gate, call, parent)
-        if suspicion.is_convicted:
-            return Refusal(
-                Outcome.NOT_RUN,
-                Reason.QUARANTINED,
-                'the request crashed backend servers',
-            )
         async with gate.suspect_lock:
             answer = await self._admit(gate, call, parent)
         if isinstance(answer, HttpResponse):
--- a/merlintrail/node/_gauges.py
+++ b/merlintrail/node/_gauges.py
@@ -6,7 +6,7 @@
 from merlintrail.node._backend_gateway import BackendGateway
 from merlintrail.node._gate import AdmissionGate
 from merlintrail.observability import GaugePoint, NodeMetrics
-from merlintrail.state import ConfigurationHolder, MemberTable
+from merlintrail.state import ConfigurationHolder, MemberTable, Quarantine
 
 
 class _GateGauge(NamedTuple):
@@ -58,6 +58,7 @@
     holder: ConfigurationHolder,
     table: MemberTable,
     gateway: BackendGateway,
+    quarantine: Quarantine,
 ) -> None:
     """Register all gauges of a node."""
     metrics.register_gauge(
@@ -72,6 +73,18 @@
         'Nodes known, gone ones included.',
         lambda: [GaugePoint(len(table))],
     )
+    metrics.register_gauge(
+        'merlintrail.suspects',
+        '{request}',
+        'Requests that ran in backend servers when they crashed.',
+        lambda: [GaugePoint(quarantine.count_suspects())],
+    )
+    metrics.register_gauge(
+        'merlintrail.quarantined',
+        '{request}',
+        'Requests that are refused because they crash backend servers.',
+        lambda: [GaugePoint(quarantine.count_quarantined())],
+    )
     for gauge in _GATE_GAUGES:
         _register_gate_gauge(metrics, gateway, gauge)
 
--- a/merlintrail/node/_ingress.py
+++ b/merlintrail/node/_ingress.py
@@ -196,9 +196,7 @@
         remaining_s = call.deadline - self._clock()
         if overlaps_planned_stop(stop, wall_time, remaining_s):
             return Refusal(Outcome.NOT_RUN, Reason.PLANNED_STOP)
-        if self._deps.suspect_quarantine.is_quarantined(call):
-            return Refusal(Outcome.NOT_RUN, Reason.QUARANTINED)
-        return None
+        return self._deps.suspect_quarantine.check(call)
 
     async def _serve_nested_call(
         self, call: OutgoingCall, parent: ParentCall
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -86,7 +86,13 @@
         self._create_coordination()
         self._create_call_path()
         self._create_services()
-        register_gauges(self.metrics, self.holder, self.table, self.gateway)
+        register_gauges(
+            self.metrics,
+            self.holder,
+            self.table,
+            self.gateway,
+            self.quarantine,
+        )
         self.holder.add_listener(self._apply_configuration)
         self.table.add_listener(self.routing.update_member)
         self.table.add_listener(self._drop_idle_connections)
--- a/merlintrail/node/_suspect_quarantine.py
+++ b/merlintrail/node/_suspect_quarantine.py
@@ -4,6 +4,8 @@
 from typing import Any, Final
 
 from merlintrail.node._calls import OutgoingCall, compute_call_digest
+from merlintrail.observability import log_decision
+from merlintrail.protocol import Outcome, Reason, Refusal
 from merlintrail.state import Quarantine, Suspicion, read_suspicion
 
 #: Seconds until a suspicion expires if there is no configuration yet.
@@ -36,8 +38,10 @@
     def merge_record(self, record: Sequence[Any] | None) -> None:
         """Merge a suspicion that was received with a call or a response."""
         received = None if record is None else read_suspicion(record)
-        if received is not None:
-            self._quarantine.merge(received, self._wall_clock())
+        if received is not None and self._quarantine.merge(
+            received, self._wall_clock()
+        ):
+            log_quarantine(received, 'learned with a call')
 
     def find(self, call: OutgoingCall) -> Suspicion | None:
         """Return the suspicion against the request of a call."""
@@ -52,12 +56,25 @@
         suspicion = self.find(call)
         return suspicion is not None and suspicion.is_convicted
 
+    def check(self, call: OutgoingCall) -> Refusal | None:
+        """Return the refusal of a call whose request is quarantined."""
+        suspicion = self.find(call)
+        if suspicion is None or not suspicion.is_convicted:
+            return None
+        return Refusal(
+            Outcome.NOT_RUN,
+            Reason.QUARANTINED,
+            f'request {suspicion.digest} crashed backend servers: '
+            f'{", ".join(suspicion.deaths)}',
+        )
+
     def clear_suspect(self, suspicion: Suspicion) -> None:
         """Clear a suspect request that completed without a crash."""
         cleared = self._quarantine.clear_suspect(
             suspicion.digest, self._wall_clock()
         )
         if cleared is not None:
+            log_quarantine(cleared, 'completed here')
             self._notify([cleared])
 
     def record_death(self, digests: Sequence[str]) -> list[Suspicion]:
@@ -68,5 +85,28 @@
             digests,
             self._wall_clock() + self.expiry_s,
         )
+        for suspicion in suspicions:
+            if suspicion.is_convicted:
+                log_quarantine(suspicion, 'decided here')
         self._notify(suspicions)
         return suspicions
+
+
+def log_quarantine(suspicion: Suspicion, source: str) -> None:
+    """Log what a node believes about a request from now on.
+
+    :param source: how the node came to believe it.
+    """
+    outcome = 'suspected'
+    if suspicion.is_convicted:
+        outcome = 'quarantined'
+    elif not suspicion.deaths:
+        outcome = 'cleared'
+    log_decision(
+        'quarantine',
+        digest=suspicion.digest,
+        outcome=outcome,
+        source=source,
+        deaths=suspicion.deaths,
+        expires_at=round(suspicion.expires_at, 1),
+    )
--- a/merlintrail/state/_quarantine.py
+++ b/merlintrail/state/_quarantine.py
@@ -145,6 +145,18 @@
             if suspicion.expires_at > now
         ]
 
+    def count_suspects(self) -> int:
+        """Return the number of recorded suspicions."""
+        return len(self._suspicions)
+
+    def count_quarantined(self) -> int:
+        """Return the number of quarantined requests."""
+        return sum(
+            1
+            for suspicion in self._suspicions.values()
+            if suspicion.is_convicted
+        )
+
     def _put(self, suspicion: Suspicion) -> None:
         is_new = suspicion.digest not in self._suspicions
         if is_new and len(self._suspicions) >= MAX_SUSPICIONS:
