Count one crash of a backend server once

Callers saw harmless requests refused as quarantined after a single crash. A crash now has one identifier until the backend server is back, and counts once for a request however often it is recorded.

Test: test_one_crash_counts_for_each_lost_connection; it failed before with two crashes in place of one.

--- a/merlintrail/node/_backend.py
+++ b/merlintrail/node/_backend.py
@@ -192,6 +192,9 @@
         self.load: BackendLoad | None = None
         #: Calls that run in it, by call identifier.
         self.running: dict[str, OutgoingCall] = {}
+        #: Identifier of its crash once it has crashed, ``None`` again when it
+        #: is reachable.
+        self.crash_id: str | None = None
         #: Calls lost within :data:`CRASH_WINDOW_S`, counted by request digest.
         self._lost_digests: Counter[str] = Counter()
         #: Clock time of the first of these losses.
@@ -259,6 +262,7 @@
         while not await self.is_listening(backend):
             await asyncio.sleep(PROBE_INTERVAL_S)
         backend.is_reachable = True
+        backend.crash_id = None
         self._on_change()
 
     async def read_hints(self, backend: BackendServer) -> None:
--- a/merlintrail/node/_backend_exchange.py
+++ b/merlintrail/node/_backend_exchange.py
@@ -176,9 +176,13 @@
     def _record_crash(
         self, gate: AdmissionGate, digests: list[str], evidence: str
     ) -> None:
-        suspicions = self._deps.suspect_quarantine.record_death(digests)
+        quarantine = self._deps.suspect_quarantine
+        backend = gate.backend
+        backend.crash_id = backend.crash_id or quarantine.create_crash_id()
+        suspicions = quarantine.record_death(backend.crash_id, digests)
         log_decision(
             'backend-server-death',
+            crash=backend.crash_id,
             instance=self._deps.node_id,
             service=gate.backend.announcement.service,
             identity=gate.backend.announcement.identity,
--- a/merlintrail/node/_suspect_quarantine.py
+++ b/merlintrail/node/_suspect_quarantine.py
@@ -77,13 +77,21 @@
             log_quarantine(cleared, 'completed here')
             self._notify([cleared])
 
-    def record_death(self, digests: Sequence[str]) -> list[Suspicion]:
-        """Record that a backend server crashed while requests ran in it."""
+    def create_crash_id(self) -> str:
+        """Create an identifier for the crash of a local backend server."""
         self._death_count += 1
+        return f'{self._run_id}/{self._death_count}'
+
+    def record_death(
+        self, crash_id: str, digests: Sequence[str]
+    ) -> list[Suspicion]:
+        """Record that a backend server crashed while requests ran in it.
+
+        :param crash_id: the same for all requests that one crash ended, also
+            when they are recorded one after the other.
+        """
         suspicions = self._quarantine.record_death(
-            f'{self._run_id}/{self._death_count}',
-            digests,
-            self._wall_clock() + self.expiry_s,
+            crash_id, digests, self._wall_clock() + self.expiry_s
         )
         for suspicion in suspicions:
             if suspicion.is_convicted:
--- a/merlintrail/node/tests/test_crashing_requests.py
+++ b/merlintrail/node/tests/test_crashing_requests.py
@@ -1,5 +1,6 @@
 """Requests that crash backend servers, and harmless ones beside them."""
 
+import asyncio
 import unittest
 
 from merlintrail.node.tests.crash_load import (
@@ -9,7 +10,9 @@
     CrashRun,
     Disturbance,
 )
+from merlintrail.node.tests.session import READ_AND_WRITE, Session
 from merlintrail.testing import run_virtually
+from merlintrail.transport import HttpRequest, HttpResponse
 
 _SEEDS = (1, 2, 3)
 
@@ -52,6 +55,33 @@
 class HarmlessRequestsTest(unittest.TestCase):
     """Backend servers crash for other reasons than the requests."""
 
+    def test_one_crash_counts_for_each_lost_connection(self) -> None:
+        """Two equal requests that run alone in it are one suspect."""
+
+        async def scenario() -> None:
+            session = Session(READ_AND_WRITE, ('ingress', 'one'))
+            crashed = asyncio.Event()
+
+            async def run(_: HttpRequest) -> HttpResponse:
+                await crashed.wait()
+                raise ConnectionAbortedError
+
+            session.add_backend('one', 'svc', run)
+            calls = [
+                asyncio.create_task(
+                    session.call('ingress', '/svc/write', 'same')
+                )
+                for _ in range(2)
+            ]
+            await asyncio.sleep(0.1)
+            session.network.refusing.add('one:svc')
+            crashed.set()
+            await asyncio.gather(*calls)
+            suspicions = session.nodes['one'].quarantine.list_suspicions(0.0)
+            self.assertEqual([len(held.deaths) for held in suspicions], [1])
+
+        run_virtually(scenario())
+
     def test_harmless_requests_are_quarantined_for_crashes_of_others(
         self,
     ) -> None:
--- a/merlintrail/state/_quarantine.py
+++ b/merlintrail/state/_quarantine.py
@@ -61,16 +61,18 @@
     ) -> list[Suspicion]:
         """Record the crash of a backend server.
 
-        :param crash_id: identifier of the crash.
+        :param crash_id: identifier of the crash. It counts once for a request
+            however often it is recorded.
         :param digests: requests that were running.
         :returns: the changed suspicions, to be sent to the other nodes.
         """
         distinct = sorted(set(digests))
-        suspects = [digest for digest in distinct if digest in self._suspicions]
+        earlier_deaths = {
+            digest: self._list_deaths(digest, crash_id) for digest in distinct
+        }
+        suspects = [digest for digest in distinct if earlier_deaths[digest]]
         changed = []
-        for digest in distinct:
-            previous = self._suspicions.get(digest)
-            deaths = () if previous is None else previous.deaths
+        for digest, deaths in earlier_deaths.items():
             suspicion = Suspicion(
                 digest,
                 (*deaths, crash_id),
@@ -157,6 +159,13 @@
             if suspicion.is_convicted
         )
 
+    def _list_deaths(self, digest: str, crash_id: str) -> tuple[str, ...]:
+        """Return the crashes of a request except the given one."""
+        suspicion = self._suspicions.get(digest)
+        if suspicion is None:
+            return ()
+        return tuple(death for death in suspicion.deaths if death != crash_id)
+
     def _put(self, suspicion: Suspicion) -> None:
         is_new = suspicion.digest not in self._suspicions
         if is_new and len(self._suspicions) >= MAX_SUSPICIONS:
