Quarantine a request by its crashes, not by who else was a suspect

Callers saw a crashing request go on to further backend servers without end when two or more crashing requests ran together, or one always beside another suspect: a quarantine needed exactly one known suspect at one crash, and the number of crashes played no part. The same rule refused harmless requests: one suspect that met a second crash by chance was enough, for 600 s.

Now every node holds the set of crashes of a request, merged by union, with those of which a completed run cleared it. Three open crashes quarantine it in any case. Two are enough only if it is the one repeated request of the crash and fewer other crashes are unexplained, so that where backend servers crash often for other reasons a chance meeting decides nothing. Being a union of crash identifiers, the records need no order: crashes that three nodes saw add up at a fourth, a clearance covers the crashes known when the request completed, and a late copy of an old record cannot undo it.

An expired suspicion no longer counts and a malformed one is skipped (two of the faults found by reading). The record in headers and gossip is a new array; nodes of the last build skip it.

--- a/merlintrail/coordination/_membership.py
+++ b/merlintrail/coordination/_membership.py
@@ -266,8 +266,10 @@
         outcome='learned',
         source=f'message of {sender or "a joining node"}',
         changed=len(changed),
-        convicted=[
-            suspicion.digest for suspicion in changed if suspicion.is_convicted
+        quarantined=[
+            suspicion.digest
+            for suspicion in changed
+            if suspicion.is_quarantined
         ],
     )
 
--- a/merlintrail/node/_backend_exchange.py
+++ b/merlintrail/node/_backend_exchange.py
@@ -179,7 +179,7 @@
         quarantine = self._deps.suspect_quarantine
         backend = gate.backend
         backend.crash_id = backend.crash_id or quarantine.create_crash_id()
-        suspicions = quarantine.record_death(backend.crash_id, digests)
+        suspicions = quarantine.record_crash(backend.crash_id, digests)
         log_decision(
             'backend-server-death',
             crash=backend.crash_id,
@@ -189,14 +189,14 @@
             evidence=evidence,
             suspects=len(suspicions),
             repeated={
-                suspicion.digest: len(suspicion.deaths)
+                suspicion.digest: len(suspicion.open_crashes)
                 for suspicion in suspicions[:MAX_LOGGED_SUSPECTS]
-                if len(suspicion.deaths) > 1
+                if len(suspicion.open_crashes) > 1
             },
             convicted=[
                 suspicion.digest
                 for suspicion in suspicions
-                if suspicion.is_convicted
+                if suspicion.is_quarantined
             ],
         )
         self._deps.pool.drop_idle(gate.backend.announcement.address)
--- a/merlintrail/node/_call_path.py
+++ b/merlintrail/node/_call_path.py
@@ -82,7 +82,7 @@
         deps.quarantine,
         environment.wall_clock,
         deps.membership.gossip_suspicions,
-        f'{settings.instance}/{deps.incarnation}',
+        settings.instance,
     )
     contexts = ContextTable(environment.dialect, environment.rng)
     calls = CallTable(environment.clock)
--- a/merlintrail/node/_suspect_quarantine.py
+++ b/merlintrail/node/_suspect_quarantine.py
@@ -8,6 +8,7 @@
 from merlintrail.protocol import Outcome, Reason, Refusal
 from merlintrail.state import Quarantine, Suspicion, read_suspicion
 
+_MS_PER_S: Final = 1000
 #: Seconds until a suspicion expires if there is no configuration yet.
 DEFAULT_EXPIRY_S: Final = 600.0
 
@@ -20,18 +21,16 @@
         quarantine: Quarantine,
         wall_clock: Callable[[], float],
         notify: Callable[[list[Suspicion]], None],
-        run_id: str,
+        node_id: str,
     ) -> None:
         """Wrap the quarantine of a node.
 
         :param notify: sends suspicions to the other nodes.
-        :param run_id: identifies this run of the node among all nodes.
         """
         self._quarantine = quarantine
         self._wall_clock = wall_clock
         self._notify = notify
-        self._run_id = run_id
-        self._death_count = 0
+        self._node_id = node_id
         #: Seconds until a suspicion expires.
         self.expiry_s = DEFAULT_EXPIRY_S
 
@@ -44,28 +43,29 @@
             log_quarantine(received, 'learned with a call')
 
     def find(self, call: OutgoingCall) -> Suspicion | None:
-        """Return the suspicion against the request of a call."""
+        """Return the suspicion against the request of a call, if any."""
         if self._quarantine.is_empty:
             return None
-        return self._quarantine.find(
+        held = self._quarantine.find(
             compute_call_digest(call), self._wall_clock()
         )
+        return held if held is not None and held.is_suspect else None
 
     def is_quarantined(self, call: OutgoingCall) -> bool:
         """Return whether the request of a call is refused at every node."""
         suspicion = self.find(call)
-        return suspicion is not None and suspicion.is_convicted
+        return suspicion is not None and suspicion.is_quarantined
 
     def check(self, call: OutgoingCall) -> Refusal | None:
         """Return the refusal of a call whose request is quarantined."""
         suspicion = self.find(call)
-        if suspicion is None or not suspicion.is_convicted:
+        if suspicion is None or not suspicion.is_quarantined:
             return None
         return Refusal(
             Outcome.NOT_RUN,
             Reason.QUARANTINED,
             f'request {suspicion.digest} crashed backend servers: '
-            f'{", ".join(suspicion.deaths)}',
+            f'{", ".join(suspicion.open_crashes)}',
         )
 
     def clear_suspect(self, suspicion: Suspicion) -> None:
@@ -78,11 +78,14 @@
             self._notify([cleared])
 
     def create_crash_id(self) -> str:
-        """Create an identifier for the crash of a local backend server."""
-        self._death_count += 1
-        return f'{self._run_id}/{self._death_count}'
+        """Create an identifier for the crash of a local backend server.
 
-    def record_death(
+        Identifiers sort by the time of the crash.
+        """
+        now_ms = int(self._wall_clock() * _MS_PER_S)
+        return f'{now_ms:x}/{self._node_id}'
+
+    def record_crash(
         self, crash_id: str, digests: Sequence[str]
     ) -> list[Suspicion]:
         """Record that a backend server crashed while requests ran in it.
@@ -90,11 +93,12 @@
         :param crash_id: the same for all requests that one crash ended, also
             when they are recorded one after the other.
         """
-        suspicions = self._quarantine.record_death(
-            crash_id, digests, self._wall_clock() + self.expiry_s
+        now = self._wall_clock()
+        suspicions = self._quarantine.record_crash(
+            crash_id, digests, now, now + self.expiry_s
         )
         for suspicion in suspicions:
-            if suspicion.is_convicted:
+            if suspicion.is_quarantined:
                 log_quarantine(suspicion, 'decided here')
         self._notify(suspicions)
         return suspicions
@@ -106,15 +110,15 @@
     :param source: how the node came to believe it.
     """
     outcome = 'suspected'
-    if suspicion.is_convicted:
+    if suspicion.is_quarantined:
         outcome = 'quarantined'
-    elif not suspicion.deaths:
+    elif not suspicion.is_suspect:
         outcome = 'cleared'
     log_decision(
         'quarantine',
         digest=suspicion.digest,
         outcome=outcome,
         source=source,
-        deaths=suspicion.deaths,
+        crashes=suspicion.open_crashes,
         expires_at=round(suspicion.expires_at, 1),
     )
--- a/merlintrail/node/tests/test_crashing_requests.py
+++ b/merlintrail/node/tests/test_crashing_requests.py
@@ -78,7 +78,7 @@
             crashed.set()
             await asyncio.gather(*calls)
             suspicions = session.nodes['one'].quarantine.list_suspicions(0.0)
-            self.assertEqual([len(held.deaths) for held in suspicions], [1])
+            self.assertEqual([len(held.crashes) for held in suspicions], [1])
 
         run_virtually(scenario())
 
--- a/merlintrail/state/__init__.py
+++ b/merlintrail/state/__init__.py
@@ -36,12 +36,7 @@
     read_member,
 )
 from merlintrail.state._message_sizes import MessageSizes
-from merlintrail.state._quarantine import (
-    Quarantine,
-    Suspicion,
-    compute_digest,
-    read_suspicion,
-)
+from merlintrail.state._quarantine import Quarantine, compute_digest
 from merlintrail.state._refused_requests import (
     RefusedRequests,
     compute_retry_after,
@@ -72,6 +67,7 @@
     is_shed,
 )
 from merlintrail.state._stops import find_planned_stop, overlaps_planned_stop
+from merlintrail.state._suspicion import Suspicion, read_suspicion
 from merlintrail.state._targets import Target
 from merlintrail.state._validation import (
     Finding,
--- a/merlintrail/state/_quarantine.py
+++ b/merlintrail/state/_quarantine.py
@@ -1,12 +1,19 @@
 """Quarantine of requests that crash backend servers."""
 
-from collections.abc import Collection, Sequence
-from typing import Any, Final, NamedTuple
+from collections.abc import Callable, Collection
+from typing import Final
 
 import xxhash
 
-#: Largest number of suspicions recorded at a time; the oldest are evicted.
+from merlintrail.state._suspicion import Suspicion, merge_suspicions
+
+#: Largest number of suspicions recorded at a time.
 MAX_SUSPICIONS: Final = 4096
+#: Suspicions that are evicted together when there are too many.
+EVICTED_SUSPICIONS: Final = 512
+
+#: Called with each record that changed.
+SuspicionListener = Callable[[Suspicion], None]
 
 
 def compute_digest(service: str, method: str, target: str, body: bytes) -> str:
@@ -16,48 +23,34 @@
     return digest
 
 
-class Suspicion(NamedTuple):
-    """The crashes of backend servers in which a request was running."""
-
-    digest: str
-    #: Identifiers of the crashes, empty to clear the request.
-    deaths: tuple[str, ...]
-    #: Whether the request is quarantined, that is refused by every node.
-    is_convicted: bool
-    #: Seconds since the epoch.
-    expires_at: float
-
-
-def read_suspicion(record: Sequence[Any]) -> Suspicion | None:
-    """Read a suspicion from a JSON array in the order of the fields.
-
-    :returns: ``None`` if the array has another length.
-    """
-    if len(record) != len(Suspicion._fields):
-        return None
-    digest, deaths, is_convicted, expires_at = record
-    return Suspicion(digest, tuple(deaths), bool(is_convicted), expires_at)
-
-
 class Quarantine:
     """Suspected and quarantined requests, replicated to every node.
 
     When a backend server crashes, all requests that run in it become
-    suspects. A backend server runs only one suspect at a time, so that a
-    further crash identifies the cause: the only suspect among the running
-    requests is quarantined. A suspect that completes is cleared.
+    suspects. A request that ran in several crashes and completed nowhere
+    since is quarantined: at the third crash in any case, and at the second
+    one already if nothing but this request explains the crashes.
     """
 
     def __init__(self) -> None:
         self._suspicions: dict[str, Suspicion] = {}
+        self._listeners: list[SuspicionListener] = []
 
     @property
     def is_empty(self) -> bool:
         """Whether no suspicion is recorded."""
         return not self._suspicions
 
-    def record_death(
-        self, crash_id: str, digests: Collection[str], expires_at: float
+    def add_listener(self, listener: SuspicionListener) -> None:
+        """Call a listener with each record that changes from now on."""
+        self._listeners.append(listener)
+
+    def record_crash(
+        self,
+        crash_id: str,
+        digests: Collection[str],
+        now: float,
+        expires_at: float,
     ) -> list[Suspicion]:
         """Record the crash of a backend server.
 
@@ -66,35 +59,33 @@
         :param digests: requests that were running.
         :returns: the changed suspicions, to be sent to the other nodes.
         """
-        distinct = sorted(set(digests))
-        earlier_deaths = {
-            digest: self._list_deaths(digest, crash_id) for digest in distinct
-        }
-        suspects = [digest for digest in distinct if earlier_deaths[digest]]
-        changed = []
-        for digest, deaths in earlier_deaths.items():
-            suspicion = Suspicion(
-                digest,
-                (*deaths, crash_id),
-                is_convicted=suspects == [digest],
-                expires_at=expires_at,
-            )
-            self._put(suspicion)
-            changed.append(suspicion)
-        return changed
+        self.remove_expired(now)
+        records = [
+            self._suspicions.get(
+                digest, Suspicion(digest, (), expires_at)
+            ).add_crash(crash_id, expires_at)
+            for digest in sorted(set(digests))
+        ]
+        repeated = [
+            record for record in records if len(record.open_crashes) > 1
+        ]
+        if len(repeated) == 1 and self._explains_crashes(repeated[0]):
+            decided = repeated[0]._replace(decisive=(crash_id,))
+            records[records.index(repeated[0])] = decided
+        return [record for record in records if self._merge(record)]
 
     def clear_suspect(self, digest: str, now: float) -> Suspicion | None:
-        """Remove the suspicion against a request that completed.
+        """Clear a request that completed of all its crashes so far.
 
-        :returns: the suspicion without crashes, which clears the request at
-            the other nodes, or ``None`` if the request is not a suspect or
-            is quarantined.
+        :returns: the changed suspicion, to be sent to the other nodes, or
+            ``None`` if the request was not a suspect.
         """
         current = self.find(digest, now)
-        if current is None or current.is_convicted:
+        if current is None or not current.is_suspect:
             return None
-        del self._suspicions[digest]
-        return current._replace(deaths=())
+        cleared = current.clear()
+        self._merge(cleared)
+        return cleared
 
     def find(self, digest: str, now: float) -> Suspicion | None:
         """Return the suspicion against a request unless it has expired."""
@@ -107,67 +98,74 @@
     def is_quarantined(self, digest: str, now: float) -> bool:
         """Return whether a request is refused by every node."""
         current = self.find(digest, now)
-        return current is not None and current.is_convicted
+        return current is not None and current.is_quarantined
 
     def merge(self, received: Suspicion, now: float) -> bool:
         """Merge a suspicion from another node.
 
-        The result holds the crashes of both, is a quarantine if either is,
-        and has the later expiry. A received suspicion without crashes clears
-        a suspect but not a quarantined request.
-
         :returns: whether anything changed.
         """
-        current = self.find(received.digest, now)
         if received.expires_at <= now:
             return False
-        if not received.deaths:
-            if current is None or current.is_convicted:
-                return False
-            del self._suspicions[received.digest]
-            return True
-        if current is None:
-            self._put(received)
-            return True
-        merged = current._replace(
-            deaths=tuple(sorted({*current.deaths, *received.deaths})),
-            is_convicted=current.is_convicted or received.is_convicted,
-            expires_at=max(current.expires_at, received.expires_at),
-        )
-        if merged == current._replace(deaths=tuple(sorted(current.deaths))):
-            return False
-        self._put(merged)
-        return True
+        self.find(received.digest, now)
+        return self._merge(received)
 
     def list_suspicions(self, now: float) -> list[Suspicion]:
         """Return the suspicions that have not expired."""
-        return [
-            suspicion
-            for suspicion in self._suspicions.values()
-            if suspicion.expires_at > now
-        ]
+        self.remove_expired(now)
+        return list(self._suspicions.values())
+
+    def remove_expired(self, now: float) -> None:
+        """Remove the suspicions that have expired."""
+        for digest in tuple(self._suspicions):
+            self.find(digest, now)
 
     def count_suspects(self) -> int:
-        """Return the number of recorded suspicions."""
-        return len(self._suspicions)
+        """Return the number of requests that may crash backend servers."""
+        return sum(1 for held in self._suspicions.values() if held.is_suspect)
 
     def count_quarantined(self) -> int:
         """Return the number of quarantined requests."""
         return sum(
-            1
-            for suspicion in self._suspicions.values()
-            if suspicion.is_convicted
+            1 for held in self._suspicions.values() if held.is_quarantined
         )
 
-    def _list_deaths(self, digest: str, crash_id: str) -> tuple[str, ...]:
-        """Return the crashes of a request except the given one."""
-        suspicion = self._suspicions.get(digest)
-        if suspicion is None:
-            return ()
-        return tuple(death for death in suspicion.deaths if death != crash_id)
-
-    def _put(self, suspicion: Suspicion) -> None:
-        is_new = suspicion.digest not in self._suspicions
-        if is_new and len(self._suspicions) >= MAX_SUSPICIONS:
-            del self._suspicions[next(iter(self._suspicions))]
-        self._suspicions[suspicion.digest] = suspicion
+    def _explains_crashes(self, suspect: Suspicion) -> bool:
+        """Return whether a suspect stands out against the other crashes.
+
+        A harmless request meets two crashes by chance where backend servers
+        crash often. Crashes that neither this nor a quarantined request
+        explains have to be fewer than those of the suspect.
+        """
+        unexplained: set[str] = set()
+        explained: set[str] = set(suspect.open_crashes)
+        for held in self._suspicions.values():
+            if held.is_quarantined:
+                explained.update(held.open_crashes)
+            unexplained.update(held.crashes)
+        return len(unexplained - explained) < len(suspect.open_crashes)
+
+    def _merge(self, received: Suspicion) -> bool:
+        current = self._suspicions.get(received.digest)
+        merged = received
+        if current is None:
+            self._make_room()
+        else:
+            merged = merge_suspicions(current, received)
+        if merged == current:
+            return False
+        self._suspicions[received.digest] = merged
+        for listener in self._listeners:
+            listener(merged)
+        return True
+
+    def _make_room(self) -> None:
+        """Evict suspicions with few crashes, quarantined ones last."""
+        if len(self._suspicions) < MAX_SUSPICIONS:
+            return
+        by_importance = sorted(
+            self._suspicions.values(),
+            key=lambda held: (held.is_quarantined, len(held.open_crashes)),
+        )
+        for held in by_importance[:EVICTED_SUSPICIONS]:
+            del self._suspicions[held.digest]
--- /dev/null
+++ b/merlintrail/state/_suspicion.py
@@ -0,0 +1,113 @@
+"""What nodes know about a request that ran in crashed backend servers."""
+
+from collections.abc import Iterable
+from typing import Any, Final, NamedTuple
+
+#: Crashes without a completed run in between after which a request is
+#: quarantined, whatever else ran in the same backend servers.
+QUARANTINE_CRASHES: Final = 3
+#: Latest crashes of one request that are remembered.
+MAX_REMEMBERED_CRASHES: Final = 8
+
+
+class Suspicion(NamedTuple):
+    """The crashes of backend servers in which a request was running.
+
+    Records of one request are merged by taking the union of their crashes, so
+    that all nodes reach the same result in whatever order they learn of them.
+    """
+
+    digest: str
+    #: Identifiers of the crashes in ascending order, the latest
+    #: :data:`MAX_REMEMBERED_CRASHES`.
+    crashes: tuple[str, ...]
+    #: Seconds since the epoch.
+    expires_at: float
+    #: Those of the crashes after which the request completed somewhere, so
+    #: that it was not their cause.
+    cleared: tuple[str, ...] = ()
+    #: Those of the crashes that identified the request as their cause.
+    decisive: tuple[str, ...] = ()
+
+    @property
+    def open_crashes(self) -> tuple[str, ...]:
+        """The crashes of which the request may be the cause."""
+        return tuple(
+            crash for crash in self.crashes if crash not in self.cleared
+        )
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the request may be the cause of a crash."""
+        return bool(self.open_crashes)
+
+    @property
+    def is_quarantined(self) -> bool:
+        """Whether every node refuses the request."""
+        open_crashes = self.open_crashes
+        return len(open_crashes) >= QUARANTINE_CRASHES or not set(
+            self.decisive
+        ).isdisjoint(open_crashes)
+
+    def add_crash(self, crash_id: str, expires_at: float) -> 'Suspicion':
+        """Return the record with one more crash."""
+        return merge_suspicions(
+            self, Suspicion(self.digest, (crash_id,), expires_at)
+        )
+
+    def clear(self) -> 'Suspicion':
+        """Return the record of a request that completed."""
+        return self._replace(cleared=self.crashes)
+
+
+def merge_suspicions(one: Suspicion, other: Suspicion) -> Suspicion:
+    """Merge two records of the same request."""
+    crashes = _unite(one.crashes, other.crashes)[-MAX_REMEMBERED_CRASHES:]
+    return Suspicion(
+        one.digest,
+        crashes,
+        max(one.expires_at, other.expires_at),
+        _keep(_unite(one.cleared, other.cleared), crashes),
+        _keep(_unite(one.decisive, other.decisive), crashes),
+    )
+
+
+def read_suspicion(record: object) -> Suspicion | None:
+    """Read a record from a JSON array in the order of the fields.
+
+    Elements after the known ones, as a later version may send, are ignored.
+
+    :returns: ``None`` if the array does not have that shape.
+    """
+    if not isinstance(record, list | tuple):
+        return None
+    fields: list[Any] = list(record[: len(Suspicion._fields)])
+    if len(fields) < len(Suspicion._fields):
+        return None
+    received = Suspicion(*fields)
+    lists = (received.crashes, received.cleared, received.decisive)
+    is_readable = (
+        isinstance(received.digest, str)
+        and isinstance(received.expires_at, int | float)
+        and all(map(_is_list_of_names, lists))
+    )
+    if not is_readable:
+        return None
+    crashes, cleared, decisive = map(tuple, lists)
+    return received._replace(
+        crashes=crashes, cleared=cleared, decisive=decisive
+    )
+
+
+def _is_list_of_names(names: object) -> bool:
+    return isinstance(names, list | tuple) and all(
+        isinstance(name, str) for name in names
+    )
+
+
+def _unite(one: Iterable[str], other: Iterable[str]) -> tuple[str, ...]:
+    return tuple(sorted({*one, *other}))
+
+
+def _keep(names: Iterable[str], allowed: Iterable[str]) -> tuple[str, ...]:
+    return tuple(name for name in names if name in allowed)
