Notice the crash of a backend server that closes no connection

Callers saw a request go on to ten and more backend servers when these fell silent instead of closing their connections: the calls only timed out or were cancelled, and a crash was recorded for lost connections alone. The same held for a server that was back before a connection was refused, with one call lost.

A run of a backend server that ends without a notice, since another run takes its place or its announcements expire, now counts as crashed. What was running then, and what ended unanswered since it was last known to be alive, ran in that crash. A crash already recorded from its connections keeps its identifier.

--- a/merlintrail/node/_backend.py
+++ b/merlintrail/node/_backend.py
@@ -19,6 +19,10 @@
 #: Calls whose connections are lost within this many seconds of the first
 #: loss count towards the same crash.
 CRASH_WINDOW_S: Final = 0.1
+#: Seconds by which an announcement may arrive late.
+ANNOUNCEMENT_DELAY_S: Final = 3.0
+#: Unanswered calls of a backend server that are remembered.
+MAX_UNANSWERED_CALLS: Final = 512
 #: Seconds until an announcement expires that gives no ``ttl_s``.
 DEFAULT_TTL_S: Final = 10.0
 #: Departed runs that are remembered, one for each identity; the oldest entry
@@ -192,9 +196,11 @@
         self.load: BackendLoad | None = None
         #: Calls that run in it, by call identifier.
         self.running: dict[str, OutgoingCall] = {}
-        #: Identifier of its crash once it has crashed, ``None`` again when it
-        #: is reachable.
+        #: Identifier of the crash of this run, ``None`` before it.
         self.crash_id: str | None = None
+        #: Clock times at which calls ended without an answer, by the digest
+        #: of their request.
+        self._unanswered: dict[str, float] = {}
         #: Calls lost within :data:`CRASH_WINDOW_S`, counted by request digest.
         self._lost_digests: Counter[str] = Counter()
         #: Clock time of the first of these losses.
@@ -208,6 +214,9 @@
 
     def renew(self, announcement: Announcement, now: float) -> None:
         """Apply a renewed announcement."""
+        if now - self.renewed_at >= self.announcement.ttl_s:
+            # It was taken for crashed while its announcements were missing.
+            self.crash_id = None
         self.announcement = announcement
         self.renewed_at = now
         self.is_draining = not announcement.is_ready
@@ -235,6 +244,26 @@
         self._lost_digests.clear()
         return digests
 
+    def record_unanswered_call(self, call: OutgoingCall, now: float) -> None:
+        """Record that a call was sent and ended without an answer."""
+        self._unanswered[compute_call_digest(call)] = now
+        if len(self._unanswered) > MAX_UNANSWERED_CALLS:
+            del self._unanswered[next(iter(self._unanswered))]
+
+    def list_unanswered_digests(self) -> list[str]:
+        """Return the digests of calls that it may have crashed on.
+
+        These are the calls that are running and those that ended without an
+        answer since it was last known to be alive.
+        """
+        since = self.renewed_at - ANNOUNCEMENT_DELAY_S
+        ended = [
+            digest
+            for digest, ended_at in self._unanswered.items()
+            if ended_at >= since
+        ]
+        return [*ended, *map(compute_call_digest, self.running.values())]
+
     def list_running_digests(self) -> list[str]:
         """Return the digests of calls that are running or were just lost."""
         running = [compute_call_digest(call) for call in self.running.values()]
@@ -262,7 +291,9 @@
         while not await self.is_listening(backend):
             await asyncio.sleep(PROBE_INTERVAL_S)
         backend.is_reachable = True
-        backend.crash_id = None
+        if backend.announcement.identity is None:
+            # Nothing else tells its next run apart from this one.
+            backend.crash_id = None
         self._on_change()
 
     async def read_hints(self, backend: BackendServer) -> None:
--- a/merlintrail/node/_backend_exchange.py
+++ b/merlintrail/node/_backend_exchange.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple
 
-from merlintrail.node._backend import BackendProber
+from merlintrail.node._backend import BackendProber, BackendServer
 from merlintrail.node._calls import OutgoingCall
 from merlintrail.node._contexts import ParentCall, get_call_class
 from merlintrail.node._gate import AdmissionGate
@@ -61,6 +61,7 @@
         header = parent.header
         remaining_s = parent.deadline - started_at
         backend.running[header.call_id] = call
+        is_open = True
         try:
             answer = await self._deps.pool.exchange(
                 backend.announcement.address,
@@ -73,12 +74,28 @@
                     parent, received
                 ),
             )
+            is_open = (
+                isinstance(answer, TransportFailure)
+                and answer.stage != FailureStage.CONNECT
+            )
             if isinstance(answer, TransportFailure):
                 return await self._handle_failure(gate, header, answer)
         finally:
             backend.running.pop(header.call_id, None)
+            if is_open:
+                backend.record_unanswered_call(call, self._clock())
         return self._classify_answer(gate, parent, answer, started_at)
 
+    def record_silent_end(self, backend: BackendServer) -> None:
+        """Record the crash of a run that ended without any notice.
+
+        It may have closed no connection, so that its calls only timed out or
+        were cancelled.
+        """
+        digests = backend.list_unanswered_digests()
+        if digests and backend.crash_id is None:
+            self._record_crash(backend, digests, 'ended without a notice')
+
     def _is_answer_to_call(
         self, parent: ParentCall, answer: HttpResponse
     ) -> bool:
@@ -168,24 +185,25 @@
             digests = running
             evidence = 'no connection accepted'
         if digests:
-            self._record_crash(gate, digests, evidence)
+            self._record_crash(gate.backend, digests, evidence)
+            self._deps.pool.drop_idle(gate.backend.announcement.address)
+            self._mark_unreachable(gate)
         return Refusal(
             Outcome.MAY_HAVE_RUN, Reason.BACKEND_LOST, failure.reason
         )
 
     def _record_crash(
-        self, gate: AdmissionGate, digests: list[str], evidence: str
+        self, backend: BackendServer, digests: list[str], evidence: str
     ) -> None:
         quarantine = self._deps.suspect_quarantine
-        backend = gate.backend
         backend.crash_id = backend.crash_id or quarantine.create_crash_id()
         suspicions = quarantine.record_crash(backend.crash_id, digests)
         log_decision(
             'backend-server-death',
             crash=backend.crash_id,
             instance=self._deps.node_id,
-            service=gate.backend.announcement.service,
-            identity=gate.backend.announcement.identity,
+            service=backend.announcement.service,
+            identity=backend.announcement.identity,
             evidence=evidence,
             suspects=len(suspicions),
             repeated={
@@ -199,8 +217,6 @@
                 if suspicion.is_quarantined
             ],
         )
-        self._deps.pool.drop_idle(gate.backend.announcement.address)
-        self._mark_unreachable(gate)
 
     def _mark_unreachable(self, gate: AdmissionGate) -> None:
         if gate.backend.is_reachable:
--- a/merlintrail/node/_backend_registry.py
+++ b/merlintrail/node/_backend_registry.py
@@ -6,6 +6,7 @@
 from merlintrail.node._backend import (
     Announcement,
     AnnouncementOrder,
+    BackendServer,
     DepartedRuns,
     compare_announcements,
 )
@@ -29,15 +30,19 @@
         clock: Callable[[], float],
         wall_clock: Callable[[], float],
         on_change: Callable[[], None],
+        on_silent_end: Callable[[BackendServer], None],
     ) -> None:
         """Create an empty registry.
 
         :param on_change: called when the readiness of a backend server may
             have changed.
+        :param on_silent_end: called with a backend server that ended without
+            a notice: another run takes its place, or it is not renewed.
         """
         self._clock = clock
         self._wall_clock = wall_clock
         self._on_change = on_change
+        self._on_silent_end = on_silent_end
         self._departed_runs = DepartedRuns()
         self._configuration: Configuration | None = None
         #: Admission gates by service.
@@ -104,6 +109,18 @@
                 return True
         return False
 
+    def report_expired(self) -> None:
+        """Report the backend servers that are not renewed any more."""
+        now = self._clock()
+        for gate in self.gates.values():
+            backend = gate.backend
+            if now - backend.renewed_at >= backend.announcement.ttl_s:
+                self._report_silent_end(backend)
+
+    def _report_silent_end(self, backend: BackendServer) -> None:
+        if not backend.is_draining:
+            self._on_silent_end(backend)
+
     def _find_gate(self, announcement: Announcement) -> AdmissionGate | None:
         """Return the gate of the service, or else the one at the address."""
         gate = self.gates.get(announcement.service)
@@ -119,6 +136,7 @@
     ) -> AdmissionGate:
         """Create a gate for a new run, in place of the current one."""
         if current is not None:
+            self._report_silent_end(current.backend)
             current.admission.refuse_waiting(Reason.NO_BACKEND_SERVER)
             del self.gates[current.backend.announcement.service]
         gate = AdmissionGate(announcement, self._clock)
--- a/merlintrail/node/_call_path.py
+++ b/merlintrail/node/_call_path.py
@@ -174,6 +174,7 @@
                 environment.clock,
                 environment.wall_clock,
                 deps.on_change,
+                exchange.record_silent_end,
             ),
         )
     )
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -378,6 +378,7 @@
     async def _poll_readiness(self) -> None:
         links_digest = 0
         while True:
+            self.gateway.registry.report_expired()
             self._update_offers()
             digest = self.table.digest
             if self.holder.current is not None and digest != links_digest:
--- a/merlintrail/node/tests/test_crashing_requests.py
+++ b/merlintrail/node/tests/test_crashing_requests.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from merlintrail.node._backend import DEFAULT_TTL_S, Announcement
 from merlintrail.node.tests.crash_load import (
     MAX_LATE_DELIVERIES,
     CrashFigures,
@@ -10,7 +11,7 @@
     CrashRun,
     Disturbance,
 )
-from merlintrail.node.tests.session import READ_AND_WRITE, Session
+from merlintrail.node.tests.session import READ_AND_WRITE, Session, answer_after
 from merlintrail.testing import run_virtually
 from merlintrail.transport import HttpRequest, HttpResponse
 
@@ -51,6 +52,52 @@
         """The backend server goes silent and comes back as a new run."""
         self.assert_stopped(_run(CrashLoad(is_silent=True)))
 
+    def test_crash_of_a_server_that_is_back_at_once_is_not_noticed(
+        self,
+    ) -> None:
+        """A new run announces itself before a connection is refused."""
+
+        async def scenario() -> None:
+            session = Session(READ_AND_WRITE, ('one',))
+            node = session.nodes['one']
+
+            async def crash(_: HttpRequest) -> HttpResponse:
+                raise ConnectionAbortedError
+
+            session.add_backend('one', 'svc', crash)
+            run = Announcement('svc', 'one:svc', 4, identity='first')
+            for identity in ('first', 'second'):
+                node.gateway.registry.announce(
+                    run._replace(identity=identity, started_at_ms=len(identity))
+                )
+                if identity == 'first':
+                    await session.call('one', '/svc/write', 'bad')
+            self.assertEqual(node.quarantine.count_suspects(), 1)
+
+        run_virtually(scenario())
+
+    def test_crash_of_a_server_that_never_returns_is_not_noticed(self) -> None:
+        """Its announcement expires while its connections hang."""
+
+        async def scenario() -> None:
+            session = Session(READ_AND_WRITE, ('one',))
+            registry = session.nodes['one'].gateway.registry
+            session.add_backend('one', 'svc', answer_after(10.0))
+            registry.announce(
+                Announcement(
+                    'svc', 'one:svc', 4, identity='only', started_at_ms=1
+                )
+            )
+            await session.call('one', '/svc/write', 'bad')
+            registry.report_expired()
+            quarantine = session.nodes['one'].quarantine
+            self.assertTrue(quarantine.is_empty)
+            await asyncio.sleep(DEFAULT_TTL_S)
+            registry.report_expired()
+            self.assertEqual(quarantine.count_suspects(), 1)
+
+        run_virtually(scenario())
+
 
 class HarmlessRequestsTest(unittest.TestCase):
     """Backend servers crash for other reasons than the requests."""
