Check the quarantine again when a call has waited

Callers saw copies of a crashing request reach backend servers after it was quarantined: those that waited for their turn as suspects, or for a slot, were checked on arrival only and ran one after the other when the server was back.

The check is repeated when a call has its slot, right before it is sent.

Test: test_suspect_that_waits_runs_after_its_quarantine; five copies ran before, one does now.

--- a/merlintrail/node/_backend_gateway.py
+++ b/merlintrail/node/_backend_gateway.py
@@ -151,6 +151,9 @@
             return refusal
         exchange = self._deps.exchange
         try:
+            refusal = self._deps.suspect_quarantine.check(call)
+            if refusal is not None:
+                return refusal
             if header.is_idempotent:
                 return await exchange.run(gate, call, parent)
             running = asyncio.create_task(exchange.run(gate, call, parent))
--- a/merlintrail/node/tests/test_crashing_requests.py
+++ b/merlintrail/node/tests/test_crashing_requests.py
@@ -11,7 +11,15 @@
     CrashRun,
     Disturbance,
 )
-from merlintrail.node.tests.session import READ_AND_WRITE, Session, answer_after
+from merlintrail.node.tests.fake_network import get_header
+from merlintrail.node.tests.session import (
+    EPOCH_S,
+    READ_AND_WRITE,
+    Session,
+    answer_after,
+)
+from merlintrail.protocol import REASON_HEADER, Reason
+from merlintrail.state import compute_digest
 from merlintrail.testing import run_virtually
 from merlintrail.transport import HttpRequest, HttpResponse
 
@@ -29,6 +37,10 @@
     return [run_virtually(run_seed(seed)) for seed in _SEEDS]
 
 
+async def _fail(_: HttpRequest) -> HttpResponse:
+    return HttpResponse(500, (), b'')
+
+
 class CrashingRequestsTest(unittest.TestCase):
     """Deliveries later than three seconds after a request's third crash."""
 
@@ -98,6 +110,32 @@
 
         run_virtually(scenario())
 
+    def test_suspect_that_waits_runs_after_its_quarantine(self) -> None:
+        """Copies of it wait at a backend server, one runs at a time."""
+
+        async def scenario() -> None:
+            session = Session(READ_AND_WRITE, ('one',))
+            runs = 0
+
+            async def run(_: HttpRequest) -> HttpResponse:
+                nonlocal runs  # noqa: WPS420
+                runs += 1
+                await asyncio.sleep(0.1)
+                raise ConnectionAbortedError
+
+            session.add_backend('one', 'svc', run)
+            quarantine = session.nodes['one'].quarantine
+            digest = compute_digest('svc', 'POST', '/write', b'bad')
+            quarantine.record_crash('crash', [digest], 0.0, 2 * EPOCH_S)
+            answers = await asyncio.gather(
+                *(session.call('one', '/svc/write', 'bad') for _ in range(5))
+            )
+            self.assertEqual(runs, 1)
+            reasons = [get_header(answer, REASON_HEADER) for answer in answers]
+            self.assertEqual(reasons.count(Reason.QUARANTINED.value), 4)
+
+        run_virtually(scenario())
+
 
 class HarmlessRequestsTest(unittest.TestCase):
     """Backend servers crash for other reasons than the requests."""
