Clear a suspect by a run, not by any answer

Callers saw a crashing request go on to further backend servers after one of them, grey, had answered it 500 in place of running it: any answer counted as proof that the request ran without a crash, and cleared it at every node.

Only an answer below 500 that does not say that the request was not taken clears it now. A 500 says nothing either way, so the crashes stay counted.

Test: test_failure_answered_in_its_place_clears_a_suspect; it failed before with 0 suspects in place of 1.

--- a/merlintrail/node/_backend_gateway.py
+++ b/merlintrail/node/_backend_gateway.py
@@ -33,6 +33,11 @@
 from merlintrail.transport import HttpResponse
 
 _MS_PER_S: Final = 1000
+_FIRST_SERVER_ERROR_STATUS: Final = 500
+#: Statuses of requests that a backend server did not take: 408 timeout, 413
+#: body too large, 421 misdirected, 425 too early, 429 too many, 431 headers
+#: too large.
+_NOT_TAKEN_STATUSES: Final = frozenset((408, 413, 421, 425, 429, 431))
 #: States of a call that was received before and may have run.
 _STARTED_STATES: Final = frozenset(
     (InquiryState.RUNNING, InquiryState.FINISHED)
@@ -138,7 +143,7 @@
             return await self._admit(gate, call, parent)
         async with gate.suspect_lock:
             answer = await self._admit(gate, call, parent)
-        if isinstance(answer, HttpResponse):
+        if _has_completed(answer):
             self._deps.suspect_quarantine.clear_suspect(suspicion)
         return answer
 
@@ -281,6 +286,19 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _has_completed(answer: HttpResponse | Refusal) -> bool:
+    """Return whether an answer proves that its request ran without a crash.
+
+    A failure of the backend server, or its refusal to take the request, may
+    be answered without running it.
+    """
+    return (
+        isinstance(answer, HttpResponse)
+        and answer.status < _FIRST_SERVER_ERROR_STATUS
+        and answer.status not in _NOT_TAKEN_STATUSES
+    )
+
+
 def _build_admission_request(parent: ParentCall) -> AdmissionRequest:
     header = parent.header
     objective_s: float | None = None
--- a/merlintrail/node/tests/test_crashing_requests.py
+++ b/merlintrail/node/tests/test_crashing_requests.py
@@ -110,6 +110,21 @@
 
         run_virtually(scenario())
 
+    def test_failure_answered_in_its_place_clears_a_suspect(self) -> None:
+        """A 500 does not prove that the request ran without a crash."""
+
+        async def scenario() -> None:
+            session = Session(READ_AND_WRITE, ('one',))
+            session.add_backend('one', 'svc', _fail)
+            quarantine = session.nodes['one'].quarantine
+            digest = compute_digest('svc', 'POST', '/write', b'bad')
+            quarantine.record_crash('crash', [digest], 0.0, 2 * EPOCH_S)
+            answer = await session.call('one', '/svc/write', 'bad')
+            self.assertEqual(answer.status, 500)
+            self.assertEqual(quarantine.count_suspects(), 1)
+
+        run_virtually(scenario())
+
     def test_suspect_that_waits_runs_after_its_quarantine(self) -> None:
         """Copies of it wait at a backend server, one runs at a time."""
 
