Clear a request that became a suspect while it ran

Callers saw harmless requests held back, one at a time, and counted towards a quarantine although they had just completed: a run cleared the request only if it was a suspect before it began.

Every completed run clears its request now. It costs nothing while there is no suspicion.

--- a/merlintrail/node/_backend_gateway.py
+++ b/merlintrail/node/_backend_gateway.py
@@ -138,13 +138,13 @@
         refusal = self._deps.suspect_quarantine.check(call)
         if refusal is not None:
             return refusal
-        suspicion = self._deps.suspect_quarantine.find(call)
-        if suspicion is None:
-            return await self._admit(gate, call, parent)
-        async with gate.suspect_lock:
+        if self._deps.suspect_quarantine.find(call) is None:
             answer = await self._admit(gate, call, parent)
+        else:
+            async with gate.suspect_lock:
+                answer = await self._admit(gate, call, parent)
         if _has_completed(answer):
-            self._deps.suspect_quarantine.clear_suspect(suspicion)
+            self._deps.suspect_quarantine.clear_suspect(call)
         return answer
 
     async def _admit(
--- a/merlintrail/node/_suspect_quarantine.py
+++ b/merlintrail/node/_suspect_quarantine.py
@@ -68,10 +68,12 @@
             f'{", ".join(suspicion.open_crashes)}',
         )
 
-    def clear_suspect(self, suspicion: Suspicion) -> None:
-        """Clear a suspect request that completed without a crash."""
+    def clear_suspect(self, call: OutgoingCall) -> None:
+        """Clear a request that completed without a crash, if suspected."""
+        if self._quarantine.is_empty:
+            return
         cleared = self._quarantine.clear_suspect(
-            suspicion.digest, self._wall_clock()
+            compute_call_digest(call), self._wall_clock()
         )
         if cleared is not None:
             log_quarantine(cleared, 'completed here')
--- a/merlintrail/node/tests/test_crashing_requests.py
+++ b/merlintrail/node/tests/test_crashing_requests.py
@@ -155,6 +155,24 @@
 class HarmlessRequestsTest(unittest.TestCase):
     """Backend servers crash for other reasons than the requests."""
 
+    def test_request_that_ran_during_the_crash_is_not_cleared(self) -> None:
+        """A copy of it ran elsewhere at that time and completed."""
+
+        async def scenario() -> None:
+            session = Session(READ_AND_WRITE, ('one',))
+            session.add_backend('one', 'svc', answer_after(0.1))
+            quarantine = session.nodes['one'].quarantine
+            digest = compute_digest('svc', 'POST', '/write', b'good')
+            call = asyncio.create_task(
+                session.call('one', '/svc/write', 'good')
+            )
+            await asyncio.sleep(0.05)
+            quarantine.record_crash('crash', [digest], 0.0, 2 * EPOCH_S)
+            await call
+            self.assertEqual(quarantine.count_suspects(), 0)
+
+        run_virtually(scenario())
+
     def test_one_crash_counts_for_each_lost_connection(self) -> None:
         """Two equal requests that run alone in it are one suspect."""
 
