Reconcile suspicions that gossip has left behind

A record of a crashing request is sent once per link. One that travelled in a lost reply was gone for that neighbour: members are compared by digest and repaired, suspicions were not. A node could so run a request that the others refuse, and callers lost a backend server more for it.

Heartbeats carry a digest of the suspicions. When a neighbour's differs twice in a row without updates on the way, or at the first reply after a failure, both sides exchange all records and pass on what is new.

Evidence: test_quarantine_in_a_lost_reply_is_never_sent_again failed before.

--- a/merlintrail/coordination/_heartbeat.py
+++ b/merlintrail/coordination/_heartbeat.py
@@ -1,8 +1,8 @@
 """Heartbeats: one task for each neighbour, and the failure detector.
 
 A heartbeat carries the membership updates that wait for the neighbour, and
-the sender's configuration generation and table digest. A newer generation is
-pulled; tables whose digests keep differing are compared and reconciled.
+the sender's configuration generation and the digests of its member table and
+suspicions. A newer generation is pulled; differences that remain are reconciled.
 """
 
 import asyncio
@@ -14,6 +14,11 @@
 from merlintrail.coordination._messages import Gossip, encode_gossip
 from merlintrail.coordination._outbox import Outbox
 from merlintrail.coordination._peers import PeerClient
+from merlintrail.coordination._reconciliation import (
+    BULK_TIMEOUT_S,
+    NeighbourDifferences,
+    Reconciliation,
+)
 from merlintrail.coordination._sections import (
     SectionedEnvelope,
     build_difference,
@@ -45,13 +50,8 @@
 #: Delay of a sweep in seconds above which this node is assumed to have been
 #: paused itself.
 PAUSE_THRESHOLD_S: Final = 1.0
-#: Number of replies with a different table digest and no updates after which
-#: the tables are compared. A reply with the same digest resets the count.
-MISMATCHES_BEFORE_COMPARISON: Final = 4
 #: Seconds between attempts to reach a dead member.
 PROBE_INTERVAL_S: Final = 10.0
-#: Seconds to wait for the answer to a message with many records.
-BULK_TIMEOUT_S: Final = 5.0
 
 _LOG: Final = create_logger('membership')
 
@@ -68,6 +68,7 @@
     ) -> None:
         self._membership = membership
         self._peers = peers
+        self.reconciliation = Reconciliation(membership, peers)
         self._clock = clock
         self._rng = rng
         self._tasks: dict[str, asyncio.Task[None]] = {}
@@ -147,18 +148,9 @@
         self.refresh_neighbours()
         return {
             'members': list(self._membership.table),
-            'suspicions': list(
-                self._membership.quarantine.list_suspicions(0.0)
-            ),
+            'suspicions': list(self._membership.list_missing(())),
         }
 
-    def handle_comparison(self, document: dict[str, Any]) -> dict[str, object]:
-        """Merge the sender's members; return those of differing buckets."""
-        members = document.get('members', ())
-        self._membership.accept_members(members, str(document.get('sender')))
-        differing = self._membership.list_differing(document.get('buckets', ()))
-        return {'members': differing}
-
     def handle_configuration(
         self, document: dict[str, Any]
     ) -> SectionedEnvelope | None:
@@ -215,7 +207,7 @@
     async def _exchange_heartbeats(self, node_id: str) -> None:
         failing_since = 0.0
         is_fresh = False
-        mismatches = 0
+        differences = NeighbourDifferences()
         while True:
             member = self._membership.table.find(node_id)
             if member is None or member.has_departed:
@@ -225,14 +217,12 @@
             if reply is None:
                 failing_since = failing_since if is_fresh else sent_at
                 is_fresh = True
+                differences.record_failure()
                 self._suspect_if_overdue(member, failing_since)
                 await asyncio.sleep(RETRY_INTERVAL_S)
                 continue
             is_fresh = False
-            mismatches = self._count_mismatches(reply, mismatches)
-            if mismatches >= MISMATCHES_BEFORE_COMPARISON:
-                mismatches = 0
-                await self._compare_tables(member)
+            await self.reconciliation.reconcile(member, reply, differences)
             await self._wait_for_updates(member)
 
     async def _exchange(
@@ -278,40 +268,6 @@
             return
         await asyncio.sleep(BATCH_DELAY_S)
 
-    async def _compare_tables(self, member: Member) -> None:
-        buckets = self._membership.compute_buckets()
-        answer = await self._peers.send_request(
-            member.peer_address,
-            'compare',
-            {'sender': self._membership.own.node_id, 'buckets': buckets},
-            timeout_s=BULK_TIMEOUT_S,
-        )
-        if not isinstance(answer, dict):
-            return
-        received = answer.get('members', ())
-        their_ids = {record[0] for record in received}
-        own_members = [
-            record
-            for record in self._membership.table
-            if record.node_id in their_ids
-        ]
-        self._membership.accept_members(received, member.node_id)
-        await self._peers.send_request(
-            member.peer_address,
-            'compare',
-            {
-                'sender': self._membership.own.node_id,
-                'members': own_members,
-                'buckets': self._membership.compute_buckets(),
-            },
-            timeout_s=BULK_TIMEOUT_S,
-        )
-
-    def _count_mismatches(self, reply: Gossip, mismatches: int) -> int:
-        if reply.digest == self._membership.table.digest:
-            return 0
-        return mismatches if reply.has_updates else mismatches + 1
-
     def _apply_gossip(self, gossip: Gossip) -> None:
         self._membership.accept_gossip(gossip)
         sender = self._membership.table.find(gossip.sender)
@@ -375,25 +331,9 @@
         ]
         if dead:
             member = self._rng.choice(dead)
-            probe = asyncio.create_task(self._probe(member))
+            probe = asyncio.create_task(self.reconciliation.probe(member))
             probe.add_done_callback(_consume_exception)
 
-    async def _probe(self, member: Member) -> None:
-        """Send a dead member its record, which it refutes if it is running."""
-        answer = await self._peers.send_request(
-            member.peer_address,
-            'compare',
-            {
-                'sender': self._membership.own.node_id,
-                'members': [member, self._membership.own],
-                'buckets': self._membership.compute_buckets(),
-            },
-            timeout_s=BULK_TIMEOUT_S,
-            is_fresh=True,
-        )
-        if isinstance(answer, dict):
-            self._membership.accept_members(answer.get('members', ()), '')
-
 
 def _consume_exception(task: asyncio.Task[None]) -> None:
     """Retrieve a task's exception, so that asyncio does not report it."""
--- a/merlintrail/coordination/_membership.py
+++ b/merlintrail/coordination/_membership.py
@@ -106,8 +106,25 @@
                 if needs_only_status(member)
             ],
             suspicions,
+            self.compute_suspicion_digest(),
         )
 
+    def compute_suspicion_digest(self) -> int:
+        """Compute the digest of the suspicions that have not expired."""
+        return self.quarantine.compute_digest(self._wall_clock())
+
+    def list_missing(self, received: Iterable[Any]) -> list[Suspicion]:
+        """Return the suspicions of which another node has no equal record.
+
+        :param received: records of the other node.
+        """
+        theirs = set(read_suspicions(tuple(received)))
+        return [
+            suspicion
+            for suspicion in self.quarantine.list_suspicions(self._wall_clock())
+            if suspicion not in theirs
+        ]
+
     def requeue(self, node_id: str, gossip: Gossip) -> None:
         """Queue again the updates of a message that was not delivered."""
         outbox = self.outboxes.get(node_id)
--- a/merlintrail/coordination/_messages.py
+++ b/merlintrail/coordination/_messages.py
@@ -45,6 +45,8 @@
     statuses: Sequence[Any] = ()
     #: Records of :class:`Suspicion`.
     suspicions: Sequence[Any] = ()
+    #: Digest of the sender's suspicions, 0 without any.
+    suspicion_digest: int = 0
 
     @property
     def has_updates(self) -> bool:
--- a/merlintrail/coordination/tests/peer_network.py
+++ b/merlintrail/coordination/tests/peer_network.py
@@ -191,7 +191,9 @@
             return None if difference is None else difference._asdict()
         if subject == 'join':
             return self.heartbeats.handle_join(document)
-        return self.heartbeats.handle_comparison(document)
+        if subject == 'suspicions':
+            return self.heartbeats.reconciliation.handle_suspicions(document)
+        return self.heartbeats.reconciliation.handle_comparison(document)
 
 
 async def start_network(size: int = 8) -> PeerNetwork:
--- a/merlintrail/coordination/tests/test_membership.py
+++ b/merlintrail/coordination/tests/test_membership.py
@@ -164,6 +164,45 @@
         run_virtually(scenario())
 
 
+class SuspicionGossipTest(unittest.TestCase):
+    """Suspicions that gossip alone leaves behind at some nodes."""
+
+    def test_quarantine_made_during_a_partition_stays_there(self) -> None:
+        """It reaches the other side within 3 s of a short partition."""
+
+        async def scenario() -> None:
+            network = await start_network()
+            for name in network.nodes:
+                network.partitions[name] = int(name == 'n5')
+            first = network.nodes['n0']
+            held = first.quarantine.record_crash('crash', ['bad'], 0.0, 1.0e9)
+            first.membership.gossip_suspicions(held)
+            await asyncio.sleep(1)
+            network.partitions.clear()
+            await asyncio.sleep(3)
+            self.assertFalse(network.nodes['n5'].quarantine.is_empty)
+            network.stop()
+
+        run_virtually(scenario())
+
+    def test_quarantine_in_a_lost_reply_is_never_sent_again(self) -> None:
+        """The sender took it for delivered; digests show the difference."""
+
+        async def scenario() -> None:
+            network = await start_network()
+            for sender in network.nodes.values():
+                for outbox in sender.membership.outboxes.values():
+                    outbox.take_batch()
+            first = network.nodes['n0']
+            first.quarantine.record_crash('crash', ['bad'], 0.0, 1.0e9)
+            await asyncio.sleep(5)
+            for node in network.nodes.values():
+                self.assertFalse(node.quarantine.is_empty)
+            network.stop()
+
+        run_virtually(scenario())
+
+
 class TopologyTest(unittest.TestCase):
     """Choice of neighbours in a fleet of 1800 nodes in 14 data centres."""
 
--- a/merlintrail/node/_peer_service.py
+++ b/merlintrail/node/_peer_service.py
@@ -76,7 +76,8 @@
         self._handlers: Mapping[str, MessageHandler] = {
             'gossip': deps.heartbeats.handle_gossip,
             'join': deps.heartbeats.handle_join,
-            'compare': deps.heartbeats.handle_comparison,
+            'compare': deps.heartbeats.reconciliation.handle_comparison,
+            'suspicions': deps.heartbeats.reconciliation.handle_suspicions,
             'configuration': self._answer_configuration,
             'inquiry': self._answer_inquiry,
             'recall': deps.keyed.handle_recall,
--- a/merlintrail/node/tests/fake_network.py
+++ b/merlintrail/node/tests/fake_network.py
@@ -39,6 +39,13 @@
         self.answers_to_lose: Counter[str] = Counter()
         #: Exchanges started, by address.
         self.counts: Counter[str] = Counter()
+        #: Partition of each node; different ones cannot reach each other.
+        self.partitions: dict[str, int] = {}
+
+    def can_reach(self, origin: str, address: str) -> bool:
+        """Return whether a node reaches an address, ``NAME:PORT``."""
+        name = address.partition(':')[0]
+        return self.partitions.get(origin) == self.partitions.get(name)
 
 
 class _FakeConnection(ClientConnection):
@@ -70,9 +77,10 @@
 class FakePool(ConnectionPool):
     """A connection pool that calls handlers in the same process."""
 
-    def __init__(self, network: FakeNetwork) -> None:
+    def __init__(self, network: FakeNetwork, origin: str) -> None:
         super().__init__(1000000)
         self._network = network
+        self._origin = origin
 
     async def exchange(
         self,
@@ -138,9 +146,14 @@
         if address in network.refusing or address not in network.handlers:
             return TransportFailure(FailureStage.CONNECT, 'refused')
         drops_request = address in network.dropping_requests and not is_fresh
-        if drops_request or address in network.unresponsive:
+        is_silent = address in network.unresponsive or not network.can_reach(
+            self._origin, address
+        )
+        if drops_request or is_silent:
             await asyncio.Event().wait()
         await asyncio.sleep(DELAY_S)
+        if address not in network.handlers:
+            return TransportFailure(FailureStage.ANSWER, 'connection lost')
         drops_answer = address in network.dropping_answers and not is_fresh
         serving = asyncio.ensure_future(network.handlers[address](request))
         answer = await self._await_answer(serving, drops_answer=drops_answer)
--- a/merlintrail/node/tests/session.py
+++ b/merlintrail/node/tests/session.py
@@ -172,7 +172,7 @@
             self._loop.time,
             self._read_wall_clock,
             random.Random(name),
-            lambda: FakePool(self.network),
+            lambda: FakePool(self.network, name),
             self._dialect,
         )
         node = create_node(settings, environment)
--- a/merlintrail/node/tests/test_crashing_requests.py
+++ b/merlintrail/node/tests/test_crashing_requests.py
@@ -151,6 +151,28 @@
 
         run_virtually(scenario())
 
+    def test_node_that_was_cut_off_never_learns_of_a_quarantine(self) -> None:
+        """Nodes are cut off from the others one after the other."""
+
+        async def cut_off_in_turn(run: CrashRun) -> None:
+            for name in run.servers:
+                run.session.network.partitions[name] = 1
+                await asyncio.sleep(5)
+                run.session.network.partitions.clear()
+                await asyncio.sleep(3)
+
+        self.assert_stopped(
+            _run(
+                CrashLoad(
+                    servers=6,
+                    crashing_interval_s=0.3,
+                    harmless_interval_s=0.1,
+                    duration_s=50,
+                ),
+                cut_off_in_turn,
+            )
+        )
+
 
 class HarmlessRequestsTest(unittest.TestCase):
     """Backend servers crash for other reasons than the requests."""
--- a/merlintrail/state/_quarantine.py
+++ b/merlintrail/state/_quarantine.py
@@ -1,10 +1,12 @@
 """Quarantine of requests that crash backend servers."""
 
+import math
 from collections.abc import Callable, Collection
 from typing import Final
 
 import xxhash
 
+from merlintrail.protocol import encode_json
 from merlintrail.state._suspicion import Suspicion, merge_suspicions
 
 #: Largest number of suspicions recorded at a time.
@@ -35,6 +37,10 @@
     def __init__(self) -> None:
         self._suspicions: dict[str, Suspicion] = {}
         self._listeners: list[SuspicionListener] = []
+        #: Earliest expiry of a record, in seconds since the epoch.
+        self._next_expiry = math.inf
+        #: Digest of all records, ``None`` after a change.
+        self._digest: int | None = 0
 
     @property
     def is_empty(self) -> bool:
@@ -89,11 +95,8 @@
 
     def find(self, digest: str, now: float) -> Suspicion | None:
         """Return the suspicion against a request unless it has expired."""
-        current = self._suspicions.get(digest)
-        if current is not None and current.expires_at <= now:
-            del self._suspicions[digest]
-            return None
-        return current
+        self.remove_expired(now)
+        return self._suspicions.get(digest)
 
     def is_quarantined(self, digest: str, now: float) -> bool:
         """Return whether a request is refused by every node."""
@@ -107,7 +110,7 @@
         """
         if received.expires_at <= now:
             return False
-        self.find(received.digest, now)
+        self.remove_expired(now)
         return self._merge(received)
 
     def list_suspicions(self, now: float) -> list[Suspicion]:
@@ -117,8 +120,28 @@
 
     def remove_expired(self, now: float) -> None:
         """Remove the suspicions that have expired."""
-        for digest in tuple(self._suspicions):
-            self.find(digest, now)
+        if now < self._next_expiry:
+            return
+        self._suspicions = {
+            digest: held
+            for digest, held in self._suspicions.items()
+            if held.expires_at > now
+        }
+        self._next_expiry = min(
+            (held.expires_at for held in self._suspicions.values()),
+            default=math.inf,
+        )
+        self._digest = None
+
+    def compute_digest(self, now: float) -> int:
+        """Compute a digest that is equal where equal records are held."""
+        self.remove_expired(now)
+        if self._digest is None:
+            digest = 0
+            for held in self._suspicions.values():
+                digest ^= xxhash.xxh3_64_intdigest(encode_json(held))
+            self._digest = digest
+        return self._digest
 
     def count_suspects(self) -> int:
         """Return the number of requests that may crash backend servers."""
@@ -155,6 +178,8 @@
         if merged == current:
             return False
         self._suspicions[received.digest] = merged
+        self._next_expiry = min(self._next_expiry, merged.expires_at)
+        self._digest = None
         for listener in self._listeners:
             listener(merged)
         return True
