Lift a probable quarantine when other crashes turn out to be common

Callers saw a harmless request refused for 600 s that had met two of the first three crashes by chance: at that moment hardly any other crash was known, so two looked like proof, and the decision stood when twenty more crashes without a cause followed.

Whether the only repeated request of a crash is refused is now decided when it arrives, from the crashes known by then: while at most one is unexplained. Three crashes still quarantine for good, whatever else crashes.

Test: test_chance_meeting_before_other_crashes_are_known.

--- a/merlintrail/coordination/_membership.py
+++ b/merlintrail/coordination/_membership.py
@@ -283,10 +283,10 @@
         outcome='learned',
         source=f'message of {sender or "a joining node"}',
         changed=len(changed),
-        quarantined=[
+        causes=[
             suspicion.digest
             for suspicion in changed
-            if suspicion.is_quarantined
+            if suspicion.is_likely_cause
         ],
     )
 
--- a/merlintrail/node/_backend_exchange.py
+++ b/merlintrail/node/_backend_exchange.py
@@ -211,10 +211,10 @@
                 for suspicion in suspicions[:MAX_LOGGED_SUSPECTS]
                 if len(suspicion.open_crashes) > 1
             },
-            convicted=[
+            causes=[
                 suspicion.digest
                 for suspicion in suspicions
-                if suspicion.is_quarantined
+                if suspicion.is_likely_cause
             ],
         )
 
--- a/merlintrail/node/_suspect_quarantine.py
+++ b/merlintrail/node/_suspect_quarantine.py
@@ -54,12 +54,12 @@
     def is_quarantined(self, call: OutgoingCall) -> bool:
         """Return whether the request of a call is refused at every node."""
         suspicion = self.find(call)
-        return suspicion is not None and suspicion.is_quarantined
+        return suspicion is not None and self._quarantine.refuses(suspicion)
 
     def check(self, call: OutgoingCall) -> Refusal | None:
         """Return the refusal of a call whose request is quarantined."""
         suspicion = self.find(call)
-        if suspicion is None or not suspicion.is_quarantined:
+        if suspicion is None or not self._quarantine.refuses(suspicion):
             return None
         return Refusal(
             Outcome.NOT_RUN,
@@ -100,7 +100,7 @@
             crash_id, digests, now, now + self.expiry_s
         )
         for suspicion in suspicions:
-            if suspicion.is_quarantined:
+            if suspicion.is_likely_cause:
                 log_quarantine(suspicion, 'decided here')
         self._notify(suspicions)
         return suspicions
@@ -112,8 +112,10 @@
     :param source: how the node came to believe it.
     """
     outcome = 'suspected'
-    if suspicion.is_quarantined:
-        outcome = 'quarantined'
+    if suspicion.is_proven:
+        outcome = 'proven cause'
+    elif suspicion.is_probable:
+        outcome = 'probable cause'
     elif not suspicion.is_suspect:
         outcome = 'cleared'
     log_decision(
--- a/merlintrail/state/__init__.py
+++ b/merlintrail/state/__init__.py
@@ -67,7 +67,11 @@
     is_shed,
 )
 from merlintrail.state._stops import find_planned_stop, overlaps_planned_stop
-from merlintrail.state._suspicion import Suspicion, read_suspicion
+from merlintrail.state._suspicion import (
+    Suspicion,
+    merge_suspicions,
+    read_suspicion,
+)
 from merlintrail.state._targets import Target
 from merlintrail.state._validation import (
     Finding,
@@ -140,6 +144,7 @@
     'is_shed',
     'load_schema',
     'merge_levels',
+    'merge_suspicions',
     'overlaps_planned_stop',
     'parse_document',
     'parse_json_object',
--- a/merlintrail/state/_quarantine.py
+++ b/merlintrail/state/_quarantine.py
@@ -11,6 +11,8 @@
 
 #: Largest number of suspicions recorded at a time.
 MAX_SUSPICIONS: Final = 4096
+#: Crashes without a known cause up to which a probable cause is refused.
+MAX_UNEXPLAINED_CRASHES: Final = 1
 #: Suspicions that are evicted together when there are too many.
 EVICTED_SUSPICIONS: Final = 512
 
@@ -30,8 +32,8 @@
 
     When a backend server crashes, all requests that run in it become
     suspects. A request that ran in several crashes and completed nowhere
-    since is quarantined: at the third crash in any case, and at the second
-    one already if nothing but this request explains the crashes.
+    since is quarantined: at the third crash in any case, and from the second
+    one on while it is the probable cause.
     """
 
     def __init__(self) -> None:
@@ -41,6 +43,8 @@
         self._next_expiry = math.inf
         #: Digest of all records, ``None`` after a change.
         self._digest: int | None = 0
+        #: Number of crashes without a known cause, ``None`` after a change.
+        self._unexplained: int | None = 0
 
     @property
     def is_empty(self) -> bool:
@@ -75,9 +79,9 @@
         repeated = [
             record for record in records if len(record.open_crashes) > 1
         ]
-        if len(repeated) == 1 and self._explains_crashes(repeated[0]):
-            decided = repeated[0]._replace(decisive=(crash_id,))
-            records[records.index(repeated[0])] = decided
+        if len(repeated) == 1:
+            decisive = repeated[0]._replace(decisive=(crash_id,))
+            records[records.index(repeated[0])] = decisive
         return [record for record in records if self._merge(record)]
 
     def clear_suspect(self, digest: str, now: float) -> Suspicion | None:
@@ -101,7 +105,21 @@
     def is_quarantined(self, digest: str, now: float) -> bool:
         """Return whether a request is refused by every node."""
         current = self.find(digest, now)
-        return current is not None and current.is_quarantined
+        return current is not None and self.refuses(current)
+
+    def refuses(self, suspicion: Suspicion) -> bool:
+        """Return whether the request of a suspicion is quarantined.
+
+        A request that is only the probable cause of its crashes is refused
+        while hardly any other crash is unexplained. A harmless request meets
+        two crashes by chance where backend servers crash often.
+        """
+        if suspicion.is_proven:
+            return True
+        return (
+            suspicion.is_probable
+            and self._count_unexplained() <= MAX_UNEXPLAINED_CRASHES
+        )
 
     def merge(self, received: Suspicion, now: float) -> bool:
         """Merge a suspicion from another node.
@@ -132,6 +150,7 @@
             default=math.inf,
         )
         self._digest = None
+        self._unexplained = None
 
     def compute_digest(self, now: float) -> int:
         """Compute a digest that is equal where equal records are held."""
@@ -150,23 +169,20 @@
     def count_quarantined(self) -> int:
         """Return the number of quarantined requests."""
         return sum(
-            1 for held in self._suspicions.values() if held.is_quarantined
+            1 for held in self._suspicions.values() if self.refuses(held)
         )
 
-    def _explains_crashes(self, suspect: Suspicion) -> bool:
-        """Return whether a suspect stands out against the other crashes.
-
-        A harmless request meets two crashes by chance where backend servers
-        crash often. Crashes that neither this nor a quarantined request
-        explains have to be fewer than those of the suspect.
-        """
-        unexplained: set[str] = set()
-        explained: set[str] = set(suspect.open_crashes)
-        for held in self._suspicions.values():
-            if held.is_quarantined:
-                explained.update(held.open_crashes)
-            unexplained.update(held.crashes)
-        return len(unexplained - explained) < len(suspect.open_crashes)
+    def _count_unexplained(self) -> int:
+        """Count the crashes without a proven or probable cause."""
+        if self._unexplained is None:
+            crashes: set[str] = set()
+            explained: set[str] = set()
+            for held in self._suspicions.values():
+                crashes.update(held.crashes)
+                if held.is_likely_cause:
+                    explained.update(held.open_crashes)
+            self._unexplained = len(crashes - explained)
+        return self._unexplained
 
     def _merge(self, received: Suspicion) -> bool:
         current = self._suspicions.get(received.digest)
@@ -180,6 +196,7 @@
         self._suspicions[received.digest] = merged
         self._next_expiry = min(self._next_expiry, merged.expires_at)
         self._digest = None
+        self._unexplained = None
         for listener in self._listeners:
             listener(merged)
         return True
@@ -190,7 +207,7 @@
             return
         by_importance = sorted(
             self._suspicions.values(),
-            key=lambda held: (held.is_quarantined, len(held.open_crashes)),
+            key=lambda held: (held.is_likely_cause, len(held.open_crashes)),
         )
         for held in by_importance[:EVICTED_SUSPICIONS]:
             del self._suspicions[held.digest]
--- a/merlintrail/state/_suspicion.py
+++ b/merlintrail/state/_suspicion.py
@@ -26,7 +26,8 @@
     #: Those of the crashes after which the request completed somewhere, so
     #: that it was not their cause.
     cleared: tuple[str, ...] = ()
-    #: Those of the crashes that identified the request as their cause.
+    #: Those of the crashes in which no other request had run in an earlier
+    #: crash.
     decisive: tuple[str, ...] = ()
 
     @property
@@ -42,12 +43,19 @@
         return bool(self.open_crashes)
 
     @property
-    def is_quarantined(self) -> bool:
-        """Whether every node refuses the request."""
-        open_crashes = self.open_crashes
-        return len(open_crashes) >= QUARANTINE_CRASHES or not set(
-            self.decisive
-        ).isdisjoint(open_crashes)
+    def is_proven(self) -> bool:
+        """Whether the number of crashes alone shows that it causes them."""
+        return len(self.open_crashes) >= QUARANTINE_CRASHES
+
+    @property
+    def is_probable(self) -> bool:
+        """Whether it was the only repeated request of a crash."""
+        return not set(self.decisive).isdisjoint(self.open_crashes)
+
+    @property
+    def is_likely_cause(self) -> bool:
+        """Whether it is the proven or the probable cause of its crashes."""
+        return self.is_proven or self.is_probable
 
     def add_crash(self, crash_id: str, expires_at: float) -> 'Suspicion':
         """Return the record with one more crash."""
--- a/merlintrail/state/tests/test_quarantine.py
+++ b/merlintrail/state/tests/test_quarantine.py
@@ -69,6 +69,15 @@
         self.crash(self.here, 'other 4', 'good 0')
         self.assertFalse(self.is_quarantined(self.here, 'good 0'))
 
+    def test_chance_meeting_before_other_crashes_are_known(self) -> None:
+        """It is refused until they show that it proves nothing."""
+        self.crash(self.here, 'one', 'good')
+        self.crash(self.here, 'two', 'good', 'other 0')
+        self.assertTrue(self.is_quarantined(self.here, 'good'))
+        for number in range(3):
+            self.crash(self.here, f'other {number}', f'other {number}')
+        self.assertFalse(self.is_quarantined(self.here, 'good'))
+
     def test_one_crash_counts_once(self) -> None:
         """However often it is recorded and received."""
         for _ in range(3):
