Keep quarantined requests in the store

Callers saw a quarantined request crash backend servers again each time all nodes had been killed or replaced: what the nodes held against it was in their memory only.

The node that finds a likely cause writes its record to the store at once and repeats it until it is there. Relays compare the store with what they know every 5 s and soon after a change, and write what is missing: so a record survives a writer that is killed or cut off from the store, and data centres that cannot reach each other learn of it. A node reads all records when it starts, beside joining, so it is neither later ready nor unready without the store. Suspects, by the hundred after a crash, are not written. Expired records are removed after a minute.

The repetition with pauses is one function for joining and the archive.

--- a/merlintrail/coordination/__init__.py
+++ b/merlintrail/coordination/__init__.py
@@ -1,5 +1,6 @@
 """Coordination between nodes: store, membership, configuration, ledger."""
 
+from merlintrail.coordination._backoff import Backoff, repeat_until_done
 from merlintrail.coordination._changes import (
     CONFIGURATION_KEY,
     ChangeConflict,
@@ -29,6 +30,7 @@
     HttpPeerClient,
     PeerClient,
 )
+from merlintrail.coordination._quarantine_archive import QuarantineArchive
 from merlintrail.coordination._relay import (
     Relay,
     RelayAnnouncement,
@@ -60,6 +62,7 @@
 __all__ = (
     'CONFIGURATION_KEY',
     'PEER_PATH',
+    'Backoff',
     'ChangeConflict',
     'ChangeInvalid',
     'ConfigurationChange',
@@ -73,6 +76,7 @@
     'Membership',
     'MembershipState',
     'PeerClient',
+    'QuarantineArchive',
     'Relay',
     'RelayAnnouncement',
     'SlotDependencies',
@@ -103,4 +107,5 @@
     'read_envelope',
     'read_history',
     'read_stored_document',
+    'repeat_until_done',
 )
--- a/merlintrail/coordination/_relay.py
+++ b/merlintrail/coordination/_relay.py
@@ -1,8 +1,8 @@
 """Relays, the few nodes of each data centre that watch the store.
 
 A relay holds one of the data centre's relay slots in the store by a lease. It
-passes configurations on by gossip and joins relays that its node does not
-know yet.
+passes configurations on by gossip, joins relays that its node does not know
+yet, and compares the quarantined requests with the store.
 """
 
 import asyncio
@@ -15,6 +15,7 @@
 )
 from merlintrail.coordination._heartbeat import Heartbeats
 from merlintrail.coordination._membership import Membership
+from merlintrail.coordination._quarantine_archive import QuarantineArchive
 from merlintrail.coordination._store import (
     Store,
     StoreFailure,
@@ -96,9 +97,11 @@
         membership: Membership,
         heartbeats: Heartbeats,
         store: Store,
+        archive: QuarantineArchive,
         rng: random.Random,
     ) -> None:
         self._membership = membership
+        self._archive = archive
         self._heartbeats = heartbeats
         self._store = store
         self._rng = rng
@@ -201,10 +204,11 @@
         renewal = asyncio.create_task(self._keep_lease(lease))
         watch = asyncio.create_task(self._watch())
         discovery = asyncio.create_task(self._discover())
+        comparison = asyncio.create_task(self._archive.compare_repeatedly())
         try:
             await renewal
         finally:
-            for task in (watch, discovery, renewal):
+            for task in (watch, discovery, comparison, renewal):
                 task.cancel()
             await self._step_down(lease)
 
--- a/merlintrail/node/_call_path.py
+++ b/merlintrail/node/_call_path.py
@@ -6,6 +6,7 @@
 from merlintrail.coordination import (
     HttpPeerClient,
     Membership,
+    QuarantineArchive,
     SlotDependencies,
     create_ledger,
 )
@@ -35,6 +36,7 @@
     NodeLocation,
     Quarantine,
     RoutingTable,
+    Suspicion,
 )
 from merlintrail.transport import ConnectionPool
 
@@ -49,6 +51,7 @@
     table: MemberTable
     quarantine: Quarantine
     membership: Membership
+    archive: QuarantineArchive
     peers: HttpPeerClient
     #: Connections for calls to nodes and backend servers.
     pool: ConnectionPool
@@ -81,7 +84,7 @@
     suspect_quarantine = SuspectQuarantine(
         deps.quarantine,
         environment.wall_clock,
-        deps.membership.gossip_suspicions,
+        lambda suspicions: _share_suspicions(deps, suspicions),
         settings.instance,
     )
     contexts = ContextTable(environment.dialect, environment.rng)
@@ -180,6 +183,14 @@
     )
 
 
+def _share_suspicions(
+    deps: CallPathDependencies, suspicions: list[Suspicion]
+) -> None:
+    """Send changed suspicions to the other nodes and to the store."""
+    deps.membership.gossip_suspicions(suspicions)
+    deps.archive.save(suspicions)
+
+
 def _create_keyed(
     deps: CallPathDependencies,
     dispatcher: Dispatcher,
--- a/merlintrail/node/_joiner.py
+++ b/merlintrail/node/_joiner.py
@@ -2,23 +2,22 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Sequence
 from typing import Final, NamedTuple
 
 from merlintrail.coordination import (
+    Backoff,
     Heartbeats,
     Membership,
     Relay,
     Store,
     find_relays,
+    repeat_until_done,
 )
 from merlintrail.node._settings import Settings
 
-#: Delay in seconds after the first failed attempt; it doubles with each
-#: further one and is randomised by up to half.
-MIN_JOIN_DELAY_S: Final = 0.2
-#: Upper bound of the delay in seconds, before it is randomised.
-MAX_JOIN_DELAY_S: Final = 3.0
+#: Pauses after failed attempts.
+_BACKOFF: Final = Backoff(first_s=0.2, limit_s=3.0)
 #: Relays of other data centres that are contacted in each attempt.
 MAX_REMOTE_RELAYS: Final = 2
 
@@ -52,15 +51,10 @@
         nodes that started together with this one may not have it either.
         """
         await asyncio.gather(
-            self._repeat(self._try_join), self._repeat(self._try_fetch)
+            repeat_until_done(self._try_join, _BACKOFF, self._rng),
+            repeat_until_done(self._try_fetch, _BACKOFF, self._rng),
         )
 
-    async def _repeat(self, attempt: Callable[[], Awaitable[bool]]) -> None:
-        delay_s = MIN_JOIN_DELAY_S
-        while not await attempt():
-            await asyncio.sleep(delay_s * self._rng.uniform(0.5, 1.5))
-            delay_s = min(MAX_JOIN_DELAY_S, delay_s * 2)
-
     async def _try_fetch(self) -> bool:
         holder = self._deps.membership.holder
         if holder.current is None:
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -11,6 +11,7 @@
     HttpPeerClient,
     Membership,
     MembershipState,
+    QuarantineArchive,
     Relay,
 )
 from merlintrail.node._backend import HINT_INTERVAL_S
@@ -122,6 +123,7 @@
         self._start_task(self.join())
         self._start_task(self.heartbeats.run())
         self._start_task(self.run_relay())
+        self._start_task(self.run_archive())
         self._start_task(self._poll_readiness())
         self._start_task(self._poll_hints())
         self._start_task(self.lifecycle.run())
@@ -155,6 +157,10 @@
         """Watch the store as a relay whenever the data centre needs one."""
         await self._relay.run()
 
+    async def run_archive(self) -> None:
+        """Keep the quarantined requests in the store."""
+        await self._archive.run()
+
     def update_settings(self, settings: Settings) -> None:
         """Apply reloaded settings; all but ``platform`` need a restart."""
         current = self.settings._asdict()
@@ -252,7 +258,12 @@
             self.membership, self.peers, self._clock, self._rng
         )
         store = self._environment.store
-        self._relay = Relay(self.membership, self.heartbeats, store, self._rng)
+        self._archive = QuarantineArchive(
+            self.membership, store, self._wall_clock, self._rng
+        )
+        self._relay = Relay(
+            self.membership, self.heartbeats, store, self._archive, self._rng
+        )
         self._joiner = Joiner(
             JoinerDependencies(
                 settings, self.membership, self.heartbeats, self._relay, store
@@ -270,6 +281,7 @@
                 self.table,
                 self.quarantine,
                 self.membership,
+                self._archive,
                 self.peers,
                 self._pool,
                 self.metrics,
--- a/merlintrail/node/tests/crash_load.py
+++ b/merlintrail/node/tests/crash_load.py
@@ -240,7 +240,12 @@
         node = self.session.nodes[name]
         self._tasks[name] = [
             asyncio.create_task(work)
-            for work in (node.join(), node.heartbeats.run(), node.run_relay())
+            for work in (
+                node.join(),
+                node.heartbeats.run(),
+                node.run_relay(),
+                node.run_archive(),
+            )
         ]
         self._tasks[name].append(asyncio.create_task(self._update(name)))
 
--- a/merlintrail/node/tests/test_crashing_requests.py
+++ b/merlintrail/node/tests/test_crashing_requests.py
@@ -173,6 +173,26 @@
             )
         )
 
+    def test_quarantine_is_forgotten_when_all_nodes_are_killed(self) -> None:
+        """They start again with nothing but the store."""
+
+        async def kill_all_nodes(run: CrashRun) -> None:
+            names = tuple(run.servers)
+            for _ in range(4):
+                await asyncio.sleep(4)
+                for name in names:
+                    run.kill_node(name)
+                await asyncio.sleep(1)
+                for name in names:
+                    run.start_node(name)
+
+        self.assert_stopped(
+            _run(
+                CrashLoad(crashing_interval_s=0.3, harmless_interval_s=0.1),
+                kill_all_nodes,
+            )
+        )
+
 
 class HarmlessRequestsTest(unittest.TestCase):
     """Backend servers crash for other reasons than the requests."""
