Count the crashes of a request over all services of its route

Callers saw a crashing request reach twice as many backend servers, and more with each further part, where its route is split between services or moved by a configuration: the digest held the service, so each service began a count of its own, and a quarantine in one said nothing to the others.

A routed request is identified by host, method, target and body; one whose path names the service keeps it. Calls between nodes say which it is in a new last field. The digests of keyed requests, which are kept, do not change.

--- a/merlintrail/node/_backend.py
+++ b/merlintrail/node/_backend.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Final, NamedTuple
 
-from merlintrail.node._calls import OutgoingCall, compute_call_digest
+from merlintrail.node._calls import OutgoingCall, compute_request_digest
 from merlintrail.protocol import BackendLoad
 from merlintrail.transport import ConnectionPool, HttpRequest, TransportFailure
 
@@ -236,7 +236,7 @@
             self._lost_since = now
         lost = self.running.pop(call_id, None)
         if lost is not None:
-            self._lost_digests[compute_call_digest(lost)] += 1
+            self._lost_digests[compute_request_digest(lost)] += 1
         min_losses = 1 if self.announcement.identity is None else 2
         if self.running or self._lost_digests.total() < min_losses:
             return []
@@ -246,7 +246,7 @@
 
     def record_unanswered_call(self, call: OutgoingCall, now: float) -> None:
         """Record that a call was sent and ended without an answer."""
-        self._unanswered[compute_call_digest(call)] = now
+        self._unanswered[compute_request_digest(call)] = now
         if len(self._unanswered) > MAX_UNANSWERED_CALLS:
             del self._unanswered[next(iter(self._unanswered))]
 
@@ -262,11 +262,13 @@
             for digest, ended_at in self._unanswered.items()
             if ended_at >= since
         ]
-        return [*ended, *map(compute_call_digest, self.running.values())]
+        return [*ended, *map(compute_request_digest, self.running.values())]
 
     def list_running_digests(self) -> list[str]:
         """Return the digests of calls that are running or were just lost."""
-        running = [compute_call_digest(call) for call in self.running.values()]
+        running = [
+            compute_request_digest(call) for call in self.running.values()
+        ]
         return [*self._lost_digests, *running]
 
 
--- a/merlintrail/node/_calls.py
+++ b/merlintrail/node/_calls.py
@@ -50,13 +50,24 @@
     max_attempts: int | None = None
     #: Identifier of the request that caused it, if its own differs.
     parent_id: str | None = None
+    #: Whether a route determined the service. The same request may then go to
+    #: another one, as the route is split or changed.
+    is_routed: bool = False
 
 
 def compute_call_digest(call: OutgoingCall) -> str:
-    """Compute the digest of the request that a call carries."""
+    """Compute the digest of a call to one service."""
     return compute_digest(call.service, call.method, call.target, call.body)
 
 
+def compute_request_digest(call: OutgoingCall) -> str:
+    """Compute the digest of a request, whichever service it goes to."""
+    if not call.is_routed:
+        return compute_call_digest(call)
+    hosts = (text for name, text in call.headers if name == 'host')
+    return compute_digest(next(hosts, ''), call.method, call.target, call.body)
+
+
 class CallResult(NamedTuple):
     """Answer to a call, with what its attempts reported."""
 
--- a/merlintrail/node/_dispatch.py
+++ b/merlintrail/node/_dispatch.py
@@ -366,4 +366,5 @@
             suspicion=self._deps.suspect_quarantine.find(call),
             caller_service=call.caller_service,
             objective_ms=call.objective_ms,
+            is_routed=call.is_routed,
         )
--- a/merlintrail/node/_ingress.py
+++ b/merlintrail/node/_ingress.py
@@ -288,6 +288,7 @@
             self._deps.find_own_service(),
             kind.objective_ms,
             kind.attempts,
+            is_routed=resolution.is_routed,
         )
 
     def _build_nested_call(
--- a/merlintrail/node/_peer_service.py
+++ b/merlintrail/node/_peer_service.py
@@ -153,6 +153,7 @@
             header.key,
             header.caller_service,
             header.objective_ms,
+            is_routed=header.is_routed,
         )
 
     def _handle_message(self, request: HttpRequest) -> HttpResponse:
--- a/merlintrail/node/_suspect_quarantine.py
+++ b/merlintrail/node/_suspect_quarantine.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any, Final
 
-from merlintrail.node._calls import OutgoingCall, compute_call_digest
+from merlintrail.node._calls import OutgoingCall, compute_request_digest
 from merlintrail.observability import log_decision
 from merlintrail.protocol import Outcome, Reason, Refusal
 from merlintrail.state import Quarantine, Suspicion, read_suspicion
@@ -47,7 +47,7 @@
         if self._quarantine.is_empty:
             return None
         held = self._quarantine.find(
-            compute_call_digest(call), self._wall_clock()
+            compute_request_digest(call), self._wall_clock()
         )
         return held if held is not None and held.is_suspect else None
 
@@ -73,7 +73,7 @@
         if self._quarantine.is_empty:
             return
         cleared = self._quarantine.clear_suspect(
-            compute_call_digest(call), self._wall_clock()
+            compute_request_digest(call), self._wall_clock()
         )
         if cleared is not None:
             log_quarantine(cleared, 'completed here')
--- a/merlintrail/node/tests/test_crashing_requests.py
+++ b/merlintrail/node/tests/test_crashing_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from typing import Final
 
 from merlintrail.node._backend import DEFAULT_TTL_S, Announcement
 from merlintrail.node.tests.crash_load import (
@@ -37,6 +38,29 @@
     return [run_virtually(run_seed(seed)) for seed in _SEEDS]
 
 
+#: A route to two services.
+_SPLIT: Final = {
+    'format': 1,
+    'services': [{'name': 'a', 'warmup_s': 0}, {'name': 'b', 'warmup_s': 0}],
+    'routes': [
+        {
+            'name': 'split',
+            'host': 'h',
+            'prefix': '/p/',
+            'split': [
+                {'service': 'a', 'weight': 1},
+                {'service': 'b', 'weight': 1},
+            ],
+            'importance': 'normal',
+            'idempotent': False,
+            'timeout_ms': 1000,
+            'attempts': 1,
+        }
+    ],
+    'regions': [{'name': 'one', 'data_centres': ['dc']}],
+}
+
+
 async def _fail(_: HttpRequest) -> HttpResponse:
     return HttpResponse(500, (), b'')
 
@@ -193,6 +217,27 @@
             )
         )
 
+    def test_split_route_gives_a_request_several_counts(self) -> None:
+        """Its crashes in the backend servers of two services add up."""
+
+        async def scenario() -> None:
+            session = Session(_SPLIT, ('ingress', 'a', 'b'))
+
+            async def crash(_: HttpRequest) -> HttpResponse:
+                raise ConnectionAbortedError
+
+            for name in ('a', 'b'):
+                session.add_backend(name, name, crash)
+            for _ in range(10):
+                await session.call(
+                    'ingress', '/p/x', 'bad', {'host': 'h'}, 'POST'
+                )
+                await asyncio.sleep(1)
+            runs = session.executions
+            self.assertEqual(runs['a bad'] + runs['b bad'], 2, runs)
+
+        run_virtually(scenario())
+
 
 class HarmlessRequestsTest(unittest.TestCase):
     """Backend servers crash for other reasons than the requests."""
--- a/merlintrail/protocol/_call.py
+++ b/merlintrail/protocol/_call.py
@@ -40,6 +40,8 @@
     caller_service: str = ''
     #: Latency objective in milliseconds, ``None`` without one.
     objective_ms: float | None = None
+    #: Whether a route determined the service.
+    is_routed: bool = False
 
 
 class CallReport(NamedTuple):
--- a/merlintrail/state/_quarantine.py
+++ b/merlintrail/state/_quarantine.py
@@ -20,9 +20,12 @@
 SuspicionListener = Callable[[Suspicion], None]
 
 
-def compute_digest(service: str, method: str, target: str, body: bytes) -> str:
-    """Return a digest that is the same for equal requests."""
-    head = f'{service}\n{method}\n{target}\n'.encode()
+def compute_digest(scope: str, method: str, target: str, body: bytes) -> str:
+    """Return a digest that is the same for equal requests.
+
+    :param scope: service or host that gives the target its meaning.
+    """
+    head = f'{scope}\n{method}\n{target}\n'.encode()
     digest: str = xxhash.xxh3_128_hexdigest(head + body)
     return digest
 
