Remember a quarantined request beyond its quarantine

Callers saw a crashing request begin anew each time its quarantine of 600 s ended: the record expired with it, and three further backend servers were lost before it was refused again, without end.

A record is remembered for twice as long as the request is refused. A request that comes back after its quarantine runs alone among suspects; if it crashes one more backend server it is refused at once, each time for twice as long. One that completes is cleared. quarantine.expiry_s keeps its meaning as the first refusal.

Test: test_request_that_comes_back_after_its_quarantine (the interface of the record changes with it, so it has no run on the sources before, where record_death began with an empty record after the expiry).

--- a/merlintrail/coordination/tests/test_membership.py
+++ b/merlintrail/coordination/tests/test_membership.py
@@ -153,7 +153,9 @@
         async def scenario() -> None:
             network = await start_network()
             first = network.nodes['n0']
-            suspicion = Suspicion('bad', ('one', 'two', 'three'), 1.0e9)
+            suspicion = Suspicion(
+                'bad', ('one', 'two', 'three'), 1.0e9, refused_until=1.0e9
+            )
             first.quarantine.merge(suspicion, 0.0)
             first.membership.gossip_suspicions([suspicion])
             await asyncio.sleep(1)
--- a/merlintrail/coordination/tests/test_quarantine_archive.py
+++ b/merlintrail/coordination/tests/test_quarantine_archive.py
@@ -16,8 +16,10 @@
 from merlintrail.state import Quarantine
 from merlintrail.testing import run_virtually
 
-#: Seconds since the epoch; the virtual clock starts at 1000.
-_EXPIRY = 2000.0
+#: Start of the virtual clock in seconds.
+_START = 1000.0
+#: Seconds for which a request is refused; it is remembered twice as long.
+_TERM_S = 1000.0
 _CRASHES = ('one', 'two', 'three')
 
 
@@ -61,12 +63,14 @@
         """Quarantine a request at a node, as after its crashes."""
         for crash_id in _CRASHES:
             node.archive.save(
-                node.quarantine.record_crash(crash_id, [digest], 0.0, _EXPIRY)
+                node.quarantine.record_crash(
+                    crash_id, [digest], _START, _TERM_S
+                )
             )
 
     def is_quarantined(self, node: _ArchivingNode, digest: str) -> bool:
         """Return whether a node refuses a request."""
-        return node.quarantine.is_quarantined(digest, 0.0)
+        return node.quarantine.is_quarantined(digest, _START)
 
     def test_node_that_starts_later_knows_it(self) -> None:
         """The first node is gone by then."""
@@ -88,7 +92,7 @@
             node = self.start_node()
             many = [f'good {number}' for number in range(100)]
             node.archive.save(
-                node.quarantine.record_crash('one', many, 0.0, _EXPIRY)
+                node.quarantine.record_crash('one', many, _START, _TERM_S)
             )
             await asyncio.sleep(1)
             self.assertEqual(self.store.counts['write'], 0)
@@ -117,7 +121,9 @@
             relay = self.start_node(is_relay=True)
             await asyncio.sleep(0.1)
             for crash_id in _CRASHES:
-                relay.quarantine.record_crash(crash_id, ['bad'], 0.0, _EXPIRY)
+                relay.quarantine.record_crash(
+                    crash_id, ['bad'], _START, _TERM_S
+                )
             await asyncio.sleep(3)
             self.assertIn(f'{QUARANTINE_PREFIX}bad', self.store.documents)
 
@@ -144,7 +150,7 @@
             self.quarantine(node, 'bad')
             await asyncio.sleep(1)
             self.store.fault = WriteFault.NONE
-            cleared = node.quarantine.clear_suspect('bad', 0.0)
+            cleared = node.quarantine.clear_suspect('bad', _START)
             assert cleared is not None
             node.archive.save([cleared])
             await asyncio.sleep(5)
@@ -174,7 +180,7 @@
         async def scenario() -> None:
             self.start_node(is_relay=True)
             self.quarantine(self.start_node(), 'bad')
-            await asyncio.sleep(_EXPIRY - 1000 + REMOVAL_DELAY_S + 20)
+            await asyncio.sleep(2 * _TERM_S + REMOVAL_DELAY_S + 20)
             self.assertNotIn(f'{QUARANTINE_PREFIX}bad', self.store.documents)
 
         self.run_archives(scenario)
--- a/merlintrail/node/_gauges.py
+++ b/merlintrail/node/_gauges.py
@@ -59,6 +59,7 @@
     table: MemberTable,
     gateway: BackendGateway,
     quarantine: Quarantine,
+    wall_clock: Callable[[], float],
 ) -> None:
     """Register all gauges of a node."""
     metrics.register_gauge(
@@ -83,7 +84,7 @@
         'merlintrail.quarantined',
         '{request}',
         'Requests that are refused because they crash backend servers.',
-        lambda: [GaugePoint(quarantine.count_quarantined())],
+        lambda: [GaugePoint(quarantine.count_quarantined(wall_clock()))],
     )
     for gauge in _GATE_GAUGES:
         _register_gate_gauge(metrics, gateway, gauge)
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -93,6 +93,7 @@
             self.table,
             self.gateway,
             self.quarantine,
+            self._wall_clock,
         )
         self.holder.add_listener(self._apply_configuration)
         self.table.add_listener(self.routing.update_member)
--- a/merlintrail/node/_suspect_quarantine.py
+++ b/merlintrail/node/_suspect_quarantine.py
@@ -53,13 +53,14 @@
 
     def is_quarantined(self, call: OutgoingCall) -> bool:
         """Return whether the request of a call is refused at every node."""
-        suspicion = self.find(call)
-        return suspicion is not None and self._quarantine.refuses(suspicion)
+        return self.check(call) is not None
 
     def check(self, call: OutgoingCall) -> Refusal | None:
         """Return the refusal of a call whose request is quarantined."""
         suspicion = self.find(call)
-        if suspicion is None or not self._quarantine.refuses(suspicion):
+        if suspicion is None or not self._quarantine.refuses(
+            suspicion, self._wall_clock()
+        ):
             return None
         return Refusal(
             Outcome.NOT_RUN,
@@ -95,9 +96,8 @@
         :param crash_id: the same for all requests that one crash ended, also
             when they are recorded one after the other.
         """
-        now = self._wall_clock()
         suspicions = self._quarantine.record_crash(
-            crash_id, digests, now, now + self.expiry_s
+            crash_id, digests, self._wall_clock(), self.expiry_s
         )
         for suspicion in suspicions:
             if suspicion.is_likely_cause:
@@ -124,5 +124,5 @@
         outcome=outcome,
         source=source,
         crashes=suspicion.open_crashes,
-        expires_at=round(suspicion.expires_at, 1),
+        refused_until=round(suspicion.refused_until, 1),
     )
--- a/merlintrail/node/tests/test_crashing_requests.py
+++ b/merlintrail/node/tests/test_crashing_requests.py
@@ -142,7 +142,7 @@
             session.add_backend('one', 'svc', _fail)
             quarantine = session.nodes['one'].quarantine
             digest = compute_digest('svc', 'POST', '/write', b'bad')
-            quarantine.record_crash('crash', [digest], 0.0, 2 * EPOCH_S)
+            quarantine.record_crash('crash', [digest], EPOCH_S, 600.0)
             answer = await session.call('one', '/svc/write', 'bad')
             self.assertEqual(answer.status, 500)
             self.assertEqual(quarantine.count_suspects(), 1)
@@ -165,7 +165,7 @@
             session.add_backend('one', 'svc', run)
             quarantine = session.nodes['one'].quarantine
             digest = compute_digest('svc', 'POST', '/write', b'bad')
-            quarantine.record_crash('crash', [digest], 0.0, 2 * EPOCH_S)
+            quarantine.record_crash('crash', [digest], EPOCH_S, 600.0)
             answers = await asyncio.gather(
                 *(session.call('one', '/svc/write', 'bad') for _ in range(5))
             )
@@ -254,7 +254,7 @@
                 session.call('one', '/svc/write', 'good')
             )
             await asyncio.sleep(0.05)
-            quarantine.record_crash('crash', [digest], 0.0, 2 * EPOCH_S)
+            quarantine.record_crash('crash', [digest], EPOCH_S, 600.0)
             await call
             self.assertEqual(quarantine.count_suspects(), 0)
 
--- a/merlintrail/state/_quarantine.py
+++ b/merlintrail/state/_quarantine.py
@@ -63,20 +63,22 @@
         crash_id: str,
         digests: Collection[str],
         now: float,
-        expires_at: float,
+        term_s: float,
     ) -> list[Suspicion]:
         """Record the crash of a backend server.
 
         :param crash_id: identifier of the crash. It counts once for a request
             however often it is recorded.
         :param digests: requests that were running.
+        :param now: seconds since the epoch.
+        :param term_s: seconds for which a likely cause is refused.
         :returns: the changed suspicions, to be sent to the other nodes.
         """
         self.remove_expired(now)
         records = [
-            self._suspicions.get(
-                digest, Suspicion(digest, (), expires_at)
-            ).add_crash(crash_id, expires_at)
+            self._suspicions.get(digest, Suspicion(digest, (), now)).add_crash(
+                crash_id, now, term_s
+            )
             for digest in sorted(set(digests))
         ]
         repeated = [
@@ -108,15 +110,17 @@
     def is_quarantined(self, digest: str, now: float) -> bool:
         """Return whether a request is refused by every node."""
         current = self.find(digest, now)
-        return current is not None and self.refuses(current)
+        return current is not None and self.refuses(current, now)
 
-    def refuses(self, suspicion: Suspicion) -> bool:
+    def refuses(self, suspicion: Suspicion, now: float) -> bool:
         """Return whether the request of a suspicion is quarantined.
 
         A request that is only the probable cause of its crashes is refused
         while hardly any other crash is unexplained. A harmless request meets
         two crashes by chance where backend servers crash often.
         """
+        if suspicion.refused_until <= now:
+            return False
         if suspicion.is_proven:
             return True
         return (
@@ -169,10 +173,10 @@
         """Return the number of requests that may crash backend servers."""
         return sum(1 for held in self._suspicions.values() if held.is_suspect)
 
-    def count_quarantined(self) -> int:
+    def count_quarantined(self, now: float) -> int:
         """Return the number of quarantined requests."""
         return sum(
-            1 for held in self._suspicions.values() if self.refuses(held)
+            1 for held in self._suspicions.values() if self.refuses(held, now)
         )
 
     def _count_unexplained(self) -> int:
--- a/merlintrail/state/_suspicion.py
+++ b/merlintrail/state/_suspicion.py
@@ -21,7 +21,7 @@
     #: Identifiers of the crashes in ascending order, the latest
     #: :data:`MAX_REMEMBERED_CRASHES`.
     crashes: tuple[str, ...]
-    #: Seconds since the epoch.
+    #: Seconds since the epoch until which the crashes are remembered.
     expires_at: float
     #: Those of the crashes after which the request completed somewhere, so
     #: that it was not their cause.
@@ -29,6 +29,9 @@
     #: Those of the crashes in which no other request had run in an earlier
     #: crash.
     decisive: tuple[str, ...] = ()
+    #: Seconds since the epoch until which a likely cause is refused. A run
+    #: after that which crashes another backend server counts on.
+    refused_until: float = 0.0
 
     @property
     def open_crashes(self) -> tuple[str, ...]:
@@ -57,10 +60,23 @@
         """Whether it is the proven or the probable cause of its crashes."""
         return self.is_proven or self.is_probable
 
-    def add_crash(self, crash_id: str, expires_at: float) -> 'Suspicion':
-        """Return the record with one more crash."""
-        return merge_suspicions(
-            self, Suspicion(self.digest, (crash_id,), expires_at)
+    def add_crash(
+        self, crash_id: str, now: float, term_s: float
+    ) -> 'Suspicion':
+        """Return the record with one more crash.
+
+        The request is refused for twice as long with each crash after the
+        third, and remembered for as long again.
+
+        :param now: seconds since the epoch.
+        :param term_s: seconds for which it is refused after the third crash.
+        """
+        added = merge_suspicions(self, Suspicion(self.digest, (crash_id,), now))
+        repeats = max(0, len(added.open_crashes) - QUARANTINE_CRASHES)
+        refused_s = term_s * 2**repeats
+        return added._replace(
+            expires_at=max(self.expires_at, now + 2 * refused_s),
+            refused_until=max(self.refused_until, now + refused_s),
         )
 
     def clear(self) -> 'Suspicion':
@@ -77,6 +93,7 @@
         max(one.expires_at, other.expires_at),
         _keep(_unite(one.cleared, other.cleared), crashes),
         _keep(_unite(one.decisive, other.decisive), crashes),
+        max(one.refused_until, other.refused_until),
     )
 
 
@@ -94,9 +111,10 @@
         return None
     received = Suspicion(*fields)
     lists = (received.crashes, received.cleared, received.decisive)
+    times = (received.expires_at, received.refused_until)
     is_readable = (
         isinstance(received.digest, str)
-        and isinstance(received.expires_at, int | float)
+        and all(isinstance(time, int | float) for time in times)
         and all(map(_is_list_of_names, lists))
     )
     if not is_readable:
--- a/merlintrail/state/tests/test_quarantine.py
+++ b/merlintrail/state/tests/test_quarantine.py
@@ -5,7 +5,9 @@
 from merlintrail.state import Quarantine, read_suspicion
 from merlintrail.state._quarantine import MAX_SUSPICIONS
 
-_EXPIRY = 1000.0
+#: Seconds for which a likely cause is refused; it is remembered twice as long.
+_TERM_S = 1000.0
+_EXPIRY = 2 * _TERM_S
 
 
 class QuarantineTest(unittest.TestCase):
@@ -19,7 +21,7 @@
         self, quarantine: Quarantine, crash_id: str, *digests: str
     ) -> None:
         """Record a crash while requests are running."""
-        quarantine.record_crash(crash_id, digests, 0.0, _EXPIRY)
+        quarantine.record_crash(crash_id, digests, 0.0, _TERM_S)
 
     def replicate(self, sender: Quarantine, receiver: Quarantine) -> None:
         """Merge the suspicions of one node into another."""
@@ -124,7 +126,7 @@
 
     def test_stale_suspicion_changes_nothing(self) -> None:
         """It was merged before or has expired."""
-        suspicion = self.here.record_crash('one', ['bad'], 0.0, _EXPIRY)[0]
+        suspicion = self.here.record_crash('one', ['bad'], 0.0, _TERM_S)[0]
         self.assertTrue(self.there.merge(suspicion, 0.0))
         self.assertFalse(self.there.merge(suspicion, 0.0))
         self.assertIsNone(self.there.find('bad', _EXPIRY))
@@ -133,9 +135,21 @@
     def test_expired_suspicion_that_was_not_looked_up_counts(self) -> None:
         """A crash after it begins with a count of one."""
         self.crash(self.here, 'one', 'good')
-        self.here.record_crash('two', ['good'], _EXPIRY, 2 * _EXPIRY)
+        self.here.record_crash('two', ['good'], _EXPIRY, _TERM_S)
         self.assertFalse(self.here.is_quarantined('good', _EXPIRY))
 
+    def test_request_that_comes_back_after_its_quarantine(self) -> None:
+        """One more crash is enough, and the next refusal lasts longer."""
+        for crash_id in ('one', 'two', 'three'):
+            self.crash(self.here, crash_id, 'bad')
+        self.assertTrue(self.here.is_quarantined('bad', _TERM_S - 1))
+        self.assertFalse(self.here.is_quarantined('bad', _TERM_S))
+        self.here.record_crash('four', ['bad'], _TERM_S, _TERM_S)
+        self.assertTrue(self.here.is_quarantined('bad', 3 * _TERM_S - 1))
+        self.assertFalse(self.here.is_quarantined('bad', 3 * _TERM_S))
+        self.here.record_crash('five', ['bad'], 3 * _TERM_S, _TERM_S)
+        self.assertTrue(self.here.is_quarantined('bad', 7 * _TERM_S - 1))
+
     def test_many_suspects_push_out_a_quarantined_request(self) -> None:
         """Requests with few crashes are forgotten first."""
         for crash_id in ('one', 'two', 'three'):
@@ -148,7 +162,7 @@
 
     def test_malformed_record_is_skipped(self) -> None:
         """Only arrays of the right shape are read."""
-        suspicion = self.here.record_crash('one', ['bad'], 0.0, _EXPIRY)[0]
+        suspicion = self.here.record_crash('one', ['bad'], 0.0, _TERM_S)[0]
         self.assertEqual(read_suspicion([*suspicion, 'later']), suspicion)
         for record in (5, 'text', [], ['bad'], ['bad', 5, 1.0, [], []]):
             with self.subTest(record):
