Send quarantined requests to neighbours before mere suspects

Callers saw a crashing request accepted by nodes seconds after its quarantine: a crash of a busy backend server leaves a suspect for each of its slots, a message holds 48 of them, and the record that matters waited behind all others at every hop.

Likely causes go first. Test: test_quarantine_waits_behind_many_suspects; the quarantined request was in the third message before, now in the first.

--- a/merlintrail/coordination/_outbox.py
+++ b/merlintrail/coordination/_outbox.py
@@ -36,15 +36,20 @@
             del self._members[member.node_id]
 
     def take_batch(self) -> tuple[list[Member], list[Suspicion]]:
-        """Remove and return the updates of the next message."""
+        """Remove and return the updates of the next message.
+
+        Likely causes of crashes go before the other suspects.
+        """
         members = [
             self._members.pop(node_id)
             for node_id in tuple(self._members)[:MAX_UPDATES_PER_MESSAGE]
         ]
-        suspicions = [
-            self._suspicions.pop(digest)
-            for digest in tuple(self._suspicions)[:MAX_UPDATES_PER_MESSAGE]
-        ]
+        by_urgency = sorted(
+            self._suspicions.values(), key=lambda held: not held.is_likely_cause
+        )
+        suspicions = by_urgency[:MAX_UPDATES_PER_MESSAGE]
+        for suspicion in suspicions:
+            del self._suspicions[suspicion.digest]
         if not self._members and not self._suspicions:
             self.event.clear()
         return members, suspicions
--- a/merlintrail/coordination/tests/test_membership.py
+++ b/merlintrail/coordination/tests/test_membership.py
@@ -7,6 +7,10 @@
 from merlintrail.coordination import (
     choose_neighbours,
 )
+from merlintrail.coordination._outbox import (
+    MAX_UPDATES_PER_MESSAGE,
+    Outbox,
+)
 from merlintrail.coordination.tests.peer_network import DOCUMENT, start_network
 from merlintrail.state import (
     Envelope,
@@ -205,6 +209,26 @@
         run_virtually(scenario())
 
 
+class OutboxTest(unittest.TestCase):
+    """Order of the updates for one neighbour."""
+
+    def test_quarantine_waits_behind_many_suspects(self) -> None:
+        """It is in the first message, and all others follow."""
+
+        async def scenario() -> None:
+            outbox = Outbox()
+            for number in range(2 * MAX_UPDATES_PER_MESSAGE):
+                outbox.put_suspicion(Suspicion(f'{number}', ('one',), 1.0e9))
+            outbox.put_suspicion(
+                Suspicion('bad', ('one', 'two', 'three'), 1.0e9)
+            )
+            batches = [outbox.take_batch()[1] for _ in range(3)]
+            self.assertIn('bad', [held.digest for held in batches[0]])
+            self.assertEqual(len(sum(batches, [])), 97)
+
+        run_virtually(scenario())
+
+
 class TopologyTest(unittest.TestCase):
     """Choice of neighbours in a fleet of 1800 nodes in 14 data centres."""
 
