Reject a timeout header whose digits are no ASCII digits

Callers that sent `timeout-ms: ²`, or a number of thousands of digits, had their connection closed without an answer: str.isdigit accepts characters that int and float do not, or overflow. The header is matched against up to twelve ASCII digits now, and anything else is answered 400 with its reason.

Test: two more cases of test_caller_headers; both raised ValueError before.

--- a/merlintrail/platform/_dialect.py
+++ b/merlintrail/platform/_dialect.py
@@ -1,6 +1,7 @@
 """Headers that the platform's callers and backend servers exchange."""
 
 import random
+import re
 from collections.abc import Mapping
 from typing import Final
 
@@ -46,6 +47,8 @@
 #: Answer headers meant for the node, which are not passed to callers.
 _NODE_ONLY_HEADERS: Final = frozenset((_LOAD_HEADER, 'instance-id'))
 
+#: Whole number of milliseconds, up to some 31 years.
+_TIMEOUT_MS: Final = re.compile('[0-9]{1,12}')
 _MISDIRECTED_STATUS: Final = 421
 _FIRST_SERVER_ERROR_STATUS: Final = 500
 _SUCCESS_STATUSES: Final = range(200, 300)
@@ -184,7 +187,7 @@
 
 
 def _parse_timeout_ms(text: str, findings: list[str]) -> float | None:
-    if text.isdigit() and int(text) > 0:
+    if _TIMEOUT_MS.fullmatch(text) and int(text) > 0:
         return float(text)
     findings.append(f'{_TIMEOUT_HEADER}: not a positive whole number')
     return None
--- a/merlintrail/platform/tests/test_adapter.py
+++ b/merlintrail/platform/tests/test_adapter.py
@@ -178,7 +178,7 @@
             ('abc.1.def', 700, 'abc.1'),
         )
         self.assertFalse(caller_headers.must_resolve_context)
-        for text in ('', '-5', '1.5', 'soon', '0'):
+        for text in ('', '-5', '1.5', 'soon', '0', '\u00b2', '9' * 5000):
             with self.subTest(text):
                 invalid = _DIALECT.read_caller(_build_request(timeout_ms=text))
                 self.assertTrue(invalid.findings)
