Reject a heartbeat whose state is a list

A backend server that sent one had its connection closed without an answer, since a list cannot be looked up in a mapping. It gets 400 with the reason like any other unknown state. Test: one more case of the invalid heartbeats, which raised TypeError before.

--- a/merlintrail/platform/_heartbeats.py
+++ b/merlintrail/platform/_heartbeats.py
@@ -108,7 +108,7 @@
         return InvalidAnnouncement(('not a JSON object',))
     findings = []
     state = document.get('State')
-    if state not in _READINESS_BY_STATE:
+    if not isinstance(state, str) or state not in _READINESS_BY_STATE:
         findings.append(f'State: unknown {state!r}')
     # ``ColdRemaining`` is validated but not used; ``warmup_s`` of the service
     # applies instead.
--- a/merlintrail/platform/tests/test_adapter.py
+++ b/merlintrail/platform/tests/test_adapter.py
@@ -82,6 +82,7 @@
     'born': 1000,
 }
 _INVALID_HEARTBEATS: Final = (
+    ('state a list', {**_HEARTBEAT, 'State': ['ready']}),
     ('not an object', [1]),
     ('no service', {**_HEARTBEAT, 'Service': None}),
     ('unknown state', {**_HEARTBEAT, 'State': 'asleep'}),
