Skip malformed status updates of a gossip message

One such record raised TypeError, and all others of the message were lost with it. A record that is no array of the right length with a known status is passed over. Test: test_malformed_records_are_skipped; it raised TypeError before.

--- a/merlintrail/coordination/_messages.py
+++ b/merlintrail/coordination/_messages.py
@@ -72,17 +72,23 @@
 def read_statuses(records: Sequence[Any]) -> list[StatusUpdate]:
     """Decode status updates.
 
-    Arrays of another length or with an unknown status are skipped.
+    Records of another shape or with an unknown status are skipped.
     """
     return [
-        StatusUpdate(*record)
-        for record in records
-        if len(record) == len(StatusUpdate._fields)
-        and record[3] in MemberStatus.__members__.values()
+        StatusUpdate(*record) for record in records if _is_status_update(record)
     ]
 
 
+def _is_status_update(record: object) -> bool:
+    if not isinstance(record, Sequence):
+        return False
+    if len(record) != len(StatusUpdate._fields):
+        return False
+    statuses: list[object] = list(MemberStatus)
+    return record[3] in statuses
+
+
 def read_suspicions(records: Sequence[Any]) -> list[Suspicion]:
-    """Decode suspicions; arrays of another length are skipped."""
+    """Decode suspicions; malformed ones are skipped."""
     suspicions = [read_suspicion(record) for record in records]
     return [suspicion for suspicion in suspicions if suspicion is not None]
--- a/merlintrail/coordination/tests/test_membership.py
+++ b/merlintrail/coordination/tests/test_membership.py
@@ -7,6 +7,12 @@
 from merlintrail.coordination import (
     choose_neighbours,
 )
+from merlintrail.coordination._messages import (
+    StatusUpdate,
+    read_members,
+    read_statuses,
+    read_suspicions,
+)
 from merlintrail.coordination._outbox import (
     MAX_UPDATES_PER_MESSAGE,
     Outbox,
@@ -170,6 +176,22 @@
         run_virtually(scenario())
 
 
+class MalformedGossipTest(unittest.TestCase):
+    """Records that a later or faulty build may send."""
+
+    def test_malformed_records_are_skipped(self) -> None:
+        """The others of the same message are read."""
+        status = ['n1', 1, 2, int(MemberStatus.DEAD)]
+        for malformed in (5, 'text', None, [], [1, 2], ['n1', 1, 2, ['x']]):
+            with self.subTest(malformed):
+                self.assertEqual(
+                    read_statuses([malformed, status]),
+                    [StatusUpdate('n1', 1, 2, MemberStatus.DEAD)],
+                )
+                self.assertEqual(read_suspicions([malformed]), [])
+                self.assertEqual(read_members([malformed]), [])
+
+
 class SuspicionGossipTest(unittest.TestCase):
     """Suspicions that gossip alone leaves behind at some nodes."""
 
