Soak with a request that crashes backend servers

One equal request now comes again and again at both entry nodes while nodes are killed, stopped and paused, links reset, delayed or silenced and the store fails; a crashed backend server is started again after half a second. Checked beside the other guarantees: at most three runs later than 3 s after the third, and at most 5 + one in 500 harmless requests refused as quarantined.

--- a/merlintrail/bench/_fault_soak.py
+++ b/merlintrail/bench/_fault_soak.py
@@ -1,9 +1,10 @@
 """One run of the soak test with fault injection, for one seed.
 
 Callers send requests to a small deployment of real processes. Meanwhile nodes
-are killed, paused and restarted, backend servers are killed, connections
-between nodes are reset, delayed or have their traffic dropped, and the store
-fails, is slow or loses answers. Afterwards the answers that the callers
+are killed, paused and restarted, backend servers are killed or crash on a
+request that comes again and again, connections between nodes are reset,
+delayed or have their traffic dropped, and the store fails, is slow or loses
+answers. Afterwards the answers that the callers
 received and the run logs of the backend servers are checked for violated
 guarantees.
 """
@@ -117,14 +118,22 @@
     :returns: seconds since the start of the load at which recovery ended and
         measurement began.
     """
-    load_task = asyncio.create_task(callers.run())
+    background = [
+        asyncio.create_task(work)
+        for work in (
+            callers.run(),
+            callers.run_crashing(),
+            faults.restart_crashed_backends(),
+        )
+    ]
     started_at = time.monotonic()
     await asyncio.sleep(WARMUP_S)
     await faults.run(duration_s)
     await asyncio.sleep(RECOVERY_S)
     measured_from_s = time.monotonic() - started_at
     await asyncio.sleep(MEASUREMENT_S)
-    load_task.cancel()
+    for task in background:
+        task.cancel()
     await callers.finish()
     return measured_from_s
 
--- a/merlintrail/bench/_soak_callers.py
+++ b/merlintrail/bench/_soak_callers.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from merlintrail.lab.backend import RUN_LABEL_HEADER
+from merlintrail.lab.backend import CRASH_MARKER, RUN_LABEL_HEADER
 from merlintrail.protocol import (
     DEADLINE_HEADER,
     IDEMPOTENCY_KEY_HEADER,
@@ -17,6 +17,8 @@
 
 #: Mean request rate of all callers together.
 REQUESTS_PER_S: Final = 60.0
+#: Mean seconds between two arrivals of the crashing request.
+MEAN_CRASHING_INTERVAL_S: Final = 0.7
 #: Deadline of each attempt in milliseconds.
 DEADLINE_MS: Final = 2000
 #: Seconds that a caller waits for the answer beyond the deadline.
@@ -38,6 +40,9 @@
     is_keyed: bool = False
     #: Whether a backend server may run a request more than once.
     is_idempotent: bool = False
+    #: Whether it crashes each backend server that begins to run it. All
+    #: requests of such a kind are equal.
+    is_crashing: bool = False
 
 
 SOAK_REQUEST_KINDS: Final = (
@@ -45,6 +50,9 @@
     SoakRequestKind('non-idempotent', '/echo/once'),
     SoakRequestKind('keyed', '/echo/once', is_keyed=True),
 )
+CRASHING_KIND: Final = SoakRequestKind(
+    'crashing', '/echo/call', is_idempotent=True, is_crashing=True
+)
 
 
 class RequestRecord(NamedTuple):
@@ -81,27 +89,41 @@
         self._pool = create_pool()
         self._tasks: set[asyncio.Task[None]] = set()
         self._request_count = 0
+        #: Event loop time of the first request.
+        self._started_at: float | None = None
         self.records: list[RequestRecord] = []
 
     async def run(self) -> None:
         """Send requests at random intervals until cancelled."""
-        loop = asyncio.get_running_loop()
-        started_at = loop.time()
         while True:
             await asyncio.sleep(self._rng.expovariate(REQUESTS_PER_S))
-            self._request_count += 1
-            kind = self._rng.choice(SOAK_REQUEST_KINDS)
-            entry_index = self._rng.randrange(len(self._entry_addresses))
-            sent_at = loop.time() - started_at
-            task = loop.create_task(self._send(kind, entry_index, sent_at))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._start(self._rng.choice(SOAK_REQUEST_KINDS))
+
+    async def run_crashing(self) -> None:
+        """Send the crashing request again and again until cancelled."""
+        while True:
+            await asyncio.sleep(
+                self._rng.expovariate(1 / MEAN_CRASHING_INTERVAL_S)
+            )
+            self._start(CRASHING_KIND)
 
     async def finish(self) -> None:
         """Wait for all outstanding requests, then close the connections."""
         await asyncio.gather(*self._tasks)
         self._pool.close()
 
+    def _start(self, kind: SoakRequestKind) -> None:
+        """Send one request to a random entry node."""
+        loop = asyncio.get_running_loop()
+        if self._started_at is None:
+            self._started_at = loop.time()
+        self._request_count += 1
+        entry_index = self._rng.randrange(len(self._entry_addresses))
+        sent_at = loop.time() - self._started_at
+        task = loop.create_task(self._send(kind, entry_index, sent_at))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def _send(
         self, kind: SoakRequestKind, entry_index: int, sent_at: float
     ) -> None:
@@ -133,7 +155,7 @@
             'POST',
             kind.target,
             headers,
-            label.encode(),
+            CRASH_MARKER if kind.is_crashing else label.encode(),
             timeout_s=DEADLINE_MS / _MS_PER_S + TIMEOUT_MARGIN_S,
         )
         record = RequestRecord(label, kind, entry_index)
--- a/merlintrail/bench/_soak_checks.py
+++ b/merlintrail/bench/_soak_checks.py
@@ -16,7 +16,15 @@
 #: Index of the entry node into which no fault is injected.
 FAULT_FREE_ENTRY_INDEX: Final = 0
 _OK: Final = 200
+#: Status of a request that is refused because it crashes backend servers.
+_QUARANTINED: Final = 422
 _NOT_RUN: Final = 'not-run'
+#: Crashes after which a crashing request has to be stopped, and the seconds
+#: within which every node has to know it.
+MAX_CRASHES: Final = 3
+QUARANTINE_NOTICE_S: Final = 3.0
+#: Runs after that time that are allowed.
+MAX_LATE_RUNS: Final = 3
 
 
 def count_runs(logs: Iterable[Path]) -> Counter[str]:
@@ -65,9 +73,46 @@
     records: Sequence[RequestRecord], runs: Mapping[str, int]
 ) -> list[str]:
     """Return a message for each violated guarantee."""
-    return [
-        finding for record in records for finding in check_record(record, runs)
+    crashing = [record for record in records if record.kind.is_crashing]
+    harmless = [record for record in records if not record.kind.is_crashing]
+    findings = [
+        finding for record in harmless for finding in check_record(record, runs)
     ]
+    findings.extend(check_crashing_requests(crashing, runs))
+    findings.extend(check_quarantined_requests(harmless))
+    return findings
+
+
+def check_crashing_requests(
+    records: Iterable[RequestRecord], runs: Mapping[str, int]
+) -> Iterator[str]:
+    """Yield a message if the crashing request was not stopped in time.
+
+    It counts as sent to a backend server when the attempt was sent that the
+    server logged.
+    """
+    run_times = sorted(
+        record.sent_at
+        for record in records
+        for _ in range(runs.get(build_run_label(record.label, 1), 0))
+    )
+    if len(run_times) < MAX_CRASHES:
+        return
+    stopped_from = run_times[MAX_CRASHES - 1] + QUARANTINE_NOTICE_S
+    late = sum(1 for sent_at in run_times if sent_at > stopped_from)
+    if late > MAX_LATE_RUNS:
+        yield (
+            f'the crashing request ran {len(run_times)} times, {late} of them '
+            f'later than {QUARANTINE_NOTICE_S} s after the third'
+        )
+
+
+def check_quarantined_requests(records: Sequence[RequestRecord]) -> list[str]:
+    """Return a message if too many harmless requests were quarantined."""
+    refused = sum(1 for record in records if record.status == _QUARANTINED)
+    if refused <= 5 + len(records) / 500:
+        return []
+    return [f'{refused} of {len(records)} harmless requests were quarantined']
 
 
 def compute_success_share(
@@ -78,6 +123,10 @@
     :param since_s: seconds since the start of the load.
     :returns: 0 if no request was sent from then on.
     """
-    measured = [record for record in records if record.sent_at >= since_s]
+    measured = [
+        record
+        for record in records
+        if record.sent_at >= since_s and not record.kind.is_crashing
+    ]
     success_count = sum(1 for record in measured if record.status == _OK)
     return success_count / len(measured) if measured else 0.0
--- a/merlintrail/bench/_soak_faults.py
+++ b/merlintrail/bench/_soak_faults.py
@@ -20,6 +20,8 @@
 RELAY_DELAY_S: Final = 0.4
 #: Maximum number of faults in progress at the same time.
 MAX_CONCURRENT_FAULTS: Final = 3
+#: Seconds until a crashed backend server is started again.
+RESTART_DELAY_S: Final = 0.5
 #: Seconds between two polls for the exit of a process.
 _POLL_INTERVAL_S: Final = 0.05
 
@@ -60,11 +62,24 @@
         self._targets = targets
         self._rng = random.Random(seed)
         self._faulted_targets: set[str] = set()
+        #: Instances whose backend server is being started again.
+        self._restarting: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         #: Number of injected faults by name. The summary of a run prints these
         #: names, which are those of the methods without the leading ``_``.
         self.counts: Counter[str] = Counter()
 
+    async def restart_crashed_backends(self) -> None:
+        """Start backend servers again that crashed, until cancelled."""
+        while True:
+            await asyncio.sleep(_POLL_INTERVAL_S)
+            for instance in self._targets.workers:
+                name = f'backend {instance}'
+                is_down = self._targets.deployment.has_exited(name)
+                if is_down and instance not in self._restarting:
+                    self.counts['crashed_backend'] += 1
+                    await self._restart_backend(instance, RESTART_DELAY_S)
+
     async def run(self, duration_s: float) -> None:
         """Inject faults for a time, then wait until the last one has ended."""
         loop = asyncio.get_running_loop()
@@ -129,8 +144,18 @@
     async def _kill_backend(
         self, instance: str, fault_duration_s: float
     ) -> None:
-        await self._kill(f'backend {instance}', fault_duration_s)
+        name = f'backend {instance}'
+        if instance in self._restarting:
+            return
+        self._targets.deployment.send_signal(name, signal.SIGKILL)
+        await self._restart_backend(instance, fault_duration_s)
+
+    async def _restart_backend(self, instance: str, down_s: float) -> None:
+        self._restarting.add(instance)
+        await self._wait_for_exit(f'backend {instance}')
+        await asyncio.sleep(down_s)
         self._targets.deployment.start_backend(instance)
+        self._restarting.discard(instance)
 
     async def _kill(self, name: str, fault_duration_s: float) -> None:
         """Kill a process and keep it down for the duration of the fault."""
--- a/merlintrail/bench/tests/test_fault_soak.py
+++ b/merlintrail/bench/tests/test_fault_soak.py
@@ -1,10 +1,15 @@
 """Tests of the checks of the fault soak, and a short run of it."""
 
 import unittest
+from collections.abc import Sequence
 from typing import Final
 
 from merlintrail.bench._fault_soak import FAILED_SEEDS, run_soak
-from merlintrail.bench._soak_callers import SOAK_REQUEST_KINDS, RequestRecord
+from merlintrail.bench._soak_callers import (
+    CRASHING_KIND,
+    SOAK_REQUEST_KINDS,
+    RequestRecord,
+)
 from merlintrail.bench._soak_checks import check_records, compute_success_share
 
 _IDEMPOTENT, _ONCE, _KEYED = SOAK_REQUEST_KINDS
@@ -96,6 +101,36 @@
         self.assertEqual(compute_success_share([early], 4.0), 0.0)
 
 
+class CrashingRequestTest(unittest.TestCase):
+    """Runs of the crashing request, and harmless ones that are refused."""
+
+    def check(self, sent_at: Sequence[float]) -> list[str]:
+        """Check one run of the crashing request for each time."""
+        records = [
+            _build_record(label=f'{time}', kind=CRASHING_KIND, sent_at=time)
+            for time in sent_at
+        ]
+        return check_records(
+            records, {f'{record.label}.1': 1 for record in records}
+        )
+
+    def test_late_runs(self) -> None:
+        """More than three runs later than 3 s after the third."""
+        early = [1.0, 2.0, 3.0, 5.9]
+        self.assertEqual(self.check([*early, 6.5, 7.0, 8.0]), [])
+        findings = self.check([*early, 6.5, 7.0, 8.0, 9.0])
+        self.assertIn('4 of them later', ''.join(findings))
+
+    def test_quarantined_harmless_requests(self) -> None:
+        """More than five and one in 500."""
+        refused = _build_record(
+            status=422, outcome='not-run', has_matching_body=False
+        )
+        self.assertEqual(check_records([refused] * 5, {}), [])
+        findings = check_records([refused] * 6, {})
+        self.assertIn('6 of 6 harmless', ''.join(findings))
+
+
 class SoakTest(unittest.TestCase):
     """A short soak of real processes with injected faults."""
 
