Name the end of the quarantine in its refusal

Callers of a quarantined request were asked to come back after a second or two, for ten minutes, only to be refused each time. The refusal names the time until the quarantine ends, as Retry-After where the answer carries one.

The captured log of a session begins with the session, since lines deferred by an earlier test appeared in it.

--- a/merlintrail/node/_ingress.py
+++ b/merlintrail/node/_ingress.py
@@ -173,7 +173,12 @@
     def _set_retry_after(
         self, refusal: Refusal, objective_ms: float | None
     ) -> Refusal:
-        """Set the time after which a refused caller should retry."""
+        """Set the time after which a refused caller should retry.
+
+        A quarantined request has one already, the end of its quarantine.
+        """
+        if refusal.reason == Reason.QUARANTINED:
+            return refusal
         retry_after_s = compute_retry_after(
             refusal.retry_after_s,
             None if objective_ms is None else objective_ms / _MS_PER_S,
--- a/merlintrail/node/_suspect_quarantine.py
+++ b/merlintrail/node/_suspect_quarantine.py
@@ -58,15 +58,15 @@
     def check(self, call: OutgoingCall) -> Refusal | None:
         """Return the refusal of a call whose request is quarantined."""
         suspicion = self.find(call)
-        if suspicion is None or not self._quarantine.refuses(
-            suspicion, self._wall_clock()
-        ):
+        now = self._wall_clock()
+        if suspicion is None or not self._quarantine.refuses(suspicion, now):
             return None
         return Refusal(
             Outcome.NOT_RUN,
             Reason.QUARANTINED,
             f'request {suspicion.digest} crashed backend servers: '
             f'{", ".join(suspicion.open_crashes)}',
+            retry_after_s=suspicion.refused_until - now,
         )
 
     def clear_suspect(self, call: OutgoingCall) -> None:
--- a/merlintrail/node/tests/session.py
+++ b/merlintrail/node/tests/session.py
@@ -141,7 +141,8 @@
         return '\n'.join((*self._lines, f'store calls: {counts}', ''))
 
     def bind_log(self) -> Any:
-        """Return a context manager that captures log lines."""
+        """Return a context manager that captures log lines from now on."""
+        run_deferred()
         return JsonLinesHandler(self._log).applicationbound()
 
     async def call_nested(
