Keep the lines of earlier tests out of a session's log

The golden sessions failed when they ran after a test that had deferred log lines, found when the platform's tests ran first; dropping them when the log is bound lost lines of the session itself. They are written when the session is created.

--- a/merlintrail/node/tests/session.py
+++ b/merlintrail/node/tests/session.py
@@ -64,6 +64,8 @@
         names: Sequence[str],
         dialect: Dialect | None = None,
     ) -> None:
+        # Lines that an earlier test deferred do not belong to this session.
+        run_deferred()
         self._dialect = dialect or NativeDialect()
         self._loop = asyncio.get_running_loop()
         self._started_at = self._loop.time()
@@ -141,8 +143,7 @@
         return '\n'.join((*self._lines, f'store calls: {counts}', ''))
 
     def bind_log(self) -> Any:
-        """Return a context manager that captures log lines from now on."""
-        run_deferred()
+        """Return a context manager that captures log lines."""
         return JsonLinesHandler(self._log).applicationbound()
 
     async def call_nested(
