Pass on the merged record of a request, not the received one

A node that learned of two crashes of one request from two neighbours sent the others the later record alone, since it replaced the first one in the queue: the crashes that make the cause known did not add up there until the digests were compared. Found in reading the change; a received record is merged first and the result is queued.

Test: test_received_record_replaces_a_fuller_one_that_waits; ('two',) waited before in place of both.

--- a/merlintrail/coordination/_membership.py
+++ b/merlintrail/coordination/_membership.py
@@ -258,9 +258,10 @@
     ) -> None:
         now = self._wall_clock()
         changed = [
-            suspicion
+            merged
             for suspicion in suspicions
             if self.quarantine.merge(suspicion, now)
+            and (merged := self.quarantine.find(suspicion.digest, now))
         ]
         for suspicion in changed:
             for node_id, outbox in self.outboxes.items():
--- a/merlintrail/coordination/tests/test_membership.py
+++ b/merlintrail/coordination/tests/test_membership.py
@@ -213,6 +213,26 @@
 
         run_virtually(scenario())
 
+    def test_received_record_replaces_a_fuller_one_that_waits(self) -> None:
+        """What waits for a neighbour holds the crashes of both."""
+
+        async def scenario() -> None:
+            network = await start_network()
+            membership = network.nodes['n0'].membership
+            outbox = membership.outboxes['n2']
+            outbox.take_batch()
+            for crash_id in ('one', 'two'):
+                membership.accept_suspicions(
+                    [Suspicion('bad', (crash_id,), 1.0e9)], 'n4'
+                )
+            waiting = outbox.take_batch()[1]
+            self.assertEqual(
+                [held.crashes for held in waiting], [('one', 'two')]
+            )
+            network.stop()
+
+        run_virtually(scenario())
+
     def test_quarantine_in_a_lost_reply_is_never_sent_again(self) -> None:
         """The sender took it for delivered; digests show the difference."""
 
