Name the list of all suspicions, and look for a crash only once

Membership.list_missing(()) stood for all suspicions at three places; they say list_suspicions now. The digests of the calls of an expired backend server are not computed again four times a second once its crash is recorded. No decision changes.

--- a/merlintrail/coordination/_heartbeat.py
+++ b/merlintrail/coordination/_heartbeat.py
@@ -148,7 +148,7 @@
         self.refresh_neighbours()
         return {
             'members': list(self._membership.table),
-            'suspicions': list(self._membership.list_missing(())),
+            'suspicions': self._membership.list_suspicions(),
         }
 
     def handle_configuration(
--- a/merlintrail/coordination/_membership.py
+++ b/merlintrail/coordination/_membership.py
@@ -113,6 +113,10 @@
         """Compute the digest of the suspicions that have not expired."""
         return self.quarantine.compute_digest(self._wall_clock())
 
+    def list_suspicions(self) -> list[Suspicion]:
+        """Return all suspicions that have not expired."""
+        return self.quarantine.list_suspicions(self._wall_clock())
+
     def list_missing(self, received: Iterable[Any]) -> list[Suspicion]:
         """Return the suspicions of which another node has no equal record.
 
@@ -121,7 +125,7 @@
         theirs = set(read_suspicions(tuple(received)))
         return [
             suspicion
-            for suspicion in self.quarantine.list_suspicions(self._wall_clock())
+            for suspicion in self.list_suspicions()
             if suspicion not in theirs
         ]
 
--- a/merlintrail/coordination/_quarantine_archive.py
+++ b/merlintrail/coordination/_quarantine_archive.py
@@ -88,7 +88,7 @@
         while True:
             self._has_changed.clear()
             if await self.load():
-                self.save(self._membership.list_missing(()))
+                self.save(self._membership.list_suspicions())
                 await self._remove_expired()
             await self._wait_for_change()
 
--- a/merlintrail/coordination/_reconciliation.py
+++ b/merlintrail/coordination/_reconciliation.py
@@ -132,7 +132,7 @@
         answer = await self._send(
             member,
             'suspicions',
-            {'suspicions': self._membership.list_missing(())},
+            {'suspicions': self._membership.list_suspicions()},
         )
         if isinstance(answer, dict):
             self._membership.accept_suspicions(
--- a/merlintrail/node/_backend_exchange.py
+++ b/merlintrail/node/_backend_exchange.py
@@ -92,8 +92,10 @@
         It may have closed no connection, so that its calls only timed out or
         were cancelled.
         """
+        if backend.crash_id is not None:
+            return
         digests = backend.list_unanswered_digests()
-        if digests and backend.crash_id is None:
+        if digests:
             self._record_crash(backend, digests, 'ended without a notice')
 
     def _is_answer_to_call(
