Let only proven causes explain crashes away

Traced: requests that had met two crashes by chance were taken for probable causes, and each explained its crashes for all others, so that hardly any looked unexplained; and crashes in which a proven cause had run still counted against those beside it.

A probable cause is refused only while two of its crashes have no proven cause and at most one other crash has none. The count of three is as it was.

Tests: test_harmless_request_beside_crashing_ones and test_probable_causes_do_not_explain_for_each_other; both failed before.

--- a/merlintrail/state/_quarantine.py
+++ b/merlintrail/state/_quarantine.py
@@ -11,7 +11,8 @@
 
 #: Largest number of suspicions recorded at a time.
 MAX_SUSPICIONS: Final = 4096
-#: Crashes without a known cause up to which a probable cause is refused.
+#: Other crashes without a proven cause up to which a probable cause is
+#: refused.
 MAX_UNEXPLAINED_CRASHES: Final = 1
 #: Suspicions that are evicted together when there are too many.
 EVICTED_SUSPICIONS: Final = 512
@@ -46,8 +47,9 @@
         self._next_expiry = math.inf
         #: Digest of all records, ``None`` after a change.
         self._digest: int | None = 0
-        #: Number of crashes without a known cause, ``None`` after a change.
-        self._unexplained: int | None = 0
+        #: Crashes in which no proven cause was running, ``None`` after a
+        #: change.
+        self._unproven_crashes: frozenset[str] | None = frozenset()
 
     @property
     def is_empty(self) -> bool:
@@ -116,17 +118,20 @@
         """Return whether the request of a suspicion is quarantined.
 
         A request that is only the probable cause of its crashes is refused
-        while hardly any other crash is unexplained. A harmless request meets
-        two crashes by chance where backend servers crash often.
+        while two of them have no proven cause and hardly any other crash has
+        none. A harmless request meets two crashes by chance where backend
+        servers crash often, or where crashing requests are sent.
         """
         if suspicion.refused_until <= now:
             return False
         if suspicion.is_proven:
             return True
-        return (
-            suspicion.is_probable
-            and self._count_unexplained() <= MAX_UNEXPLAINED_CRASHES
-        )
+        if not suspicion.is_probable:
+            return False
+        unproven = self._list_unproven_crashes()
+        own = unproven.intersection(suspicion.open_crashes)
+        others = len(unproven) - len(own)
+        return len(own) > 1 and others <= MAX_UNEXPLAINED_CRASHES
 
     def merge(self, received: Suspicion, now: float) -> bool:
         """Merge a suspicion from another node.
@@ -157,7 +162,7 @@
             default=math.inf,
         )
         self._digest = None
-        self._unexplained = None
+        self._unproven_crashes = None
 
     def compute_digest(self, now: float) -> int:
         """Compute a digest that is equal where equal records are held."""
@@ -179,17 +184,17 @@
             1 for held in self._suspicions.values() if self.refuses(held, now)
         )
 
-    def _count_unexplained(self) -> int:
-        """Count the crashes without a proven or probable cause."""
-        if self._unexplained is None:
+    def _list_unproven_crashes(self) -> frozenset[str]:
+        """Return the crashes in which no proven cause was running."""
+        if self._unproven_crashes is None:
             crashes: set[str] = set()
-            explained: set[str] = set()
+            proven: set[str] = set()
             for held in self._suspicions.values():
                 crashes.update(held.crashes)
-                if held.is_likely_cause:
-                    explained.update(held.open_crashes)
-            self._unexplained = len(crashes - explained)
-        return self._unexplained
+                if held.is_proven:
+                    proven.update(held.open_crashes)
+            self._unproven_crashes = frozenset(crashes - proven)
+        return self._unproven_crashes
 
     def _merge(self, received: Suspicion) -> bool:
         current = self._suspicions.get(received.digest)
@@ -203,7 +208,7 @@
         self._suspicions[received.digest] = merged
         self._next_expiry = min(self._next_expiry, merged.expires_at)
         self._digest = None
-        self._unexplained = None
+        self._unproven_crashes = None
         for listener in self._listeners:
             listener(merged)
         return True
--- a/merlintrail/state/tests/test_quarantine.py
+++ b/merlintrail/state/tests/test_quarantine.py
@@ -80,6 +80,24 @@
             self.crash(self.here, f'other {number}', f'other {number}')
         self.assertFalse(self.is_quarantined(self.here, 'good'))
 
+    def test_harmless_request_beside_crashing_ones(self) -> None:
+        """Its crashes have a proven cause, so they say nothing against it."""
+        self.crash(self.here, 'one', 'bad', 'good')
+        self.crash(self.here, 'two', 'good')
+        self.crash(self.here, 'three', 'bad')
+        self.crash(self.here, 'four', 'bad')
+        self.assertTrue(self.is_quarantined(self.here, 'bad'))
+        self.assertFalse(self.is_quarantined(self.here, 'good'))
+
+    def test_probable_causes_do_not_explain_for_each_other(self) -> None:
+        """Two chance meetings among five crashes are no pattern."""
+        for number in range(2):
+            self.crash(self.here, f'{number} a', f'good {number}')
+            self.crash(self.here, f'{number} b', f'good {number}')
+        self.crash(self.here, 'other', 'other')
+        for number in range(2):
+            self.assertFalse(self.is_quarantined(self.here, f'good {number}'))
+
     def test_one_crash_counts_once(self) -> None:
         """However often it is recorded and received."""
         for _ in range(3):
