Treat downloads as idempotent

Callers of a download that failed in one backend server got the failure, since the adapter knew one kind that may be repeated, and took 'download' for a request that runs once at most. The users' pages name it idempotent. Seen by reading; the test of the kinds fails before for this kind alone. Ruled out: a default of 'may be repeated' for unknown kinds, which would run such requests twice.

--- a/merlintrail/platform/_configuration.py
+++ b/merlintrail/platform/_configuration.py
@@ -11,7 +11,7 @@
 _VERSION_RADIX: Final = 16
 _MS_PER_S: Final = 1000
 #: ``Kind`` of idempotent routes; any other kind counts as not idempotent.
-_IDEMPOTENT_KIND: Final = 'idempotent'
+_IDEMPOTENT_KINDS: Final = frozenset(('idempotent', 'download'))
 #: Importance by the platform's ``Priority``, of which 0 is the highest. Numbers
 #: outside the range are clamped to it.
 _IMPORTANCE_BY_PRIORITY: Final = ('critical', 'high', 'normal', 'low')
@@ -67,7 +67,7 @@
         'host': route['Host'],
         'prefix': route['Prefix'],
         'importance': _translate_importance(route.get('Priority', 0)),
-        'idempotent': route['Kind'] == _IDEMPOTENT_KIND,
+        'idempotent': route['Kind'] in _IDEMPOTENT_KINDS,
         'timeout_ms': _parse_duration_ms(route['Timeout']),
         'attempts': max(1, route.get('MaxAttempts', 1)),
     }
--- a/merlintrail/platform/tests/test_adapter.py
+++ b/merlintrail/platform/tests/test_adapter.py
@@ -230,6 +230,23 @@
             with self.assertRaises((LookupError, TypeError, ValueError)):
                 build_envelope(content, SETTINGS)
 
+    def test_kinds_that_may_be_repeated(self) -> None:
+        """A download is idempotent; any unknown kind is not."""
+        route = CONFIGURATION['Routes'][0]
+        for kind, is_idempotent in (
+            ('idempotent', True),
+            ('download', True),
+            ('non_idempotent', False),
+            ('unknown', False),
+        ):
+            with self.subTest(kind):
+                routes = [{**route, 'Kind': kind}]
+                envelope = build_envelope(
+                    {**CONFIGURATION, 'Routes': routes}, SETTINGS
+                )
+                translated = envelope['document']['routes'][0]
+                self.assertEqual(translated['idempotent'], is_idempotent)
+
 
 class HeartbeatTest(unittest.TestCase):
     """Heartbeats and leaves of the backend server beside a node."""
