Bound everything in a message that is not its body

A peer or backend server that sent a status reason, header, interim answer, chunk extension or trailer without an end was read on and on: 42 to 64 MB in 1.5 s, until the time limit of the exchange, or forever where it has none. A caller's chunk extensions and trailers likewise. The parser keeps what is not complete, and only the body and the headers of requests were counted.

One allowance now covers all of it, spent by each byte that is no body and returned by body bytes, since the framing of one-byte chunks exceeds the body. The exchange fails with the connection closed and the stage after sending: the request may have run. Interim answers are counted besides. Trailers are no longer taken for headers.

Ruled out: a limit for each part (headers, trailers, extensions), of which one would be forgotten; the limit of the parser library, which has none.

--- a/merlintrail/transport/_client.py
+++ b/merlintrail/transport/_client.py
@@ -8,12 +8,18 @@
 import httptools
 
 from merlintrail.transport._failure import FailureStage, TransportFailure
+from merlintrail.transport._framing import FramingAllowance
 from merlintrail.transport._message import HttpResponse
 from merlintrail.transport._socket_options import set_socket_options
 from merlintrail.transport._timers import Timer, TimerQueue
 
 #: Reason of an exchange that exceeded its timeout.
 TIMEOUT: Final = 'timeout'
+#: Maximum size in bytes of the status line, headers, trailers and chunk
+#: framing of an answer, together with the interim answers before it.
+MAX_FRAMING_BYTES: Final = 65536
+#: Maximum number of interim answers before an answer.
+MAX_INTERIM_ANSWERS: Final = 16
 _BODILESS_STATUSES: Final = frozenset((204, 304))
 _FIRST_FINAL_STATUS: Final = 200
 #: Parameter of a ``Keep-Alive`` header.
@@ -54,6 +60,10 @@
         self._max_body_bytes = max_body_bytes
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
+        self._framing = FramingAllowance(MAX_FRAMING_BYTES)
+        self._interim_answers = 0
+        #: Body bytes parsed from the bytes received last.
+        self._parsed_body_bytes = 0
         #: Result of the exchange in progress, ``None`` between exchanges.
         self._answer: asyncio.Future[HttpResponse | TransportFailure] | None
         self._answer = None
@@ -78,6 +88,8 @@
         if self._transport is None or self._transport.is_closing():
             return TransportFailure(FailureStage.CONNECT, 'connection closed')
         self._method = method
+        self._framing.reset()
+        self._interim_answers = 0
         self._reset_message()
         self._answer = self._loop.create_future()
         self._transport.write(payload)
@@ -137,11 +149,14 @@
         if self._answer is None or self._answer.done():
             self.close()
             return
+        self._parsed_body_bytes = 0
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail('malformed answer')
             self.close()
+        if not self._framing.spend(len(data), self._parsed_body_bytes):
+            self.abort_exchange('headers or framing of the answer too large')
 
     # httptools callbacks
 
@@ -152,7 +167,9 @@
         self._reset_message()
 
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: WPS110
-        """Append a header."""
+        """Append a header; a trailer, which follows the body, is ignored."""
+        if self._has_headers:
+            return
         self._headers.append(
             (
                 name.decode('latin-1').lower(),
@@ -162,6 +179,7 @@
 
     def on_headers_complete(self) -> None:
         """Determine what delimits the body of the answer."""
+        self._has_headers = True
         status = self._parser.get_status_code()
         if self._method == 'HEAD' and status >= _FIRST_FINAL_STATUS:
             self._finish(status)
@@ -176,6 +194,7 @@
         """Append a part of the body."""
         self._body.append(body)
         self._body_bytes += len(body)
+        self._parsed_body_bytes += len(body)
         if self._body_bytes > self._max_body_bytes:
             self._fail('answer too large')
             self.close()
@@ -183,12 +202,20 @@
     def on_message_complete(self) -> None:
         """Deliver the complete answer; ignore an interim one."""
         status = self._parser.get_status_code()
-        if status < _FIRST_FINAL_STATUS or self._is_close_delimited:
+        if status < _FIRST_FINAL_STATUS:
+            self._count_interim_answer()
+            return
+        if self._is_close_delimited:
             return
         if not self._parser.should_keep_alive():
             self.is_reusable = False
         self._finish(status)
 
+    def _count_interim_answer(self) -> None:
+        self._interim_answers += 1
+        if self._interim_answers > MAX_INTERIM_ANSWERS:
+            self.abort_exchange('too many interim answers')
+
     def _start_timer(self, timeouts: ExchangeTimeouts) -> Timer | None:
         if timeouts.slow_after_s is not None:
             return self._timers.call_later(
@@ -229,6 +256,7 @@
 
     def _reset_message(self) -> None:
         self._headers: list[tuple[str, str]] = []
+        self._has_headers = False
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._is_close_delimited = False
--- a/merlintrail/transport/_request_parser.py
+++ b/merlintrail/transport/_request_parser.py
@@ -6,6 +6,7 @@
 import httptools
 
 from merlintrail.transport._bad_request import BadRequest
+from merlintrail.transport._framing import FramingAllowance
 from merlintrail.transport._message import HttpRequest
 from merlintrail.transport._request_target import parse_target
 
@@ -40,6 +41,12 @@
         self._parsed: list[HttpRequest | BadRequest] = []
         self._fault: BadRequest | None = None
         self._in_headers = True
+        #: Allowance for what follows the headers: chunk framing and trailers.
+        self._framing = FramingAllowance(limits.max_header_bytes)
+        #: Body bytes parsed from the bytes received last.
+        self._parsed_body_bytes = 0
+        #: Whether a request began in the bytes received last.
+        self._has_begun_message = False
         #: Bytes received since the last complete request, compared with the
         #: limit while headers are incomplete.
         self._fed_bytes = 0
@@ -61,6 +68,9 @@
         """
         self._parsed = []
         self._fed_bytes += len(chunk)
+        self._parsed_body_bytes = 0
+        self._has_begun_message = False
+        was_in_body = self.is_receiving and not self._in_headers
         try:
             self._parser.feed_data(chunk)
         except httptools.HttpParserUpgrade:
@@ -68,6 +78,8 @@
         except httptools.HttpParserError:
             self._record_fault(400, 'malformed-http')
         self._check_partial_headers()
+        if was_in_body and not self._has_begun_message:
+            self._check_framing(len(chunk))
         if self._fault is not None:
             self.is_receiving = False
             return [*self._parsed, self._fault]
@@ -78,6 +90,7 @@
     def on_message_begin(self) -> None:
         """Begin a request."""
         self.is_receiving = True
+        self._has_begun_message = True
         self._reset_message()
 
     def on_url(self, url: bytes) -> None:
@@ -86,7 +99,12 @@
         self._header_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: WPS110
-        """Store a header; join the values of a repeated one with commas."""
+        """Store a header; join the values of a repeated one with commas.
+
+        A trailer, which follows the body, is ignored.
+        """
+        if not self._in_headers:
+            return
         key = name.decode('latin-1').lower()
         text = value.decode('latin-1').strip()
         self._header_bytes += len(name) + len(value) + _HEADER_OVERHEAD_BYTES
@@ -101,6 +119,7 @@
     def on_headers_complete(self) -> None:
         """Check version, host and sizes, and detect ``100-continue``."""
         self._in_headers = False
+        self._framing.reset()
         for fault in self._list_header_faults():
             self._record_fault(fault.status, fault.reason)
         if self._headers.get('expect', '').lower() == '100-continue':
@@ -110,6 +129,7 @@
         """Append a part of the body, and check its size."""
         self._body.append(body)
         self._body_bytes += len(body)
+        self._parsed_body_bytes += len(body)
         if self._body_bytes > self._limits.max_body_bytes:
             self._record_fault(413, 'body-too-large')
 
@@ -146,6 +166,14 @@
         if is_partial and self._fed_bytes > self._limits.max_header_bytes:
             self._record_fault(431, 'headers-too-large')
 
+    def _check_framing(self, received_bytes: int) -> None:
+        """Reject chunk framing and trailers without an end."""
+        is_within_limit = self._framing.spend(
+            received_bytes, self._parsed_body_bytes
+        )
+        if self.is_receiving and not is_within_limit:
+            self._record_fault(431, 'framing-too-large')
+
     def _list_header_faults(self) -> Iterator[BadRequest]:
         limits = self._limits
         version = self._parser.get_http_version()
