Bound the answers of the store

A store, or whatever answers at its address, that sent interim answers, trailers, chunks or a body without an end held a call up as long as bytes came, and its thread with it; six such calls leave a node without the store. A stated length beyond the memory raised MemoryError, which nothing caught: the task that asked, such as the relay, ended.

An answer now has a limit on its bytes, whatever they are, and on its time beside the read timeout, and its body is read in parts. Ruled out: limits of the body alone, since interim answers and trailers are read below it.

--- a/merlintrail/coordination/_store_client.py
+++ b/merlintrail/coordination/_store_client.py
@@ -7,6 +7,9 @@
 import urllib3
 from urllib3.connection import HTTPConnection
 
+from merlintrail.coordination._bounded_response import (
+    BoundedConnectionPool,
+)
 from merlintrail.coordination._store import (
     StoreFailure,
     StoreFault,
@@ -39,6 +42,8 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
 )
+#: Bytes of an answer that are read at a time.
+_READ_BYTES: Final = 65536
 _OK: Final = 200
 _JSON_HEADERS: Final = {'content-type': 'application/json'}
 
@@ -65,6 +70,7 @@
                 *_KEEPALIVE_OPTIONS,
             ],
         )
+        self._http.pool_classes_by_scheme = {'http': BoundedConnectionPool}
 
     def read(self, key: str) -> StoreValue | StoreFailure:
         """Read a key."""
@@ -147,18 +153,21 @@
     def _send(
         self, address: str, call: StoreCall[ResultT]
     ) -> ResultT | StoreFailure:
-        body = None if call.body is None else encode_json(call.body)
+        sent = None if call.body is None else encode_json(call.body)
         try:
             answer = self._http.request(
                 call.method,
                 f'http://{address}{call.path}',
-                body=body,
-                headers=None if body is None else _JSON_HEADERS,
+                body=sent,
+                headers=None if sent is None else _JSON_HEADERS,
                 timeout=urllib3.Timeout(
                     connect=CONNECT_TIMEOUT_S,
                     read=call.wait_s + READ_TIMEOUT_S,
                 ),
+                preload_content=False,
             )
+            # Read in parts, since the stated length may exceed the memory.
+            body = b''.join(answer.stream(_READ_BYTES))
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -169,7 +178,7 @@
         if answer.status != _OK:
             fault = call.faults.get(answer.status, StoreFault.UNKNOWN)
             return StoreFailure(fault, f'status {answer.status}')
-        return _read_answer(call, decode_json(answer.data))
+        return _read_answer(call, decode_json(body))
 
 
 def _read_answer(
