Number a change after the configuration in force

After the store came back from an older copy, an operator's change got a generation that a lost one had had. Nodes that still applied the lost document ignored it, while the operator was told that it was applied. The node that makes the change now counts on from the higher of the stored generation and its own. Ruled out: writing the lost document back, which could undo a change made after the restore. The test fails before: generation 2 instead of 5.

--- a/merlintrail/console/_access.py
+++ b/merlintrail/console/_access.py
@@ -86,6 +86,7 @@
             str(request.operator),
             change_id,
             time.time(),
+            self.run_on_node(lambda: self.node.holder.generation),
         )
         return apply_change(self._client, change)
 
--- a/merlintrail/coordination/_changes.py
+++ b/merlintrail/coordination/_changes.py
@@ -101,6 +101,9 @@
     change_id: str
     #: Seconds since the epoch.
     applied_at: float
+    #: Generation in force at the node that makes the change. It is higher
+    #: than the stored one when the store was restored from an older copy.
+    current_generation: int = 0
 
 
 def apply_change(
@@ -121,7 +124,7 @@
     if stored.envelope.generation != change.seen_generation:
         return _resolve_conflict(stored.envelope, change.change_id)
     envelope = Envelope(
-        stored.envelope.generation + 1,
+        max(stored.envelope.generation, change.current_generation) + 1,
         change.change_id,
         change.operator,
         change.applied_at,
--- a/merlintrail/coordination/tests/test_changes.py
+++ b/merlintrail/coordination/tests/test_changes.py
@@ -144,6 +144,14 @@
         assert isinstance(again, Envelope)
         self.assertEqual(again.generation, 1)
 
+    def test_change_after_a_restore_of_the_store(self) -> None:
+        """It is newer than the lost document that the nodes still apply."""
+        self.apply(_build_change(0, 'kept'))
+        change = _build_change(1, 'later')._replace(current_generation=4)
+        outcome = self.apply(change)
+        assert isinstance(outcome, Envelope)
+        self.assertEqual(outcome.generation, 5)
+
     def test_unavailable_store_changes_nothing(self) -> None:
         """The operator gets a failure and the store is unchanged."""
         self.client.faults = [StoreFault.UNAVAILABLE]
