Stop in time although the store is silent

The tasks now get 0.3 s to end; the lease expires by itself. Ruled out: shorter limits of the calls, which the store needs when it is slow. The test (a relay, a silent store) fails before.

--- a/merlintrail/coordination/tests/fake_store.py
+++ b/merlintrail/coordination/tests/fake_store.py
@@ -63,6 +63,8 @@
         #: Whether every call fails, except :meth:`transact` and those that
         #: renew or end a lease.
         self.is_down = False
+        #: Whether calls that renew or end a lease get no answer.
+        self.is_silent = False
         self._version = 0
         self._leases = 0
         self._era = 0
@@ -173,12 +175,18 @@
 
     async def renew_lease(self, lease: str) -> None | StoreFailure:
         """Renew a lease."""
+        await self._wait_while_silent()
         return None
 
     async def revoke_lease(self, lease: str) -> None | StoreFailure:
         """End a lease."""
+        await self._wait_while_silent()
         return None
 
+    async def _wait_while_silent(self) -> None:
+        while self.is_silent:
+            await asyncio.sleep(1)
+
     def _list_changes(self, prefix: str, position: int) -> StoreItems:
         changed = [
             StoreItem(key, found.document, self._qualify(found.version))
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -51,6 +51,9 @@
 #: Seconds between checks of the backend servers' readiness and of the member
 #: table.
 READINESS_INTERVAL_S: Final = 0.25
+#: Seconds to wait for background tasks to end when the node stops. A relay
+#: ends its lease then, which an unresponsive store may hold up.
+STOP_TIMEOUT_S: Final = 0.3
 _MS_PER_S: Final = 1000
 _KIB: Final = 1024
 
@@ -121,13 +124,13 @@
                 ),
             )
         )
-        self._start_task(self.join())
-        self._start_task(self.heartbeats.run())
-        self._start_task(self.run_relay())
-        self._start_task(self.run_archive())
-        self._start_task(self._poll_readiness())
-        self._start_task(self._poll_hints())
-        self._start_task(self.lifecycle.run())
+        self.start_task(self.join())
+        self.start_task(self.heartbeats.run())
+        self.start_task(self.run_relay())
+        self.start_task(self.run_archive())
+        self.start_task(self._poll_readiness())
+        self.start_task(self._poll_hints())
+        self.start_task(self.lifecycle.run())
         _LOG.info(
             'node started',
             extra={
@@ -141,7 +144,15 @@
         """Cancel the background tasks and close servers and connections."""
         for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._tasks:
+            _, unfinished = await asyncio.wait(
+                self._tasks, timeout=STOP_TIMEOUT_S
+            )
+            if unfinished:
+                _LOG.warning(
+                    'tasks did not end in time',
+                    extra={'tasks': len(unfinished)},
+                )
         for server in (*self._servers, self._peer_server):
             if server is not None:
                 server.close()
@@ -149,6 +160,10 @@
         self._peer_pool.close()
         _LOG.info('node stopped', extra={'instance': self.settings.instance})
 
+    def start_task(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run background work until the node stops."""
+        self._tasks.append(asyncio.create_task(work))
+
     async def join(self) -> None:
         """Join the other nodes and fetch the configuration."""
         await self._joiner.run()
@@ -405,9 +420,6 @@
             await asyncio.sleep(HINT_INTERVAL_S)
             await self.gateway.refresh_hints()
 
-    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.create_task(work))
-
 
 def create_node(settings: Settings, environment: Environment) -> Node:
     """Create a node; :meth:`Node.start` starts it."""
--- a/merlintrail/node/tests/test_lifecycle.py
+++ b/merlintrail/node/tests/test_lifecycle.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from merlintrail.node._lifecycle import EXIT_RESERVE_SHARE
 from merlintrail.node.tests.session import (
     Session,
     answer_after,
@@ -65,6 +66,21 @@
 
         run_virtually(scenario())
 
+    def test_relay_stops_although_the_store_is_silent(self) -> None:
+        """The end of its lease is not awaited beyond the reserved time."""
+
+        async def scenario() -> None:
+            session = _create_session(0.05)
+            node = session.nodes['one']
+            node.start_task(node.run_relay())
+            while not node.membership.own.is_relay:
+                await asyncio.sleep(0.1)
+            session.store.is_silent = True
+            async with asyncio.timeout(_GRACE_S * EXIT_RESERVE_SHARE):
+                await node.stop()
+
+        run_virtually(scenario())
+
     def test_grace_period_is_kept_with_calls_running(self) -> None:
         """The node stops before the platform would kill the process."""
 
