Keep background work going after a malformed document

A relay document of another form under a key of ours raised in every node that looked for relays: joining, discovery and the relay itself ended without a line, and a node that had not joined never did. Relay documents are now decoded to a type and unreadable ones are skipped with a line; an unreadable ledger segment refuses its requests. Whatever else raises in background work is logged and the work is started again.

--- a/merlintrail/coordination/__init__.py
+++ b/merlintrail/coordination/__init__.py
@@ -58,6 +58,7 @@
     add_faults,
     ignore_answer,
 )
+from merlintrail.coordination._supervision import run_supervised
 from merlintrail.coordination._topology import choose_neighbours
 
 __all__ = (
@@ -110,4 +111,5 @@
     'read_history',
     'read_stored_document',
     'repeat_until_done',
+    'run_supervised',
 )
--- a/merlintrail/coordination/_ledger_slot.py
+++ b/merlintrail/coordination/_ledger_slot.py
@@ -309,7 +309,12 @@
             if stored.fault == StoreFault.NOT_FOUND:
                 return Segment(sequence, version=0)
             return stored
-        return read_segment(sequence, stored.version, stored.document)
+        try:
+            return read_segment(sequence, stored.version, stored.document)
+        except (LookupError, TypeError, ValueError) as error:
+            return StoreFailure(
+                StoreFault.UNKNOWN, f'unreadable segment: {error!r}'
+            )
 
     def _index_segment(self, segment: Segment) -> None:
         """Add the records of a segment to the index.
--- a/merlintrail/coordination/_relay.py
+++ b/merlintrail/coordination/_relay.py
@@ -22,9 +22,10 @@
     StoreFault,
     StoreValue,
 )
+from merlintrail.coordination._supervision import run_supervised
 from merlintrail.coordination._topology import compute_hash
 from merlintrail.observability import create_logger
-from merlintrail.protocol import DecodeFailure
+from merlintrail.protocol import DecodeFailure, decode_record
 from merlintrail.state import MemberStatus
 
 #: Prefix of the keys under which relays announce themselves.
@@ -80,13 +81,38 @@
     listing = await store.read_range(RELAY_PREFIX, may_be_stale=may_be_stale)
     if isinstance(listing, StoreFailure):
         return []
-    return [
-        RelayAnnouncement(
-            entry.key.removeprefix(RELAY_PREFIX).partition('/')[0],
-            str(entry.document['address']),
-        )
-        for entry in listing.entries
-    ]
+    relays = []
+    for entry in listing.entries:
+        document = _read_document(entry.document)
+        if document is None:
+            _LOG.error('stored relay unreadable', extra={'key': entry.key})
+            continue
+        data_centre, _, _ = entry.key.removeprefix(RELAY_PREFIX).partition('/')
+        relays.append(RelayAnnouncement(data_centre, document.address))
+    return relays
+
+
+class _RelayDocument(NamedTuple):
+    """What the store holds under the key of a relay slot."""
+
+    #: ``host:port`` at which the relay accepts messages from other nodes.
+    address: str
+    #: Run of the relay's process.
+    incarnation: int = 0
+
+
+def _read_document(document: object) -> _RelayDocument | None:
+    """Decode the document of a relay slot.
+
+    :returns: ``None`` for one of another form.
+    """
+    decoded = decode_record(_RelayDocument, document)
+    if isinstance(decoded, DecodeFailure):
+        return None
+    is_typed = isinstance(decoded.address, str) and isinstance(
+        decoded.incarnation, int
+    )
+    return decoded if is_typed else None
 
 
 class Relay:
@@ -179,19 +205,21 @@
             version = current.version
         elif current.fault != StoreFault.NOT_FOUND:
             return False
-        document = {
-            'address': own.peer_address,
-            'incarnation': own.incarnation,
-        }
-        written = await self._store.write(key, document, version, lease)
+        document = _RelayDocument(own.peer_address, own.incarnation)
+        written = await self._store.write(
+            key, document._asdict(), version, lease
+        )
         return isinstance(written, int)
 
     def _is_abandoned(self, announcement: StoreValue) -> bool:
-        """Return whether a later process uses the relay's address."""
-        address = str(announcement.document['address'])
-        incarnation = announcement.document.get('incarnation', 0)
-        return any(
-            member.peer_address == address and member.incarnation > incarnation
+        """Return whether a later process uses the relay's address.
+
+        A slot whose document is unreadable belongs to no relay.
+        """
+        document = _read_document(announcement.document)
+        return document is None or any(
+            member.peer_address == document.address
+            and member.incarnation > document.incarnation
             for member in self._membership.table.list_active()
         )
 
@@ -202,9 +230,13 @@
             extra={'instance': self._membership.own.node_id},
         )
         renewal = asyncio.create_task(self._keep_lease(lease))
-        watch = asyncio.create_task(self._watch())
-        discovery = asyncio.create_task(self._discover())
-        comparison = asyncio.create_task(self._archive.compare_repeatedly())
+        watch = asyncio.create_task(run_supervised('watch', self._watch))
+        discovery = asyncio.create_task(
+            run_supervised('discovery', self._discover)
+        )
+        comparison = asyncio.create_task(
+            run_supervised('comparison', self._archive.compare_repeatedly)
+        )
         try:
             await renewal
         finally:
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -3,7 +3,7 @@
 import asyncio
 import os
 import resource
-from collections.abc import Coroutine, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Any, Final
 
 from merlintrail.coordination import (
@@ -13,6 +13,7 @@
     MembershipState,
     QuarantineArchive,
     Relay,
+    run_supervised,
 )
 from merlintrail.node._backend import HINT_INTERVAL_S
 from merlintrail.node._call_path import CallPathDependencies, create_call_path
@@ -124,13 +125,13 @@
                 ),
             )
         )
-        self.start_task(self.join())
-        self.start_task(self.heartbeats.run())
-        self.start_task(self.run_relay())
-        self.start_task(self.run_archive())
-        self.start_task(self._poll_readiness())
-        self.start_task(self._poll_hints())
-        self.start_task(self.lifecycle.run())
+        self.start_task('join', self.join)
+        self.start_task('heartbeats', self.heartbeats.run)
+        self.start_task('relay', self.run_relay)
+        self.start_task('archive', self.run_archive)
+        self.start_task('readiness', self._poll_readiness)
+        self.start_task('hints', self._poll_hints)
+        self.start_task('lifecycle', self.lifecycle.run)
         _LOG.info(
             'node started',
             extra={
@@ -160,9 +161,11 @@
         self._peer_pool.close()
         _LOG.info('node stopped', extra={'instance': self.settings.instance})
 
-    def start_task(self, work: Coroutine[Any, Any, None]) -> None:
+    def start_task(
+        self, name: str, work: Callable[[], Awaitable[None]]
+    ) -> None:
         """Run background work until the node stops."""
-        self._tasks.append(asyncio.create_task(work))
+        self._tasks.append(asyncio.create_task(run_supervised(name, work)))
 
     async def join(self) -> None:
         """Join the other nodes and fetch the configuration."""
--- a/merlintrail/node/tests/test_lifecycle.py
+++ b/merlintrail/node/tests/test_lifecycle.py
@@ -72,7 +72,7 @@
         async def scenario() -> None:
             session = _create_session(0.05)
             node = session.nodes['one']
-            node.start_task(node.run_relay())
+            node.start_task('relay', node.run_relay)
             while not node.membership.own.is_relay:
                 await asyncio.sleep(0.1)
             session.store.is_silent = True
