Shed by the estimated demand in place of what waits

The level rose by the waiting share of the load again and again while a backlog was worked off, up to 123 of 127, then fell by one priority a tenth of a second over two seconds of idle slots.

Now the level is the lowest one at which the estimated demand of each class fits the capacity (slots by service time), corrected by what waits or is refused, at most once in the time a change needs. The demand is measured from the sublevels that pass, so it is known while most of a class is shed. Fewer sublevels are exempt the further a class lies below the level, none while the highest is shed; retries are not raised into them. A nested call counts as one class higher than its own, but the highest class goes before all others. The levels that requests met are refreshed by whatever request reports them.

--- a/merlintrail/state/__init__.py
+++ b/merlintrail/state/__init__.py
@@ -2,6 +2,7 @@
 
 from merlintrail.state._admission import AdmissionController, AdmissionRequest
 from merlintrail.state._call_table import CallRecord, CallTable
+from merlintrail.state._demand import DemandEstimate, is_shed
 from merlintrail.state._difference import Difference, find_differences
 from merlintrail.state._document import (
     CallerLimits,
@@ -42,6 +43,7 @@
     compute_retry_after,
     raise_priority,
 )
+from merlintrail.state._reported_levels import SheddingLevelTable
 from merlintrail.state._retry_account import (
     RetryAccount,
     RetryBudget,
@@ -61,11 +63,7 @@
     RoutingRequest,
     Tier,
 )
-from merlintrail.state._shedding import (
-    SheddingController,
-    SheddingLevelTable,
-    is_shed,
-)
+from merlintrail.state._shedding import SheddingController
 from merlintrail.state._stops import find_planned_stop, overlaps_planned_stop
 from merlintrail.state._suspicion import (
     Suspicion,
@@ -94,6 +92,7 @@
     'ConcurrencyLimit',
     'Configuration',
     'ConfigurationHolder',
+    'DemandEstimate',
     'Difference',
     'DownstreamLevels',
     'Envelope',
--- a/merlintrail/state/_admission.py
+++ b/merlintrail/state/_admission.py
@@ -12,8 +12,9 @@
     Reason,
     Refusal,
 )
+from merlintrail.state._demand import is_shed
 from merlintrail.state._limits import ConcurrencyLimit
-from merlintrail.state._shedding import SheddingController, is_shed
+from merlintrail.state._shedding import SheddingController
 
 #: Weights of a new sample in the moving average of the service time. An
 #: increase is followed faster than a decrease, so that the queue becomes
@@ -33,9 +34,6 @@
 #: The same for a nested call. It is larger because the refusal of a nested
 #: call wastes the work already done for its request.
 MAX_NESTED_WAIT_SHARE: Final = 0.8
-#: Estimated wait of a nested call, in average service times, above which
-#: its arrival counts as an overflow.
-NESTED_OVERFLOW_SERVICE_TIMES: Final = 0.5
 #: Largest share of its objective that a call may wait in the queue.
 OBJECTIVE_WAIT_SHARE: Final = 0.125
 #: Number of call classes above which the averages by class are discarded.
@@ -44,6 +42,25 @@
 MAX_RETRY_AFTER_S: Final = 5.0
 
 
+#: Queues by importance and whether they are for nested calls, the one that is
+#: served last first. The work already done for a nested call counts as much
+#: as one class, because its request holds slots of other services until the
+#: call is served; but calls of the highest class are served before all others.
+_QUEUES: Final = (
+    (Importance.LOW, False),
+    (Importance.NORMAL, False),
+    (Importance.LOW, True),
+    (Importance.HIGH, False),
+    (Importance.NORMAL, True),
+    (Importance.HIGH, True),
+    (Importance.CRITICAL, False),
+    (Importance.CRITICAL, True),
+)
+_QUEUE_INDEXES: Final = {
+    properties: index for index, properties in enumerate(_QUEUES)
+}
+
+
 class AdmissionRequest(NamedTuple):
     """The properties of a call that determine whether it is admitted."""
 
@@ -59,12 +76,9 @@
 
     @property
     def queue_index(self) -> int:
-        """Index of the queue of the call; higher queues are served first.
-
-        Each importance class has two queues. The one for nested calls has
-        precedence over the other.
-        """
-        return self.priority // SUBLEVELS * 2 + int(self.is_nested)
+        """Index of the queue of the call; higher queues are served first."""
+        importance = Importance(self.priority // SUBLEVELS)
+        return _QUEUE_INDEXES[importance, self.is_nested]
 
 
 class QueuedCall:
@@ -83,7 +97,7 @@
     """Admits calls to one backend server.
 
     Calls that find no free slot wait in queues, two for each importance
-    class. One of the two is for nested calls and has precedence. Nested calls
+    class, of which one is for nested calls (see ``_QUEUES``). Nested calls
     may also wait longer than other calls and are never evicted, because the
     work already done for their request would be wasted.
 
@@ -116,9 +130,7 @@
         self._clock = clock
         self._service_by_class: dict[str, float] = {}
         self._waiting_nested = 0
-        self._queues: list[deque[QueuedCall]] = [
-            deque() for _ in range(len(Importance) * 2)
-        ]
+        self._queues: list[deque[QueuedCall]] = [deque() for _ in _QUEUES]
 
     @property
     def queued(self) -> int:
@@ -139,7 +151,6 @@
         if self.running < self.limit.limit and not self.queued:
             self._take_slot()
             return None
-        self.shedder.record_saturation()
         if not request.is_nested:
             return await self._wait(request)
         self._update_waiting_nested(1)
@@ -173,7 +184,7 @@
 
     def record_service(self, held_s: float, call_class: str = '') -> None:
         """Record the time for which a completed call held its slot."""
-        self.shedder.record_completion(self.service_s)
+        self.shedder.record_completion(held_s)
         self.service_s = _update_average(self.service_s, held_s)
         if len(self._service_by_class) > MAX_CALL_CLASSES:
             self._service_by_class.clear()
@@ -202,11 +213,6 @@
         Nested calls are never shed, nor are calls that find a free slot.
         """
         wait_s = self.estimate_wait(request)
-        if (
-            request.is_nested
-            and wait_s > self.service_s * NESTED_OVERFLOW_SERVICE_TIMES
-        ):
-            self.shedder.record_overflow()
         service_s = self.estimate_min_service_time(request.call_class)
         if now + wait_s + service_s > request.deadline:
             if wait_s > 0:
@@ -269,7 +275,11 @@
     ) -> list[deque[QueuedCall]]:
         """Return the queues of lower importance without nested calls."""
         own_class = request.priority // SUBLEVELS
-        return self._queues[: own_class * 2 : 2]
+        return [
+            self._queues[_QUEUE_INDEXES[importance, False]]
+            for importance in Importance
+            if importance < own_class
+        ]
 
     def _evict_lower_classes(self, request: AdmissionRequest) -> None:
         """Refuse waiting calls of lower importance than a refused call.
@@ -312,9 +322,9 @@
 
     def _take_next(self) -> QueuedCall | None:
         """Remove and return the call that is to be served next."""
-        for index in range(len(self._queues) - 1, -1, -1):
-            queue = self._queues[index]
-            is_nested = index % 2 == 1
+        for (_, is_nested), queue in zip(
+            reversed(_QUEUES), reversed(self._queues), strict=True
+        ):
             while queue:
                 is_overloaded = len(queue) > self.limit.limit and not is_nested
                 call = queue.pop() if is_overloaded else queue.popleft()
--- a/merlintrail/state/_downstream_levels.py
+++ b/merlintrail/state/_downstream_levels.py
@@ -3,11 +3,14 @@
 from collections.abc import Mapping
 from typing import Final
 
-from merlintrail.state._shedding import SheddingLevelTable
+from merlintrail.state._reported_levels import SheddingLevelTable
 
 #: Seconds without a report after which a request kind is no longer assumed
 #: to call a service.
 DEPENDENCY_RETENTION_S: Final = 60.0
+#: Seconds without a report after which requests to a data centre are no
+#: longer assumed to meet a level.
+MEETING_RETENTION_S: Final = 2.0
 #: Seconds for which a level of 0 is reported after a service has shed.
 REPORT_ZERO_S: Final = 2.0
 
@@ -29,7 +32,11 @@
 
     def __init__(self) -> None:
         self._levels = SheddingLevelTable()
+        #: Clock time of the last report by request kind and service.
         self._dependencies: dict[str, dict[str, float]] = {}
+        #: Clock time of the last report by key of a level, for each service
+        #: and data centre to which requests were sent.
+        self._met_keys: dict[str, dict[str, float]] = {}
 
     def record(
         self,
@@ -40,26 +47,19 @@
     ) -> None:
         """Record the levels that an answer to a request reports.
 
-        For each service the highest reported level is also recorded for the
-        data centre to which the request was sent. If a nested call left that
-        data centre, the nested calls of the next request sent there are
-        expected to leave it too and to be subject to the same level.
+        If a nested call left the data centre to which the request was sent,
+        the nested calls of the next request sent there are expected to leave
+        it too, and to be subject to the level that they meet elsewhere.
 
         :param data_centre: where the request was sent.
         :param levels: levels by key, see :func:`build_level_key`.
         """
-        highest_by_service: dict[str, int] = {}
         for key, level in levels.items():
             service = key.partition('@')[0]
             self._dependencies.setdefault(kind, {})[service] = now
+            place = build_level_key(service, data_centre)
+            self._met_keys.setdefault(place, {})[key] = now
             self._levels.record(key, level, now)
-            highest_by_service[service] = max(
-                level, highest_by_service.get(service, 0)
-            )
-        for service, highest in highest_by_service.items():
-            self._levels.record(
-                build_level_key(service, data_centre), highest, now
-            )
 
     def read(self, kind: str, data_centre: str, now: float) -> int:
         """Return the highest level of the services that a kind calls.
@@ -69,17 +69,35 @@
         services = self._dependencies.get(kind)
         if not services:
             return 0
-        for name, reported_at in tuple(services.items()):
-            if now - reported_at > DEPENDENCY_RETENTION_S:
-                del services[name]
+        _remove_older(services, now - DEPENDENCY_RETENTION_S)
         return max(
             (
-                self._levels.read(build_level_key(service, data_centre), now)
+                self._read_place(build_level_key(service, data_centre), now)
                 for service in services
             ),
             default=0,
         )
 
+    def _read_place(self, place: str, now: float) -> int:
+        """Return the level of a service for requests sent to a data centre.
+
+        It is the highest one among the levels that such requests met lately,
+        whichever request reported it last. Until one met any, it is the
+        service's level there.
+        """
+        keys = self._met_keys.get(place)
+        if not keys:
+            return self._levels.read(place, now)
+        _remove_older(keys, now - MEETING_RETENTION_S)
+        return max((self._levels.read(key, now) for key in keys), default=0)
+
+
+def _remove_older(times: dict[str, float], oldest: float) -> None:
+    """Remove the entries whose time is before the oldest to keep."""
+    for name, time in tuple(times.items()):
+        if time < oldest:
+            del times[name]
+
 
 class LevelReportFilter:
     """Decides which shedding levels an answer reports.
--- a/merlintrail/state/_refused_requests.py
+++ b/merlintrail/state/_refused_requests.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from merlintrail.protocol import SUBLEVELS
+from merlintrail.state._demand import MAX_RAISED_SUBLEVEL
 
 #: Seconds for which a refused request is recorded.
 RETENTION_S: Final = 10.0
@@ -55,10 +56,14 @@
 
 
 def raise_priority(priority: int) -> int:
-    """Return the priority of a retried request within its class."""
+    """Return the priority of a retried request within its class.
+
+    It does not become exempt from shedding: in a surge, retried requests of
+    low importance alone could otherwise exceed the capacity.
+    """
     sublevel = priority % SUBLEVELS
-    raised = min(SUBLEVELS - 1, sublevel + PRIORITY_BOOST)
-    return priority - sublevel + raised
+    raised = min(MAX_RAISED_SUBLEVEL, sublevel + PRIORITY_BOOST)
+    return priority - sublevel + max(sublevel, raised)
 
 
 def compute_retry_after(
--- a/merlintrail/state/_routing.py
+++ b/merlintrail/state/_routing.py
@@ -5,6 +5,7 @@
 from typing import Final, NamedTuple
 
 from merlintrail.state._data_centre_outcomes import DataCentreOutcomes
+from merlintrail.state._demand import is_shed
 from merlintrail.state._downstream_levels import DownstreamLevels
 from merlintrail.state._links import LinkAllowance
 from merlintrail.state._members import Member, MemberStatus, ServiceOffer
@@ -15,7 +16,6 @@
     RoutingRequest,
     Tier,
 )
-from merlintrail.state._shedding import is_shed
 from merlintrail.state._targets import Target
 
 #: Load that is assumed for the backend servers of the region when there are
--- a/merlintrail/state/_targets.py
+++ b/merlintrail/state/_targets.py
@@ -4,7 +4,7 @@
 
 from merlintrail.protocol import CallReport
 from merlintrail.state._members import Member, ServiceOffer
-from merlintrail.state._shedding import ReportedLevel
+from merlintrail.state._reported_levels import ReportedLevel
 
 #: Weight of a new sample in the moving average of the latency.
 LATENCY_WEIGHT: Final = 0.1
