Read before claiming a relay slot, and read old listings at the start

Each node that started with many others took itself for the only one: it asked for a lease, read both slots and gave the lease back, and it read the listing of relays anew at each attempt to join.

Nodes that know no other of their data centre now spread their first check over 3 s, read the slots once before they ask for a lease, and join whoever holds them. Slots stand in a module of their own.

Ruled out: a shorter look at who is preferred, since nobody is known yet; fresh listings with longer pauses, which delay joining.

The test bounds writes and leases whatever the size; it fails before.

--- a/merlintrail/coordination/__init__.py
+++ b/merlintrail/coordination/__init__.py
@@ -31,8 +31,8 @@
     PeerClient,
 )
 from merlintrail.coordination._quarantine_archive import QuarantineArchive
-from merlintrail.coordination._relay import (
-    Relay,
+from merlintrail.coordination._relay import Relay
+from merlintrail.coordination._relay_slots import (
     RelayAnnouncement,
     build_relay_key,
     find_relays,
--- a/merlintrail/coordination/_quarantine_archive.py
+++ b/merlintrail/coordination/_quarantine_archive.py
@@ -95,9 +95,14 @@
     async def load(self) -> bool:
         """Read all records and merge them.
 
+        Seconds-old ones suffice: a record whose version has changed since is
+        read again when it is written.
+
         :returns: whether the store answered.
         """
-        listing = await self._store.read_range(QUARANTINE_PREFIX)
+        listing = await self._store.read_range(
+            QUARANTINE_PREFIX, may_be_stale=True
+        )
         if isinstance(listing, StoreFailure):
             return False
         self._stored.clear()
--- a/merlintrail/coordination/_relay.py
+++ b/merlintrail/coordination/_relay.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import random
-from typing import Final, NamedTuple
+from typing import Final
 
 from merlintrail.coordination._changes import (
     CONFIGURATION_KEY,
@@ -16,6 +16,11 @@
 from merlintrail.coordination._heartbeat import Heartbeats
 from merlintrail.coordination._membership import Membership
 from merlintrail.coordination._quarantine_archive import QuarantineArchive
+from merlintrail.coordination._relay_slots import (
+    RELAYS_PER_DATA_CENTRE,
+    RelaySlots,
+    find_relays,
+)
 from merlintrail.coordination._store import (
     Store,
     StoreFailure,
@@ -25,24 +30,22 @@
 from merlintrail.coordination._supervision import run_supervised
 from merlintrail.coordination._topology import compute_hash
 from merlintrail.observability import create_logger
-from merlintrail.protocol import DecodeFailure, decode_record
+from merlintrail.protocol import DecodeFailure
 from merlintrail.state import MemberStatus
 
-#: Prefix of the keys under which relays announce themselves.
-RELAY_PREFIX: Final = 'relay/'
-#: Relay slots of each data centre.
-RELAYS_PER_DATA_CENTRE: Final = 2
 #: Probability that a node which is not preferred tries for a free slot at a
 #: check, in case the preferred nodes cannot reach the store.
 SUBSTITUTE_PROBABILITY: Final = 0.02
-#: Seconds until a relay's lease expires unless it is renewed.
-LEASE_DURATION_S: Final = 6.0
 #: Seconds between renewals of the lease.
 RENEWAL_INTERVAL_S: Final = 2.0
 #: Seconds for which one watch waits for changes.
 WATCH_TIMEOUT_S: Final = 20.0
 #: Seconds between checks for a free relay slot in the data centre.
 CHECK_INTERVAL_S: Final = 1.0
+#: Seconds over which nodes that know no other node of their data centre
+#: spread their first check, so that the first ones become relays and the
+#: others find them.
+ALONE_SPREAD_S: Final = 3.0
 #: Seconds between polls of the store for unknown relays.
 DISCOVERY_INTERVAL_S: Final = 5.0
 #: Seconds after its start during which a relay polls at the eager interval.
@@ -58,63 +61,6 @@
 _LOG: Final = create_logger('relay')
 
 
-def build_relay_key(data_centre: str, slot: int) -> str:
-    """Return the store key of a relay slot."""
-    return f'{RELAY_PREFIX}{data_centre}/{slot}'
-
-
-class RelayAnnouncement(NamedTuple):
-    """A relay that the store lists."""
-
-    data_centre: str
-    #: ``host:port`` at which the relay accepts messages from other nodes.
-    address: str
-
-
-async def find_relays(
-    store: Store, *, may_be_stale: bool = False
-) -> list[RelayAnnouncement]:
-    """Return the relays of all data centres; none if the store fails.
-
-    :param may_be_stale: whether a listing that is seconds old suffices.
-    """
-    listing = await store.read_range(RELAY_PREFIX, may_be_stale=may_be_stale)
-    if isinstance(listing, StoreFailure):
-        return []
-    relays = []
-    for entry in listing.entries:
-        document = _read_document(entry.document)
-        if document is None:
-            _LOG.error('stored relay unreadable', extra={'key': entry.key})
-            continue
-        data_centre, _, _ = entry.key.removeprefix(RELAY_PREFIX).partition('/')
-        relays.append(RelayAnnouncement(data_centre, document.address))
-    return relays
-
-
-class _RelayDocument(NamedTuple):
-    """What the store holds under the key of a relay slot."""
-
-    #: ``host:port`` at which the relay accepts messages from other nodes.
-    address: str
-    #: Run of the relay's process.
-    incarnation: int = 0
-
-
-def _read_document(document: object) -> _RelayDocument | None:
-    """Decode the document of a relay slot.
-
-    :returns: ``None`` for one of another form.
-    """
-    decoded = decode_record(_RelayDocument, document)
-    if isinstance(decoded, DecodeFailure):
-        return None
-    is_typed = isinstance(decoded.address, str) and isinstance(
-        decoded.incarnation, int
-    )
-    return decoded if is_typed else None
-
-
 class Relay:
     """Acquires a free relay slot and watches the store while it holds it."""
 
@@ -130,17 +76,20 @@
         self._archive = archive
         self._heartbeats = heartbeats
         self._store = store
+        self._slots = RelaySlots(membership, store)
         self._rng = rng
         self._backoff_s = MIN_BACKOFF_S
 
     async def run(self) -> None:
         """Repeatedly acquire a free slot and serve as a relay."""
+        if self._is_alone():
+            await asyncio.sleep(ALONE_SPREAD_S * self._rng.random())
         while True:
-            await asyncio.sleep(CHECK_INTERVAL_S * self._rng.uniform(0.7, 1.3))
+            await asyncio.sleep(CHECK_INTERVAL_S * self._rng.uniform(0.3, 1.0))
             slot = self._choose_slot()
             if slot is None:
                 continue
-            lease = await self._acquire_slot(slot)
+            lease = await self._claim_slot(slot)
             if lease is None:
                 await self._back_off()
                 continue
@@ -154,6 +103,15 @@
             self._offer_configuration(stored)
         return stored
 
+    def _is_alone(self) -> bool:
+        """Return whether no other node of the data centre is known."""
+        own = self._membership.own
+        return not any(
+            member.data_centre == own.data_centre
+            and member.node_id != own.node_id
+            for member in self._membership.table.list_active()
+        )
+
     def _choose_slot(self) -> int | None:
         """Return the slot that this node should try for, if any."""
         own = self._membership.own
@@ -181,47 +139,22 @@
             RELAYS_PER_DATA_CENTRE
         )
 
-    async def _acquire_slot(self, slot: int) -> str | None:
-        lease = await self._store.grant_lease(LEASE_DURATION_S)
-        if isinstance(lease, StoreFailure):
-            return None
-        for offset in range(RELAYS_PER_DATA_CENTRE):
-            if await self._claim_slot(
-                (slot + offset) % RELAYS_PER_DATA_CENTRE, lease
-            ):
-                return lease
-        await self._store.revoke_lease(lease)
-        return None
+    async def _claim_slot(self, first: int) -> str | None:
+        """Claim a slot that is free or abandoned, or join those who hold them.
 
-    async def _claim_slot(self, slot: int, lease: str) -> bool:
-        """Write the key of a slot that is free or abandoned."""
-        own = self._membership.own
-        key = build_relay_key(own.data_centre, slot)
-        current = await self._store.read(key)
-        version = 0
-        if isinstance(current, StoreValue):
-            if not self._is_abandoned(current):
-                return False
-            version = current.version
-        elif current.fault != StoreFault.NOT_FOUND:
-            return False
-        document = _RelayDocument(own.peer_address, own.incarnation)
-        written = await self._store.write(
-            key, document._asdict(), version, lease
-        )
-        return isinstance(written, int)
+        The slots are read before anything is written, since nodes that start
+        together do not know yet that others have claimed them.
 
-    def _is_abandoned(self, announcement: StoreValue) -> bool:
-        """Return whether a later process uses the relay's address.
-
-        A slot whose document is unreadable belongs to no relay.
+        :param first: number of the slot to prefer.
+        :returns: the lease of the slot, ``None`` if none was claimed.
         """
-        document = _read_document(announcement.document)
-        return document is None or any(
-            member.peer_address == document.address
-            and member.incarnation > document.incarnation
-            for member in self._membership.table.list_active()
-        )
+        slots = await self._slots.list_slots()
+        if isinstance(slots, StoreFailure):
+            return None
+        if slots.free_versions:
+            return await self._slots.claim(slots, first)
+        await self._heartbeats.join(self._rng.choice(slots.relay_addresses))
+        return None
 
     async def _serve(self, lease: str) -> None:
         self._membership.update_own(is_relay=True)
--- a/merlintrail/coordination/tests/fake_store.py
+++ b/merlintrail/coordination/tests/fake_store.py
@@ -149,7 +149,7 @@
         self, prefix: str, *, may_be_stale: bool = False
     ) -> StoreItems | StoreFailure:
         """Read all keys under a prefix."""
-        self.counts['read'] += 1
+        self.counts['stale read' if may_be_stale else 'read'] += 1
         if self.is_down:
             return StoreFailure(StoreFault.UNAVAILABLE, 'down')
         return self._list_changes(prefix, 0)
@@ -168,6 +168,7 @@
 
     async def grant_lease(self, duration_s: float) -> str | StoreFailure:
         """Grant a lease that never expires."""
+        self.counts['lease'] += 1
         if self.is_down:
             return StoreFailure(StoreFault.UNAVAILABLE, 'down')
         self._leases += 1
--- a/merlintrail/node/_joiner.py
+++ b/merlintrail/node/_joiner.py
@@ -63,7 +63,7 @@
 
     async def _try_join(self) -> bool:
         own_data_centre = self._deps.settings.data_centre
-        relays = await find_relays(self._deps.store)
+        relays = await find_relays(self._deps.store, may_be_stale=True)
         local_addresses = [
             relay.address
             for relay in relays
--- /dev/null
+++ b/merlintrail/node/tests/test_start_together.py
@@ -0,0 +1,54 @@
+"""Nodes that start together make few calls to the store."""
+
+import asyncio
+import unittest
+from collections import Counter
+
+from merlintrail.coordination import CONFIGURATION_KEY
+from merlintrail.node.tests.session import Session, build_document, build_kind
+from merlintrail.state import Envelope
+from merlintrail.testing import run_virtually
+
+_DOCUMENT = build_document({'svc': [build_kind('read')]})
+#: Seconds within which all nodes know each other.
+_START_S = 8.0
+
+
+async def _start_nodes(count: int) -> tuple[Counter[str], list[int]]:
+    """Start nodes of one data centre that know no others.
+
+    :returns: the calls to the store by kind, and the members and relays that
+        each node knows in the end.
+    """
+    session = Session(_DOCUMENT, ())
+    envelope = Envelope(1, 'change-1', 'op', 0.0, _DOCUMENT)
+    session.store.swap(CONFIGURATION_KEY, envelope._asdict(), 0)
+    nodes = [session.add_node(f'node-{number}') for number in range(count)]
+    for node in nodes:
+        node.start_task('join', node.join)
+        node.start_task('heartbeats', node.heartbeats.run)
+        node.start_task('relay', node.run_relay)
+        node.start_task('archive', node.run_archive)
+    await asyncio.sleep(_START_S)
+    known = [len(node.table.list_active()) for node in nodes]
+    for node in nodes:
+        await node.stop()
+    return session.store.counts, known
+
+
+class StartTogetherTest(unittest.TestCase):
+    """All nodes of a data centre start at the same moment."""
+
+    def test_calls_to_the_store(self) -> None:
+        """Each node reads the configuration; few do anything else.
+
+        Writes and leases are those of the two relays and of nodes that try
+        for a slot at the same time.
+        """
+        for count in (8, 40):
+            with self.subTest(count=count):
+                calls, known = run_virtually(_start_nodes(count))
+                self.assertEqual(known, [count] * count)
+                self.assertLessEqual(calls['write'], 8)
+                self.assertLessEqual(calls['lease'], 8)
+                self.assertLessEqual(calls['read'], 2 * count + 8)
