--- a/merlintrail/node/tests/test_start_together.py
+++ b/merlintrail/node/tests/test_start_together.py
@@ -23,16 +23,16 @@
     session = Session(_DOCUMENT, ())
     envelope = Envelope(1, 'change-1', 'op', 0.0, _DOCUMENT)
     session.store.swap(CONFIGURATION_KEY, envelope._asdict(), 0)
-    nodes = [session.add_node(f'node-{number}') for number in range(count)]
+    names = [f'node-{number}' for number in range(count)]
+    nodes = [session.add_node(name) for name in names]
     for node in nodes:
         node.start_task('join', node.join)
         node.start_task('heartbeats', node.heartbeats.run)
         node.start_task('relay', node.run_relay)
         node.start_task('archive', node.run_archive)
     await asyncio.sleep(_START_S)
-    known = [len(node.table.list_active()) for node in nodes]
-    for node in nodes:
-        await node.stop()
+    known = [len(member.table.list_active()) for member in nodes]
+    await asyncio.gather(*(started.stop() for started in nodes))
     return session.store.counts, known
 
 
