Take the configuration from neighbours at a start

Each node that started read the whole configuration from the store, at the same time as it joined nodes that had it: one read a start, and the document across regions for two thirds of the nodes. It now waits 0.3 to 0.9 s for the answer of the node that it joins and reads the store only if that one has none, as after a start of all nodes.

--- a/merlintrail/node/_joiner.py
+++ b/merlintrail/node/_joiner.py
@@ -18,6 +18,10 @@
 
 #: Pauses after failed attempts.
 _BACKOFF: Final = Backoff(first_s=0.2, limit_s=3.0)
+#: Mean seconds for which a node that starts waits for the configuration of
+#: the nodes that it joins. The document takes many times the bytes of a join,
+#: and the store may be in another region.
+FETCH_DELAY_S: Final = 0.6
 #: Relays of other data centres that are contacted in each attempt.
 MAX_REMOTE_RELAYS: Final = 2
 
@@ -46,15 +50,21 @@
     async def run(self) -> None:
         """Retry until the node has joined and has a configuration.
 
-        A node that became a relay itself need not join another one. The
-        configuration is fetched from the store at the same time, because
-        nodes that started together with this one may not have it either.
+        A node that became a relay itself need not join another one. It gets
+        the configuration with the answer of the node that it joins. When that
+        one does not have it either, as after a start of all nodes, the
+        configuration is fetched from the store.
         """
         await asyncio.gather(
             repeat_until_done(self._try_join, _BACKOFF, self._rng),
-            repeat_until_done(self._try_fetch, _BACKOFF, self._rng),
+            self._fetch_configuration(),
         )
 
+    async def _fetch_configuration(self) -> None:
+        """Fetch the configuration from the store unless a node provides it."""
+        await asyncio.sleep(FETCH_DELAY_S * self._rng.uniform(0.5, 1.5))
+        await repeat_until_done(self._try_fetch, _BACKOFF, self._rng)
+
     async def _try_fetch(self) -> bool:
         holder = self._deps.membership.holder
         if holder.current is None:
--- a/merlintrail/node/tests/test_start_together.py
+++ b/merlintrail/node/tests/test_start_together.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 from merlintrail.coordination import CONFIGURATION_KEY
+from merlintrail.node import Node
 from merlintrail.node.tests.session import Session, build_document, build_kind
 from merlintrail.state import Envelope
 from merlintrail.testing import run_virtually
@@ -14,22 +15,32 @@
 _START_S = 8.0
 
 
+def _create_session() -> Session:
+    """Create a session without nodes, whose store has the configuration."""
+    session = Session(_DOCUMENT, ())
+    envelope = Envelope(1, 'change-1', 'op', 0.0, _DOCUMENT)
+    session.store.swap(CONFIGURATION_KEY, envelope._asdict(), 0)
+    return session
+
+
+def _start_node(session: Session, name: str) -> Node:
+    """Start a node that knows no others."""
+    node = session.add_node(name)
+    node.start_task('join', node.join)
+    node.start_task('heartbeats', node.heartbeats.run)
+    node.start_task('relay', node.run_relay)
+    node.start_task('archive', node.run_archive)
+    return node
+
+
 async def _start_nodes(count: int) -> tuple[Counter[str], list[int]]:
     """Start nodes of one data centre that know no others.
 
-    :returns: the calls to the store by kind, and the members and relays that
+    :returns: the calls to the store by kind, and the number of members that
         each node knows in the end.
     """
-    session = Session(_DOCUMENT, ())
-    envelope = Envelope(1, 'change-1', 'op', 0.0, _DOCUMENT)
-    session.store.swap(CONFIGURATION_KEY, envelope._asdict(), 0)
-    names = [f'node-{number}' for number in range(count)]
-    nodes = [session.add_node(name) for name in names]
-    for node in nodes:
-        node.start_task('join', node.join)
-        node.start_task('heartbeats', node.heartbeats.run)
-        node.start_task('relay', node.run_relay)
-        node.start_task('archive', node.run_archive)
+    session = _create_session()
+    nodes = [_start_node(session, f'node-{number}') for number in range(count)]
     await asyncio.sleep(_START_S)
     known = [len(member.table.list_active()) for member in nodes]
     await asyncio.gather(*(started.stop() for started in nodes))
@@ -37,7 +48,36 @@
 
 
 class StartTogetherTest(unittest.TestCase):
-    """All nodes of a data centre start at the same moment."""
+    """All nodes of a data centre start at the same moment, or one later."""
+
+    def test_configuration_of_neighbours(self) -> None:
+        """A node that starts later reads no configuration from the store."""
+
+        async def scenario() -> None:
+            session = _create_session()
+            nodes = [_start_node(session, name) for name in ('a', 'b', 'c')]
+            await asyncio.sleep(_START_S)
+            session.store.counts.clear()
+            nodes.append(_start_node(session, 'd'))
+            await asyncio.sleep(1.0)
+            self.assertEqual(nodes[-1].holder.generation, 1)
+            self.assertEqual(session.store.counts['read'], 0)
+            await asyncio.gather(*(started.stop() for started in nodes))
+
+        run_virtually(scenario())
+
+    def test_configuration_of_the_store(self) -> None:
+        """Nodes that start together soon have it, whoever reads it."""
+
+        async def scenario() -> None:
+            session = _create_session()
+            nodes = [_start_node(session, f'n{number}') for number in range(9)]
+            await asyncio.sleep(1.2)
+            generations = {started.holder.generation for started in nodes}
+            self.assertEqual(generations, {1})
+            await asyncio.gather(*(started.stop() for started in nodes))
+
+        run_virtually(scenario())
 
     def test_calls_to_the_store(self) -> None:
         """Each node reads the configuration; few do anything else.
