Refuse the key of another request that still runs

A caller that used a key for another body, while the first request with it ran, got the first one's answer. Only the key was compared until the run had ended.

--- a/merlintrail/coordination/_ledger.py
+++ b/merlintrail/coordination/_ledger.py
@@ -121,6 +121,13 @@
     return None
 
 
+class _RunningRequest(NamedTuple):
+    """A request in progress, which resent ones share."""
+
+    digest: str
+    task: 'asyncio.Task[HttpResponse | Refusal]'
+
+
 class Ledger:
     """Runs keyed requests at most once, in the slots that this node owns."""
 
@@ -136,7 +143,7 @@
         self._query_previous_owner = query_previous_owner
         self._settings = LedgerSettings()
         self._slots: dict[int, LedgerSlot] = {}
-        self._running: dict[str, asyncio.Task[HttpResponse | Refusal]] = {}
+        self._running: dict[str, _RunningRequest] = {}
         self._answers: OrderedDict[str, HttpResponse] = OrderedDict()
         self._answer_bytes = 0
         self._backoff_until = 0.0
@@ -164,16 +171,14 @@
         Resent requests share the run in progress or get the cached answer.
         """
         running = self._running.get(request.key)
+        if running is not None and running.digest != request.digest:
+            return _refuse_reused_key()
         if running is None:
             answer = self._answers.get(request.key)
             if answer is not None:
                 return self._check_reuse(request) or answer
-            running = asyncio.create_task(self._execute_new(request))
-            self._running[request.key] = running
-            running.add_done_callback(
-                lambda _: self._running.pop(request.key, None)
-            )
-        return await asyncio.shield(running)
+            running = self._start(request)
+        return await asyncio.shield(running.task)
 
     def find_answer(self, key: str) -> HttpResponse | Refusal | None:
         """Return the cached answer for a key.
@@ -185,6 +190,13 @@
             return Refusal(Outcome.MAY_HAVE_RUN, Reason.KEY_IN_USE)
         return self._answers.get(key)
 
+    def _start(self, request: KeyedRequest) -> '_RunningRequest':
+        task = asyncio.create_task(self._execute_new(request))
+        running = _RunningRequest(request.digest, task)
+        self._running[request.key] = running
+        task.add_done_callback(lambda _: self._running.pop(request.key, None))
+        return running
+
     async def _execute_new(
         self, request: KeyedRequest
     ) -> HttpResponse | Refusal:
@@ -277,11 +289,7 @@
         self, request: KeyedRequest, existing: KeyRecord
     ) -> HttpResponse | Refusal:
         if existing.digest != request.digest:
-            return Refusal(
-                Outcome.NOT_RUN,
-                Reason.KEY_REUSED,
-                'the key belongs to another request',
-            )
+            return _refuse_reused_key()
         if existing.owner != self._deps.owner:
             previous_answer = await self._query_previous_owner(existing)
             if previous_answer is not None:
@@ -295,11 +303,7 @@
     def _check_reuse(self, request: KeyedRequest) -> Refusal | None:
         existing = self._get_slot(request.key).index.find(request.key)
         if existing is not None and existing.digest != request.digest:
-            return Refusal(
-                Outcome.NOT_RUN,
-                Reason.KEY_REUSED,
-                'the key belongs to another request',
-            )
+            return _refuse_reused_key()
         return None
 
     def _get_slot(self, key: str) -> LedgerSlot:
@@ -318,6 +322,14 @@
             self._answer_bytes -= len(evicted.body) + ANSWER_OVERHEAD_BYTES
 
 
+def _refuse_reused_key() -> Refusal:
+    return Refusal(
+        Outcome.NOT_RUN,
+        Reason.KEY_REUSED,
+        'the key belongs to another request',
+    )
+
+
 def _get_caller_key(key: str) -> str:
     """Return the key that the caller sent, without the service name."""
     return key.rpartition('\n')[2]
--- a/merlintrail/node/tests/test_keyed.py
+++ b/merlintrail/node/tests/test_keyed.py
@@ -94,6 +94,20 @@
 
         run_virtually(scenario())
 
+    def test_key_of_another_running_request_is_refused(self) -> None:
+        """A key in use must not return the answer to its other request."""
+
+        async def scenario() -> None:
+            session = _create_session(0.5)
+            first = asyncio.create_task(_send(session, 'a', 'x'))
+            await asyncio.sleep(0.2)
+            answer = await _send(session, 'b', 'y')
+            self.assertEqual(answer.status, 422)
+            self.assertEqual((await first).body, b'x')
+            self.assertEqual(session.executions['svc y'], 0)
+
+        run_virtually(scenario())
+
     def test_resend_after_the_deadline_of_the_caller(self) -> None:
         """A request that outlives its caller's deadline is not run again."""
 
