Join within the data centre first, and claim slots sooner

And nodes waited for up to 3 s before the first look at the slots. The first attempt now stays in the data centre, the first look comes within 1 s, and a node that joined one without a configuration reads it at once.

--- a/merlintrail/coordination/_relay.py
+++ b/merlintrail/coordination/_relay.py
@@ -45,7 +45,7 @@
 #: Seconds over which nodes that know no other node of their data centre
 #: spread their first check, so that the first ones become relays and the
 #: others find them.
-ALONE_SPREAD_S: Final = 3.0
+ALONE_SPREAD_S: Final = 1.0
 #: Seconds between polls of the store for unknown relays.
 DISCOVERY_INTERVAL_S: Final = 5.0
 #: Seconds after its start during which a relay polls at the eager interval.
@@ -85,16 +85,8 @@
         if self._is_alone():
             await asyncio.sleep(ALONE_SPREAD_S * self._rng.random())
         while True:
-            await asyncio.sleep(CHECK_INTERVAL_S * self._rng.uniform(0.3, 1.0))
-            slot = self._choose_slot()
-            if slot is None:
-                continue
-            lease = await self._claim_slot(slot)
-            if lease is None:
-                await self._back_off()
-                continue
-            self._backoff_s = MIN_BACKOFF_S
-            await self._serve(lease)
+            await self._check_slots()
+            await asyncio.sleep(CHECK_INTERVAL_S * self._rng.uniform(0.7, 1.3))
 
     async def fetch_configuration(self) -> StoreValue | StoreFailure:
         """Read the configuration from the store and offer it to the node."""
@@ -103,6 +95,18 @@
             self._offer_configuration(stored)
         return stored
 
+    async def _check_slots(self) -> None:
+        """Serve as a relay if this node should and can claim a slot."""
+        slot = self._choose_slot()
+        if slot is None:
+            return
+        lease = await self._claim_slot(slot)
+        if lease is None:
+            await self._back_off()
+            return
+        self._backoff_s = MIN_BACKOFF_S
+        await self._serve(lease)
+
     def _is_alone(self) -> bool:
         """Return whether no other node of the data centre is known."""
         own = self._membership.own
--- a/merlintrail/node/_joiner.py
+++ b/merlintrail/node/_joiner.py
@@ -21,7 +21,9 @@
 #: Mean seconds for which a node that starts waits for the configuration of
 #: the nodes that it joins. The document takes many times the bytes of a join,
 #: and the store may be in another region.
-FETCH_DELAY_S: Final = 0.6
+FETCH_DELAY_S: Final = 0.2
+#: First attempts that contact no relays of other data centres.
+LOCAL_ATTEMPTS: Final = 1
 #: Relays of other data centres that are contacted in each attempt.
 MAX_REMOTE_RELAYS: Final = 2
 
@@ -39,29 +41,32 @@
 class Joiner:
     """Joins the fleet through relays or the addresses in the settings.
 
-    Each attempt contacts the relays of the own data centre, the addresses in
-    the settings and a few relays of other data centres, in this order.
+    Each attempt contacts the relays of the own data centre and the addresses
+    in the settings, and later ones also a few relays of other data centres.
+    Joining takes the whole member table, which nodes that start together
+    should get within their data centre.
     """
 
     def __init__(self, deps: JoinerDependencies, rng: random.Random) -> None:
         self._deps = deps
         self._rng = rng
+        self._attempts = 0
 
     async def run(self) -> None:
         """Retry until the node has joined and has a configuration.
 
         A node that became a relay itself need not join another one. It gets
         the configuration with the answer of the node that it joins. When that
-        one does not have it either, as after a start of all nodes, the
-        configuration is fetched from the store.
+        one does not have it either, as after a start of all nodes, or no node
+        answers soon, the configuration is fetched from the store.
         """
-        await asyncio.gather(
-            repeat_until_done(self._try_join, _BACKOFF, self._rng),
-            self._fetch_configuration(),
-        )
+        await asyncio.gather(self._join(), self._fetch_later())
 
-    async def _fetch_configuration(self) -> None:
-        """Fetch the configuration from the store unless a node provides it."""
+    async def _join(self) -> None:
+        await repeat_until_done(self._try_join, _BACKOFF, self._rng)
+        await repeat_until_done(self._try_fetch, _BACKOFF, self._rng)
+
+    async def _fetch_later(self) -> None:
         await asyncio.sleep(FETCH_DELAY_S * self._rng.uniform(0.5, 1.5))
         await repeat_until_done(self._try_fetch, _BACKOFF, self._rng)
 
@@ -81,6 +86,9 @@
         ]
         if await self._join_any([*local_addresses, *self._deps.settings.join]):
             return True
+        self._attempts += 1
+        if self._attempts <= LOCAL_ATTEMPTS:
+            return self._deps.membership.own.is_relay
         remote_addresses = [
             relay.address
             for relay in relays
