Serve fresh calls of a higher class before nested ones of a lower

Only nested calls of the lowest class keep the step over fresh ones of the next: they starved in a surge and held the slots that the most important needed. A test states the order; it fails before.

--- a/merlintrail/state/_admission.py
+++ b/merlintrail/state/_admission.py
@@ -43,15 +43,15 @@
 
 
 #: Queues by importance and whether they are for nested calls, the one that is
-#: served last first. The work already done for a nested call counts as much
-#: as one class, because its request holds slots of other services until the
-#: call is served; but calls of the highest class are served before all others.
+#: served last first. Importance goes first, and within a class nested calls.
+#: Nested calls of the lowest class go before others of the next one, because
+#: their requests hold slots of other services until they are served.
 _QUEUES: Final = (
     (Importance.LOW, False),
     (Importance.NORMAL, False),
     (Importance.LOW, True),
-    (Importance.HIGH, False),
     (Importance.NORMAL, True),
+    (Importance.HIGH, False),
     (Importance.HIGH, True),
     (Importance.CRITICAL, False),
     (Importance.CRITICAL, True),
--- a/merlintrail/state/tests/test_admission.py
+++ b/merlintrail/state/tests/test_admission.py
@@ -1,6 +1,7 @@
 """Tests of admission control and of the shedding controller."""
 
 import asyncio
+import itertools
 import unittest
 from collections.abc import Sequence
 
@@ -207,6 +208,34 @@
         self.assertEqual((running, queued), (0, 0))
 
 
+class QueueOrderTest(unittest.TestCase):
+    """The order in which waiting calls are served."""
+
+    def test_importance_goes_before_work_already_done(self) -> None:
+        """Except that nested calls of the lowest class do not starve."""
+        order = sorted(
+            itertools.product(Importance, (False, True)),
+            key=lambda properties: (
+                AdmissionRequest(
+                    properties[0] * SUBLEVELS, 1.0, is_nested=properties[1]
+                ).queue_index
+            ),
+        )
+        self.assertEqual(
+            order,
+            [
+                (Importance.LOW, False),
+                (Importance.NORMAL, False),
+                (Importance.LOW, True),
+                (Importance.NORMAL, True),
+                (Importance.HIGH, False),
+                (Importance.HIGH, True),
+                (Importance.CRITICAL, False),
+                (Importance.CRITICAL, True),
+            ],
+        )
+
+
 class SheddingControllerTest(unittest.TestCase):
     """The shedding level under and after an overload."""
 
