Log what a backend server states of itself in its answers

Both headers, of the platform's contract and of our own, are read once in the dialect; a value that is no decimal number becomes a finding. A change is logged as backend-server-notice, and a gauge shows leaving. The calls that it gets are counted by the admit lines of its node already. No decision depends on it yet.

--- a/merlintrail/node/_backend_exchange.py
+++ b/merlintrail/node/_backend_exchange.py
@@ -12,6 +12,7 @@
 from merlintrail.observability import log_decision
 from merlintrail.protocol import (
     AnswerClass,
+    BackendNotice,
     CallHeader,
     CallMetadata,
     Dialect,
@@ -133,6 +134,8 @@
         duration_s = now - started_at
         gate.backend.load = self._deps.dialect.read_load(answer)
         answer_class = self._deps.dialect.classify_answer(parent.token, answer)
+        if answer_class != AnswerClass.MISDIRECTED:
+            self._record_notice(gate, self._deps.dialect.read_notice(answer))
         is_shed = (
             answer_class == AnswerClass.SHED
             and not parent.has_failed_nested_call
@@ -154,6 +157,21 @@
             return answer
         return self._record_refusal(gate, parent, answer_class, now)
 
+    def _record_notice(
+        self, gate: AdmissionGate, notice: BackendNotice
+    ) -> None:
+        backend = gate.backend
+        if not backend.record_notice(notice):
+            return
+        log_decision(
+            'backend-server-notice',
+            instance=self._deps.node_id,
+            service=backend.announcement.service,
+            identity=backend.announcement.identity,
+            rate_limit=notice.rate_limit,
+            is_leaving=notice.is_leaving,
+        )
+
     def _record_refusal(
         self,
         gate: AdmissionGate,
--- a/merlintrail/node/_gauges.py
+++ b/merlintrail/node/_gauges.py
@@ -43,6 +43,14 @@
         'Calls of a lower priority are refused, 0 to 127.',
         lambda gate: gate.shedder.level,
     ),
+    _GateGauge(
+        'merlintrail.is_leaving',
+        '1',
+        'Whether the backend server states that it is leaving.',
+        lambda gate: float(
+            gate.backend.notice is not None and gate.backend.notice.is_leaving
+        ),
+    ),
 )
 
 
--- a/merlintrail/platform/_dialect.py
+++ b/merlintrail/platform/_dialect.py
@@ -11,6 +11,7 @@
     REASON_HEADER,
     AnswerClass,
     BackendLoad,
+    BackendNotice,
     CallerHeaders,
     CallMetadata,
     Dialect,
@@ -20,6 +21,7 @@
     create_id,
     encode_json,
     parse_load,
+    parse_rate_limit,
 )
 from merlintrail.transport import HeaderList, HttpRequest, HttpResponse
 
@@ -39,6 +41,11 @@
 _NOT_EXECUTED_HEADER: Final = 'not-executed'
 #: Load of the backend server: running requests, waiting requests, slots.
 _LOAD_HEADER: Final = 'server-load'
+#: Requests per second that the backend server takes from all nodes together.
+_RATE_LIMIT_HEADER: Final = 'server-limit'
+#: ``1`` in all answers of a backend server that is about to end.
+_LEAVING_HEADER: Final = 'server-leaving'
+_LEAVING: Final = '1'
 #: Request headers that only the node may set. Values sent by callers are
 #: not forwarded.
 _HEADERS_SET_BY_NODE: Final = frozenset(
@@ -146,6 +153,13 @@
         """Read the load header."""
         return parse_load(answer.find_header(_LOAD_HEADER))
 
+    def read_notice(self, answer: HttpResponse) -> BackendNotice:
+        """Read the headers for the rate limit and for leaving."""
+        return BackendNotice(
+            parse_rate_limit(answer.find_header(_RATE_LIMIT_HEADER)),
+            answer.find_header(_LEAVING_HEADER) == _LEAVING,
+        )
+
     def build_answer(
         self, answer: HttpResponse, request_id: str
     ) -> HttpResponse:
--- a/merlintrail/platform/tests/test_adapter.py
+++ b/merlintrail/platform/tests/test_adapter.py
@@ -21,7 +21,9 @@
 from merlintrail.platform.tests.samples import CONFIGURATION, SETTINGS
 from merlintrail.protocol import (
     AnswerClass,
+    BackendNotice,
     CallMetadata,
+    DecodeFailure,
     Outcome,
     Reason,
     Refusal,
@@ -98,7 +100,7 @@
 #: Names of the platform's wire format, which only the adapter may use.
 _PLATFORM_WIRE_NAMES: Final = re.compile(
     'attempt-id|response-seal|not-executed|expect-instance|caller-service'
-    '|server-load|instance-id|timeout-ms|kv-(key|range|watch|txn|lease|keep)'
+    '|server-(load|limit|leaving)|instance-id|timeout-ms|kv-(key|range|watch|txn|lease|keep)'
     '|op/config|ColdRemaining|Instances[.](Heartbeat|Leave)',
     re.IGNORECASE,
 )
@@ -190,6 +192,40 @@
             answer = HttpResponse(200, (('server-load', text),), b'')
             self.assertEqual(_DIALECT.read_load(answer), load)
 
+    def test_notice_headers(self) -> None:
+        """A limit is a decimal number; leaving is stated with ``1``."""
+        for text, rate_limit in (
+            ('19.5', 19.5),
+            ('0', 0.0),
+            ('.5', 0.5),
+            ('7.', 7.0),
+            (None, None),
+        ):
+            self.assertEqual(_read_notice(text).rate_limit, rate_limit)
+        for text in ('', 'nan', 'inf', '-1', '+1', '1e3', '1_0', '1,5', '٣'):
+            with self.subTest(text):
+                self.assertIsInstance(
+                    _read_notice(text).rate_limit, DecodeFailure
+                )
+        for text, is_leaving in (('1', True), ('0', False), (None, False)):
+            self.assertEqual(
+                _read_notice(None, leaving=text).is_leaving, is_leaving
+            )
+
+
+def _read_notice(
+    rate_limit: str | None, leaving: str | None = None
+) -> BackendNotice:
+    headers = {'server-limit': rate_limit, 'server-leaving': leaving}
+    answer = HttpResponse(
+        200,
+        tuple(
+            (name, text) for name, text in headers.items() if text is not None
+        ),
+        b'',
+    )
+    return _DIALECT.read_notice(answer)
+
 
 class ConfigurationTest(unittest.TestCase):
     """Translation of the operator's configuration into a document."""
--- a/merlintrail/protocol/__init__.py
+++ b/merlintrail/protocol/__init__.py
@@ -31,7 +31,9 @@
     HOP_BY_HOP_HEADERS,
     IDEMPOTENCY_KEY_HEADER,
     INTERNAL_PREFIX,
+    LEAVING_HEADER,
     OUTCOME_HEADER,
+    RATE_LIMIT_HEADER,
     REASON_HEADER,
     REPORT_HEADER,
     REQUEST_ID_HEADER,
@@ -47,6 +49,7 @@
     read_importance,
 )
 from merlintrail.protocol._inquiry import Inquiry, InquiryAnswer, InquiryState
+from merlintrail.protocol._notice import BackendNotice, parse_rate_limit
 from merlintrail.protocol._outcome import (
     Outcome,
     Reason,
@@ -62,14 +65,17 @@
     'HOP_BY_HOP_HEADERS',
     'IDEMPOTENCY_KEY_HEADER',
     'INTERNAL_PREFIX',
+    'LEAVING_HEADER',
     'MAX_PRIORITY',
     'OUTCOME_HEADER',
+    'RATE_LIMIT_HEADER',
     'REASON_HEADER',
     'REPORT_HEADER',
     'REQUEST_ID_HEADER',
     'SUBLEVELS',
     'AnswerClass',
     'BackendLoad',
+    'BackendNotice',
     'CallHeader',
     'CallMetadata',
     'CallReport',
@@ -96,6 +102,7 @@
     'list_returned_headers',
     'parse_duration',
     'parse_load',
+    'parse_rate_limit',
     'read_caller_headers',
     'read_importance',
     'read_key_age_s',
--- a/merlintrail/protocol/_dialect.py
+++ b/merlintrail/protocol/_dialect.py
@@ -11,13 +11,16 @@
     DEADLINE_HEADER,
     HOP_BY_HOP_HEADERS,
     INTERNAL_PREFIX,
+    LEAVING_HEADER,
     LOAD_HEADER,
     OUTCOME_HEADER,
+    RATE_LIMIT_HEADER,
     REQUEST_ID_HEADER,
     CallerHeaders,
     read_caller_headers,
 )
 from merlintrail.protocol._identity import create_id
+from merlintrail.protocol._notice import BackendNotice, parse_rate_limit
 from merlintrail.protocol._outcome import (
     Outcome,
     Refusal,
@@ -27,6 +30,8 @@
 
 #: Status with which a backend server sheds a call.
 _SHED_STATUS: Final = 503
+#: Value with which a backend server states that it is leaving.
+_LEAVING: Final = '1'
 _LOAD_PATTERN: Final = re.compile('([0-9]{1,9}),([0-9]{1,9}),([0-9]{1,9})')
 _MS_PER_S: Final = 1000
 
@@ -119,6 +124,10 @@
     def read_load(self, answer: HttpResponse) -> BackendLoad | None:
         """Decode the load that a backend server reports in an answer."""
 
+    @abc.abstractmethod
+    def read_notice(self, answer: HttpResponse) -> BackendNotice:
+        """Decode what a backend server states of itself in an answer."""
+
     @abc.abstractmethod
     def build_answer(
         self, answer: HttpResponse, request_id: str
@@ -169,6 +178,13 @@
         """Decode the load header."""
         return parse_load(answer.find_header(LOAD_HEADER))
 
+    def read_notice(self, answer: HttpResponse) -> BackendNotice:
+        """Decode the headers for the rate limit and for leaving."""
+        return BackendNotice(
+            parse_rate_limit(answer.find_header(RATE_LIMIT_HEADER)),
+            answer.find_header(LEAVING_HEADER) == _LEAVING,
+        )
+
     def build_answer(
         self, answer: HttpResponse, request_id: str
     ) -> HttpResponse:
--- a/merlintrail/protocol/_headers.py
+++ b/merlintrail/protocol/_headers.py
@@ -16,6 +16,10 @@
 REASON_HEADER: Final = 'merlintrail-reason'
 #: Load that a backend server reports in answers: running, waiting, slots.
 LOAD_HEADER: Final = 'merlintrail-load'
+#: Requests per second that a backend server takes from all nodes together.
+RATE_LIMIT_HEADER: Final = 'merlintrail-rate-limit'
+#: ``1`` in the answers of a backend server that is about to end.
+LEAVING_HEADER: Final = 'merlintrail-leaving'
 #: Identifier of the request, for logs and support.
 REQUEST_ID_HEADER: Final = 'merlintrail-request-id'
 #: Call header between nodes, a JSON array.
