Add failing tests of servers that state a limit or that they leave

Whole nodes in virtual time show the same: 160 to 180 calls in four seconds at a stated 10 a second (allowed 65), and 54 to 123 calls after a server stated that it leaves.

--- a/merlintrail/node/tests/session.py
+++ b/merlintrail/node/tests/session.py
@@ -90,6 +90,7 @@
         envelope = Envelope(
             generation, f'change-{generation}', 'op', 0.0, document
         )
+        self._envelope = envelope
         for node in self.nodes.values():
             node.holder.apply_if_newer(envelope)
 
@@ -115,6 +116,12 @@
         self.nodes[name] = node
         return node
 
+    def restart_node(self, name: str) -> None:
+        """Replace a node by a new process that knows only its neighbours."""
+        node = self.add_node(name)
+        node.holder.apply_if_newer(self._envelope)
+        self.share_members()
+
     async def send_request(self, request: HttpRequest) -> HttpResponse:
         """Send a request to the first node, without recording it."""
         node = next(iter(self.nodes.values()))
--- /dev/null
+++ b/merlintrail/node/tests/test_leaving_servers.py
@@ -0,0 +1,99 @@
+"""Backend servers that state in their answers that they are leaving."""
+
+import asyncio
+import unittest
+from typing import Final
+
+from merlintrail.node.tests.notice_load import NoticeLoad
+from merlintrail.protocol import OUTCOME_HEADER, Outcome
+from merlintrail.testing import run_virtually
+
+_OK: Final = 200
+#: Seconds after its first statement in which calls may still arrive.
+_NOTICE_S: Final = 0.2
+_RATE: Final = 60.0
+
+
+class LeavingServerTest(unittest.TestCase):
+    """One server of two leaves; callers at all nodes."""
+
+    async def begin_leaving(self, load: NoticeLoad) -> None:
+        """Let the first server state that it leaves, until this is known."""
+        await load.run(1.0, _RATE)
+        load.servers['server-0'].leaving = '1'
+        await load.run(_NOTICE_S, _RATE)
+
+    def test_no_further_calls(self) -> None:
+        """Others take over, and no request fails."""
+
+        async def scenario() -> None:
+            load = NoticeLoad(2, entries=4)
+            await self.begin_leaving(load)
+            since = asyncio.get_running_loop().time()
+            await load.run(4.0, _RATE)
+            await load.finish()
+            self.assertEqual(load.servers['server-0'].count_since(since), 0)
+            self.assertEqual(
+                {answer.status for _, _, answer in load.answers}, {_OK}
+            )
+
+        run_virtually(scenario())
+
+    def test_late_announcement(self) -> None:
+        """An announcement that it is ready does not undo the statement."""
+
+        async def scenario() -> None:
+            load = NoticeLoad(2, entries=4)
+            await self.begin_leaving(load)
+            since = asyncio.get_running_loop().time()
+            load.announce('server-0', 2)
+            await load.run(2.0, _RATE)
+            self.assertEqual(load.servers['server-0'].count_since(since), 0)
+
+        run_virtually(scenario())
+
+    def test_restart_beside_the_server(self) -> None:
+        """Nodes that passed the statement on send it nothing."""
+
+        async def scenario() -> None:
+            load = NoticeLoad(2, entries=4)
+            load.entries = load.entries[1:]
+            await load.run(1.0, _RATE)
+            load.servers['server-0'].leaving = '1'
+            for name in load.entries:
+                await load.pass_statement_on(name, 'server-0')
+            since = asyncio.get_running_loop().time()
+            load.restart_node('server-0')
+            await load.run(2.0, _RATE)
+            self.assertEqual(load.servers['server-0'].count_since(since), 0)
+
+        run_virtually(scenario())
+
+    def test_new_run_under_the_same_identity(self) -> None:
+        """A later run has said nothing yet and gets calls."""
+
+        async def scenario() -> None:
+            load = NoticeLoad(2, entries=4)
+            await self.begin_leaving(load)
+            load.servers['server-0'].leaving = None
+            since = asyncio.get_running_loop().time()
+            load.announce('server-0', started_at_ms=2000)
+            await load.run(2.0, _RATE)
+            self.assertGreater(load.servers['server-0'].count_since(since), 20)
+
+        run_virtually(scenario())
+
+    def test_all_servers_leaving(self) -> None:
+        """Requests are refused as not run, and told when to return."""
+
+        async def scenario() -> None:
+            load = NoticeLoad(2, entries=4)
+            for server in load.servers.values():
+                server.leaving = '1'
+            await load.run(1.0, _RATE)
+            answer = await load.send('write')
+            headers = dict(answer.headers)
+            self.assertEqual(headers[OUTCOME_HEADER], Outcome.NOT_RUN.value)
+            self.assertGreater(float(headers['retry-after']), 0)
+
+        run_virtually(scenario())
