Route requests by the levels of servers, not of their data centre

Cause: the level of the server that a request was sent to was recorded for the whole data centre of its request kind, besides for the server. The last answer decided for all of its neighbours. Where a data centre has one server of a service the two are the same, so no site of today with one each changes.

Nested calls still report the level that they met under the data centre: they are placed by load, and who reports it knows no better.

--- a/merlintrail/node/_dispatch.py
+++ b/merlintrail/node/_dispatch.py
@@ -150,9 +150,7 @@
                 progress.downstream_levels, downstream_levels
             )
             if call.depth == 1:
-                self._record_outcome(
-                    call, choice.target, gateway_result, downstream_levels
-                )
+                self._record_outcome(call, choice.target, gateway_result)
             progress.record_attempt(gateway_result)
             if progress.answer is not None:
                 break
@@ -172,13 +170,19 @@
         call: OutgoingCall,
         target: Target,
         gateway_result: GatewayResult,
-        downstream_levels: dict[str, int],
     ) -> None:
-        """Record levels and outcome of a request by target data centre."""
+        """Record levels and outcome of a request by target data centre.
+
+        The level of the target itself is not among them: other backend servers
+        of its data centre may have room.
+        """
         now = self._clock()
         data_centre = target.member.data_centre
         self._routing.downstream_levels.record(
-            call.kind, data_centre, downstream_levels, now
+            call.kind,
+            data_centre,
+            gateway_result.report.downstream_levels,
+            now,
         )
         answer = gateway_result.answer
         has_failed = gateway_result.report.is_failure
