Keep to the rate that a backend server states

Every call to a server passes the node beside it, so that one is where the rate is kept, for all nodes together, with no share to divide among nodes that see little traffic each: calls start at the stated rate (generic cell rate algorithm), the most important first, wait within the limits of before, and are refused as rate-limited and not run. The shedding level takes the rate as capacity; its correction, made for an estimate, is left out then.

Ruled out: a share of the limit for each node (an idle node wastes its share, and forty with little traffic exceed any rounding up); counting at the entries.

A call whose latest start passed while the process was paused is refused when it would be started.

--- a/merlintrail/node/_backend_exchange.py
+++ b/merlintrail/node/_backend_exchange.py
@@ -163,6 +163,7 @@
         backend = gate.backend
         if not backend.record_notice(notice):
             return
+        gate.apply_notice()
         log_decision(
             'backend-server-notice',
             instance=self._deps.node_id,
--- a/merlintrail/node/_gauges.py
+++ b/merlintrail/node/_gauges.py
@@ -43,6 +43,12 @@
         'Calls of a lower priority are refused, 0 to 127.',
         lambda gate: gate.shedder.level,
     ),
+    _GateGauge(
+        'merlintrail.rate_limit',
+        '{call}/s',
+        'Calls per second that the backend server states to take, 0 if none.',
+        lambda gate: gate.admission.rate_limit.rate or 0.0,
+    ),
     _GateGauge(
         'merlintrail.is_leaving',
         '1',
--- a/merlintrail/node/_retry_policy.py
+++ b/merlintrail/node/_retry_policy.py
@@ -22,6 +22,7 @@
 _RETRYABLE_REASONS: Final = frozenset(
     (
         Reason.OVERLOAD,
+        Reason.RATE_LIMITED,
         Reason.DEADLINE_UNREACHABLE,
         Reason.DRAINING,
         Reason.PLANNED_STOP,
--- a/merlintrail/node/tests/notice_load.py
+++ b/merlintrail/node/tests/notice_load.py
@@ -87,6 +87,7 @@
     def __init__(self, servers: int, entries: int = 0, seed: int = 1) -> None:
         self._rng = random.Random(seed)
         self._loop = asyncio.get_running_loop()
+        self.started_at = self._loop.time()
         document = build_document(
             {
                 'svc': [
--- a/merlintrail/node/tests/test_rate_limits.py
+++ b/merlintrail/node/tests/test_rate_limits.py
@@ -209,7 +209,7 @@
             for text in ('nan', '-1', '', 'inf', '1e9'):
                 load.state_limit(text)
                 await load.run(1.0, 40.0)
-            self.check_use(server, 40.0, 0.0)
+            self.check_use(server, 40.0, load.started_at)
             load.state_limit('5')
             since = asyncio.get_running_loop().time()
             await load.run(4.0, 40.0)
@@ -232,11 +232,11 @@
             load.entries = load.entries[1:]
             server = load.servers['server-0']
             load.state_limit('5')
-            await load.run(4.0, 100.0)
+            await load.run(4.0, 300.0)
             for _ in range(6):
                 load.restart_node('server-0')
-                await load.run(1.3, 100.0)
-            self.check_limit(server, 5.0, 0.0)
+                await load.run(1.3, 300.0)
+            self.check_limit(server, 5.0, load.started_at)
 
         run_virtually(scenario())
 
@@ -251,7 +251,7 @@
             for name in load.entries[1:]:
                 load.restart_node(name)
                 await load.run(0.7, 100.0)
-            self.check_limit(server, 5.0, 0.0)
+            self.check_limit(server, 5.0, load.started_at)
 
         run_virtually(scenario())
 
@@ -268,8 +268,9 @@
             await load.run(2.0, 100.0)
             load.session.network.partitions.clear()
             await load.run(4.0, 100.0)
-            self.check_limit(server, 5.0, 0.0)
-            self.assertGreater(server.count_since(8.0), 5)
+            self.check_limit(server, 5.0, load.started_at)
+            since = load.started_at + 8.0
+            self.assertGreater(server.count_since(since), 5)
 
         run_virtually(scenario())
 
@@ -286,6 +287,6 @@
             for _ in range(20):
                 await gateway.refresh_hints()
                 await load.run(0.5, 40.0)
-            self.check_limit(server, 0.0, 0.0)
+            self.check_limit(server, 0.0, load.started_at)
 
         run_virtually(scenario())
--- a/merlintrail/protocol/_outcome.py
+++ b/merlintrail/protocol/_outcome.py
@@ -28,6 +28,7 @@
     """Why a call was refused, cancelled or timed out."""
 
     OVERLOAD = 'overload'
+    RATE_LIMITED = 'rate-limited'
     SHED_EARLY = 'shed-early'
     DEADLINE_UNREACHABLE = 'deadline-unreachable'
     DEADLINE_PASSED = 'deadline-passed'
--- a/merlintrail/state/__init__.py
+++ b/merlintrail/state/__init__.py
@@ -1,6 +1,7 @@
 """Node-local state, and admission, shedding, routing and retry decisions."""
 
-from merlintrail.state._admission import AdmissionController, AdmissionRequest
+from merlintrail.state._admission import AdmissionController
+from merlintrail.state._call_queues import AdmissionRequest, CallQueues
 from merlintrail.state._call_table import CallRecord, CallTable
 from merlintrail.state._demand import DemandEstimate, is_shed
 from merlintrail.state._difference import Difference, find_differences
@@ -38,6 +39,7 @@
 )
 from merlintrail.state._message_sizes import MessageSizes
 from merlintrail.state._quarantine import Quarantine, compute_digest
+from merlintrail.state._rate_limit import RateLimit
 from merlintrail.state._refused_requests import (
     RefusedRequests,
     compute_retry_after,
@@ -85,6 +87,7 @@
     'AdaptiveLimit',
     'AdmissionController',
     'AdmissionRequest',
+    'CallQueues',
     'CallRecord',
     'CallTable',
     'CallerLimits',
@@ -113,6 +116,7 @@
     'ParsedDocument',
     'PlannedStop',
     'Quarantine',
+    'RateLimit',
     'RefusedRequests',
     'RequestKind',
     'RetryAccount',
--- a/merlintrail/state/_admission.py
+++ b/merlintrail/state/_admission.py
@@ -1,9 +1,8 @@
 """Admission control of a backend server: slots, queues and deadlines."""
 
 import asyncio
-from collections import deque
 from collections.abc import Callable
-from typing import Final, NamedTuple
+from typing import Final
 
 from merlintrail.protocol import (
     SUBLEVELS,
@@ -12,8 +11,14 @@
     Reason,
     Refusal,
 )
+from merlintrail.state._call_queues import (
+    AdmissionRequest,
+    CallQueues,
+    QueuedCall,
+)
 from merlintrail.state._demand import is_shed
 from merlintrail.state._limits import ConcurrencyLimit
+from merlintrail.state._rate_limit import RateLimit
 from merlintrail.state._shedding import SheddingController
 
 #: Weights of a new sample in the moving average of the service time. An
@@ -42,73 +47,17 @@
 MAX_RETRY_AFTER_S: Final = 5.0
 
 
-#: Queues by importance and whether they are for nested calls, the one that is
-#: served last first. Importance goes first, and within a class nested calls.
-#: Nested calls of the lowest class go before others of the next one, because
-#: their requests hold slots of other services until they are served.
-_QUEUES: Final = (
-    (Importance.LOW, False),
-    (Importance.NORMAL, False),
-    (Importance.LOW, True),
-    (Importance.NORMAL, True),
-    (Importance.HIGH, False),
-    (Importance.HIGH, True),
-    (Importance.CRITICAL, False),
-    (Importance.CRITICAL, True),
-)
-_QUEUE_INDEXES: Final = {
-    properties: index for index, properties in enumerate(_QUEUES)
-}
-
-
-class AdmissionRequest(NamedTuple):
-    """The properties of a call that determine whether it is admitted."""
-
-    priority: int
-    #: Clock time at which the answer is due.
-    deadline: float
-    #: Whether a backend server makes the call while it serves a request.
-    is_nested: bool = False
-    #: Time in seconds within which an answer has its full value, if stated.
-    objective_s: float | None = None
-    #: Class of calls with a similar service time; each has its own average.
-    call_class: str = ''
-
-    @property
-    def queue_index(self) -> int:
-        """Index of the queue of the call; higher queues are served first."""
-        importance = Importance(self.priority // SUBLEVELS)
-        return _QUEUE_INDEXES[importance, self.is_nested]
-
-
-class QueuedCall:
-    """A call that waits for a slot."""
-
-    def __init__(self, request: AdmissionRequest, latest_start: float) -> None:
-        self.request = request
-        #: Clock time after which the call is not expected to finish in time.
-        self.latest_start = latest_start
-        #: Resolves to ``None`` when the call gets a slot, or to a refusal.
-        self.decision: asyncio.Future[Refusal | None]
-        self.decision = asyncio.get_running_loop().create_future()
-
-
 class AdmissionController:
     """Admits calls to one backend server.
 
-    Calls that find no free slot wait in queues, two for each importance
-    class, of which one is for nested calls (see ``_QUEUES``). Nested calls
-    may also wait longer than other calls and are never evicted, because the
-    work already done for their request would be wasted.
+    Calls that find no free slot, or the stated rate limit used up, wait in
+    queues by importance (see :class:`CallQueues`). Nested calls may wait
+    longer than other calls and are never evicted, because the work already
+    done for their request would be wasted.
 
     A call that finds the queue full evicts the oldest waiting call of the
     lowest importance below its own that is not nested. If calls of its own
     and higher precedence fill the queue, it is refused instead.
-
-    Calls that are not nested are served in last-in, first-out order while
-    their queue holds more calls than there are slots. First-in, first-out
-    order would then spend the slots on calls whose callers are about to
-    time out.
     """
 
     def __init__(
@@ -130,12 +79,16 @@
         self._clock = clock
         self._service_by_class: dict[str, float] = {}
         self._waiting_nested = 0
-        self._queues: list[deque[QueuedCall]] = [deque() for _ in _QUEUES]
+        #: Calls per second that the backend server states to take.
+        self.rate_limit = RateLimit()
+        #: Starts waiting calls when the rate limit permits the next one.
+        self._start_timer: asyncio.TimerHandle | None = None
+        self._queues = CallQueues()
 
     @property
     def queued(self) -> int:
         """Number of calls that wait for a slot."""
-        return sum(len(queue) for queue in self._queues)
+        return len(self._queues)
 
     async def admit(self, request: AdmissionRequest) -> Refusal | None:
         """Wait for a slot.
@@ -145,10 +98,11 @@
         """
         now = self._clock()
         self.shedder.record_arrival(now, request.priority)
+        self.rate_limit.record_arrival(now)
         refusal = self._check_arrival(now, request)
         if refusal is not None:
             return refusal
-        if self.running < self.limit.limit and not self.queued:
+        if self._can_start(now) and not self.queued:
             self._take_slot()
             return None
         if not request.is_nested:
@@ -165,22 +119,39 @@
         self.start_waiting()
         self._report_occupancy()
 
+    def update_rate_limit(self, rate: float | None) -> None:
+        """Set the calls per second that may start, ``None`` for no limit."""
+        self.rate_limit.update(rate, self._clock())
+        self.shedder.rate_limit = self.rate_limit.rate
+        self.start_waiting()
+        self._report_occupancy()
+
     def start_waiting(self) -> None:
-        """Assign free slots to waiting calls."""
-        while self.running < self.limit.limit:
-            call = self._take_next()
+        """Start waiting calls, as slots and the rate limit permit."""
+        if self._start_timer is not None:
+            self._start_timer.cancel()
+            self._start_timer = None
+        while self.running < self.limit.limit and self.queued:
+            delay_s = self.rate_limit.compute_delay(self._clock())
+            if delay_s > 0:
+                self._start_timer = asyncio.get_running_loop().call_later(
+                    delay_s, self.start_waiting
+                )
+                return
+            call = self._queues.take_next(self.limit.limit)
             if call is None:
                 return
+            if call.latest_start < self._clock():
+                # Its timer is late, as after a pause of the process.
+                self._expire(call)
+                continue
             self._take_slot()
             call.decision.set_result(None)
 
     def refuse_waiting(self, reason: Reason) -> None:
         """Refuse all waiting calls."""
-        for queue in self._queues:
-            while queue:
-                waiting = queue.popleft()
-                if not waiting.decision.done():
-                    waiting.decision.set_result(self._refuse(reason))
+        for call in self._queues.take_all():
+            call.decision.set_result(self._refuse(reason))
 
     def record_service(self, held_s: float, call_class: str = '') -> None:
         """Record the time for which a completed call held its slot."""
@@ -200,10 +171,13 @@
 
     def estimate_wait(self, request: AdmissionRequest) -> float:
         """Return the expected time in seconds until a call gets a slot."""
-        ahead = sum(len(queue) for queue in self._queues[request.queue_index :])
+        ahead = self._queues.count_ahead(request)
+        rate_delay_s = self.rate_limit.compute_delay(self._clock(), ahead)
         if self.running < self.limit.limit and not ahead:
-            return 0.0
-        return (ahead + 1) * self.service_s / self.limit.limit
+            return rate_delay_s
+        return max(
+            rate_delay_s, (ahead + 1) * self.service_s / self.limit.limit
+        )
 
     def _check_arrival(
         self, now: float, request: AdmissionRequest
@@ -220,20 +194,28 @@
                 self._evict_lower_classes(request)
             return self._refuse(Reason.DEADLINE_UNREACHABLE)
         level = self.shedder.read_level(now)
-        is_free = self.running < self.limit.limit and not self.queued
+        is_free = self._can_start(now) and not self.queued
         if request.is_nested or is_free:
             return None
         if is_shed(request.priority, level):
             return self._refuse(Reason.OVERLOAD)
         return None
 
+    def _can_start(self, now: float) -> bool:
+        """Return whether a slot is free and the rate limit not used up."""
+        return (
+            self.running < self.limit.limit
+            and self.rate_limit.compute_delay(now) <= 0
+        )
+
     async def _wait(self, request: AdmissionRequest) -> Refusal | None:
         service_s = self.estimate_min_service_time(request.call_class)
         call = QueuedCall(request, request.deadline - service_s)
         if not self._make_room(call):
             self.shedder.record_overflow()
             return self._refuse(Reason.OVERLOAD)
-        self._queues[request.queue_index].append(call)
+        self._queues.append(call)
+        self.start_waiting()
         loop = asyncio.get_running_loop()
         timer = loop.call_later(
             max(0.0, call.latest_start - self._clock()),
@@ -254,32 +236,24 @@
         :returns: ``False`` if the calls that would be served before it
             already fill the queue.
         """
-        capacity = self._compute_queue_capacity(call)
-        ahead = sum(
-            len(queue) for queue in self._queues[call.request.queue_index :]
-        )
-        if ahead >= capacity:
+        max_wait_s = self._compute_max_wait(call)
+        # What is served within the longest wait (Little's law).
+        capacity = max(1, int(max_wait_s * self._compute_throughput()))
+        ahead = self._queues.count_ahead(call.request)
+        rate_delay_s = self.rate_limit.compute_delay(self._clock(), ahead)
+        if ahead >= capacity or rate_delay_s > max_wait_s:
             self._evict_lower_classes(call.request)
             return False
-        lower = [
-            queue for queue in self._list_lower_queues(call.request) if queue
-        ]
-        if self.queued >= capacity and lower:
-            self.shedder.record_overflow()
-            evicted = lower[0].popleft()
-            evicted.decision.set_result(self._refuse(Reason.OVERLOAD))
+        if self.queued >= capacity:
+            self._evict_lowest(call.request)
         return True
 
-    def _list_lower_queues(
-        self, request: AdmissionRequest
-    ) -> list[deque[QueuedCall]]:
-        """Return the queues of lower importance without nested calls."""
-        own_class = request.priority // SUBLEVELS
-        return [
-            self._queues[_QUEUE_INDEXES[importance, False]]
-            for importance in Importance
-            if importance < own_class
-        ]
+    def _evict_lowest(self, request: AdmissionRequest) -> None:
+        """Refuse the oldest waiting call of the lowest importance."""
+        evicted = next(self._queues.take_lower(request), None)
+        if evicted is not None:
+            self.shedder.record_overflow()
+            evicted.decision.set_result(self._refuse(Reason.OVERLOAD))
 
     def _evict_lower_classes(self, request: AdmissionRequest) -> None:
         """Refuse waiting calls of lower importance than a refused call.
@@ -287,19 +261,23 @@
         Otherwise they would be served although a more important call was
         refused. Nested calls are exempt.
         """
-        for queue in self._list_lower_queues(request):
-            while queue:
-                call = queue.popleft()
-                call.decision.set_result(self._refuse(Reason.OVERLOAD))
-
-    def _compute_queue_capacity(self, call: QueuedCall) -> int:
-        """Return the number of waiting calls at which the queue is full.
-
-        It is the number of calls that the slots are expected to serve within
-        the longest wait permitted to the call (Little's law). That wait is a
-        share of the remaining time, which is larger for nested calls. Calls
-        that are neither nested nor critical are further limited by their
-        objective or by the configured queue limit.
+        for call in self._queues.take_lower(request):
+            call.decision.set_result(self._refuse(Reason.OVERLOAD))
+
+    def _compute_throughput(self) -> float:
+        """Return the calls per second that slots and rate limit permit."""
+        throughput = self.limit.limit / self.service_s
+        if self.rate_limit.rate is None:
+            return throughput
+        return min(throughput, self.rate_limit.rate)
+
+    def _compute_max_wait(self, call: QueuedCall) -> float:
+        """Return the longest time in seconds that a call may wait.
+
+        It is a share of the remaining time, which is larger for nested calls.
+        Calls that are neither nested nor critical are further limited by
+        their objective, or by the configured queue limit, which is raised to
+        half of the average service time when that is longer.
         """
         request = call.request
         remaining_s = call.latest_start - self._clock()
@@ -307,35 +285,16 @@
         if request.is_nested:
             max_wait_s = remaining_s * MAX_NESTED_WAIT_SHARE
         elif request.priority < Importance.CRITICAL * SUBLEVELS:
-            max_wait_s = min(self._compute_wait_limit(request), max_wait_s)
-        return max(1, int(max_wait_s * self.limit.limit / self.service_s))
-
-    def _compute_wait_limit(self, request: AdmissionRequest) -> float:
-        """Return the wait in seconds that the objective or settings permit.
-
-        The configured limit is raised to half of the average service time
-        when that is longer.
-        """
-        if request.objective_s is not None:
-            return request.objective_s * OBJECTIVE_WAIT_SHARE
-        return max(self.queue_limit_s, self.service_s / 2)
-
-    def _take_next(self) -> QueuedCall | None:
-        """Remove and return the call that is to be served next."""
-        for (_, is_nested), queue in zip(
-            reversed(_QUEUES), reversed(self._queues), strict=True
-        ):
-            while queue:
-                is_overloaded = len(queue) > self.limit.limit and not is_nested
-                call = queue.pop() if is_overloaded else queue.popleft()
-                if not call.decision.done():
-                    return call
-        return None
+            wait_limit_s = max(self.queue_limit_s, self.service_s / 2)
+            if request.objective_s is not None:
+                wait_limit_s = request.objective_s * OBJECTIVE_WAIT_SHARE
+            max_wait_s = min(wait_limit_s, max_wait_s)
+        return max_wait_s
 
     def _expire(self, call: QueuedCall) -> None:
         """Refuse a call that has waited until its latest start."""
         if not call.decision.done():
-            self._remove(call)
+            self._queues.remove(call)
             self.shedder.record_overflow()
             call.decision.set_result(self._refuse(Reason.DEADLINE_UNREACHABLE))
 
@@ -345,16 +304,17 @@
             if call.decision.result() is None:
                 self.release()
         else:
-            self._remove(call)
-
-    def _remove(self, call: QueuedCall) -> None:
-        queue = self._queues[call.request.queue_index]
-        if call in queue:
-            queue.remove(call)
+            self._queues.remove(call)
 
     def _refuse(self, reason: Reason) -> Refusal:
-        """Return a refusal whose retry time grows with the queue."""
-        pause_s = self.service_s * (self.queued + 1) / self.limit.limit
+        """Return a refusal whose retry time grows with the queue.
+
+        An overload that is due to the rate limit is named so.
+        """
+        is_rate_used_up = self.rate_limit.compute_delay(self._clock()) > 0
+        if reason == Reason.OVERLOAD and is_rate_used_up:
+            reason = Reason.RATE_LIMITED
+        pause_s = (self.queued + 1) / self._compute_throughput()
         return Refusal(
             Outcome.NOT_RUN,
             reason,
@@ -363,6 +323,7 @@
 
     def _take_slot(self) -> None:
         self.running += 1
+        self.rate_limit.record_start(self._clock())
         self._report_occupancy()
 
     def _update_waiting_nested(self, change: int) -> None:
--- a/merlintrail/state/_occupancy.py
+++ b/merlintrail/state/_occupancy.py
@@ -19,7 +19,7 @@
         self._observed_at = now
         self._running = 0
         self._waiting = 0
-        self._limit = 1
+        self._limit = 1.0
         self._running_integral = 0.0
         self._waiting_integral = 0.0
         self._limit_integral = 0.0
@@ -29,7 +29,7 @@
         self.waiting_ratio = 0.0
 
     def observe(
-        self, now: float, running: int, waiting: int, limit: int
+        self, now: float, running: int, waiting: int, limit: float
     ) -> None:
         """Set the values that apply from ``now`` until the next call."""
         self._integrate(now)
--- a/merlintrail/state/_shedding.py
+++ b/merlintrail/state/_shedding.py
@@ -71,6 +71,9 @@
         self._demand = DemandEstimate()
         self._occupancy = OccupancyAverages(now)
         self._limit = 1
+        #: Calls per second that the backend server states to take, ``None``
+        #: for no limit.
+        self.rate_limit: float | None = None
         self._service_s = 0.0
         self._correction = 1.0
         self._corrected_until = now
@@ -120,7 +123,9 @@
         :param limit: number of slots.
         """
         self._limit = limit
-        self._occupancy.observe(now, running, waiting, limit)
+        self._occupancy.observe(
+            now, running, waiting, self._compute_usable_slots()
+        )
 
     def record_overflow(self) -> None:
         """Record that a call was refused or evicted for lack of capacity."""
@@ -154,15 +159,33 @@
 
     def _compute_admissible_rate(self) -> float:
         """Return the calls per second that the backend server can take."""
-        capacity = self._limit / self._service_s * self._correction
+        slots = self._compute_usable_slots()
+        capacity = slots / self._service_s
+        if not self._is_rate_limited():
+            capacity *= self._correction
         excess = self._occupancy.waiting_ratio - TARGET_WAITING_RATIO
-        drain_rate = max(0.0, excess) * self._limit / DRAIN_TIME_S
+        drain_rate = max(0.0, excess) * slots / DRAIN_TIME_S
         return capacity - min(drain_rate, capacity * MAX_DRAIN_SHARE)
 
+    def _compute_usable_slots(self) -> float:
+        """Return the slots that can be in use at a time.
+
+        A rate limit bounds them by the time for which a call holds one.
+        """
+        if self.rate_limit is None or not self._service_s:
+            return self._limit
+        return min(self._limit, self.rate_limit * self._service_s)
+
+    def _is_rate_limited(self) -> bool:
+        """Return whether the stated rate, an exact capacity, binds."""
+        return self._compute_usable_slots() < self._limit
+
     def _adapt_correction(
         self, now: float, elapsed_s: float, *, is_overloaded: bool
     ) -> None:
         """Correct the estimated capacity by what its last value led to."""
+        if self._is_rate_limited():
+            return
         if is_overloaded:
             if now < self._corrected_until:
                 return
