Count polls of health and load endpoints against a stated limit

No caller sees it; a server that takes no requests for a while (limit 0) got up to nine in four seconds, five of them polls of its node (allowed five).

Cause: polls went to the server beside the admission. They are counted against the rate now and left out when it is used up. What their answers state is read as well, but an endpoint that does not repeat a limit does not end it.

--- a/merlintrail/node/_backend.py
+++ b/merlintrail/node/_backend.py
@@ -13,7 +13,12 @@
     DecodeFailure,
     RunNotice,
 )
-from merlintrail.transport import ConnectionPool, HttpRequest, TransportFailure
+from merlintrail.transport import (
+    ConnectionPool,
+    HttpRequest,
+    HttpResponse,
+    TransportFailure,
+)
 
 #: Seconds between attempts to connect to an unreachable backend server.
 PROBE_INTERVAL_S: Final = 0.1
@@ -342,29 +347,26 @@
             backend.forget_run()
         self._on_change()
 
-    async def read_hints(self, backend: BackendServer) -> None:
-        """Poll the health and load endpoints."""
-        announcement = backend.announcement
-        if announcement.health_path is not None:
-            answer = await self._fetch(announcement, announcement.health_path)
-            backend.health_hint = answer
-        if announcement.load_path is not None:
-            backend.load_hint = await self._fetch(
-                announcement, announcement.load_path
-            )
-
-    async def _fetch(self, announcement: Announcement, path: str) -> str:
-        answer = await self._pool.exchange(
-            announcement.address,
+    async def poll(
+        self, backend: BackendServer, path: str
+    ) -> HttpResponse | TransportFailure:
+        """Poll the health or the load endpoint."""
+        address = backend.announcement.address
+        return await self._pool.exchange(
+            address,
             'GET',
             path,
-            (('host', announcement.address),),
+            (('host', address),),
             b'',
             timeout_s=HINT_TIMEOUT_S,
         )
-        if isinstance(answer, TransportFailure):
-            return answer.reason
-        return f'{answer.status} {answer.body[:80].decode("latin-1")}'
+
+
+def describe_hint(answer: HttpResponse | TransportFailure) -> str:
+    """Describe the answer of a health or load endpoint to operators."""
+    if isinstance(answer, TransportFailure):
+        return answer.reason
+    return f'{answer.status} {answer.body[:80].decode("latin-1")}'
 
 
 def is_local_sender(request: HttpRequest, own_host: str) -> bool:
--- a/merlintrail/node/_backend_exchange.py
+++ b/merlintrail/node/_backend_exchange.py
@@ -4,7 +4,11 @@
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple
 
-from merlintrail.node._backend import BackendProber, BackendServer
+from merlintrail.node._backend import (
+    BackendProber,
+    BackendServer,
+    describe_hint,
+)
 from merlintrail.node._calls import OutgoingCall
 from merlintrail.node._contexts import ParentCall, get_call_class
 from merlintrail.node._gate import AdmissionGate
@@ -87,6 +91,19 @@
                 backend.record_unanswered_call(call, self._clock())
         return self._classify_answer(gate, parent, answer, started_at)
 
+    async def refresh_hints(self, gate: AdmissionGate) -> None:
+        """Poll the health and load endpoints, within the rate limit."""
+        backend = gate.backend
+        rate_limit = gate.admission.rate_limit
+        health_path = backend.announcement.health_path
+        if health_path is not None and rate_limit.try_start(self._clock()):
+            answer = await self._poll(gate, health_path)
+            backend.health_hint = describe_hint(answer)
+        load_path = backend.announcement.load_path
+        if load_path is not None and rate_limit.try_start(self._clock()):
+            answer = await self._poll(gate, load_path)
+            backend.load_hint = describe_hint(answer)
+
     def record_silent_end(self, backend: BackendServer) -> None:
         """Record the crash of a run that ended without any notice.
 
@@ -157,6 +174,20 @@
             return answer
         return self._record_refusal(gate, parent, answer_class, now)
 
+    async def _poll(
+        self, gate: AdmissionGate, path: str
+    ) -> HttpResponse | TransportFailure:
+        """Poll an endpoint; its answer may begin a limit but not end one."""
+        answer = await self.prober.poll(gate.backend, path)
+        if isinstance(answer, HttpResponse):
+            notice = self._deps.dialect.read_notice(answer)
+            known = gate.backend.notice
+            if notice.rate_limit is None and known is not None:
+                notice = notice._replace(rate_limit=known.rate_limit)
+            if notice != BackendNotice():
+                self._record_notice(gate, notice)
+        return answer
+
     def _record_notice(
         self, gate: AdmissionGate, notice: BackendNotice
     ) -> None:
--- a/merlintrail/node/_backend_gateway.py
+++ b/merlintrail/node/_backend_gateway.py
@@ -97,7 +97,7 @@
     async def refresh_hints(self) -> None:
         """Poll the health and load endpoints of every backend server."""
         for gate in tuple(self.gates.values()):
-            await self._deps.exchange.prober.read_hints(gate.backend)
+            await self._deps.exchange.refresh_hints(gate)
 
     async def handle_call(
         self, header: CallHeader, call: OutgoingCall
--- a/merlintrail/node/tests/test_rate_limits.py
+++ b/merlintrail/node/tests/test_rate_limits.py
@@ -274,6 +274,26 @@
 
         run_virtually(scenario())
 
+    def test_health_polls_do_not_end_a_limit(self) -> None:
+        """An endpoint need not repeat what the answers to calls state."""
+
+        async def scenario() -> None:
+            load = NoticeLoad(1, entries=4)
+            server = load.servers['server-0']
+            load.announce('server-0', 2, health_path='/health')
+            load.state_limit('5')
+            await load.run(2.0, 40.0)
+            gateway = load.session.nodes['server-0'].gateway
+            server.rate_limit = None
+            polls = [
+                asyncio.create_task(gateway.refresh_hints()) for _ in range(5)
+            ]
+            await asyncio.gather(*polls)
+            limit = gateway.gates['svc'].admission.rate_limit
+            self.assertEqual(limit.rate, 5.0)
+
+        run_virtually(scenario())
+
     def test_health_polls_count(self) -> None:
         """What the node itself asks of a server is part of the limit."""
 
--- a/merlintrail/state/_rate_limit.py
+++ b/merlintrail/state/_rate_limit.py
@@ -55,6 +55,13 @@
         free_at = max(self._used_until, now) + ahead / self.rate
         return max(0.0, free_at - BURST_S - now)
 
+    def try_start(self, now: float) -> bool:
+        """Count a call that starts, if it may start now."""
+        is_permitted = self.compute_delay(now) <= 0
+        if is_permitted:
+            self.record_start(now)
+        return is_permitted
+
     def record_start(self, now: float) -> None:
         """Count a call that starts."""
         if self.rate is not None:
