Tell callers' nodes how far a stated limit is used

The report of an answer carries the rate of calls that ask for the server in terms of its limit. Below 0.9 the server is chosen like any other, since a limit is to be used; above, this is its load. It decays as the gateway's own average does, over longer times at low limits.

--- a/merlintrail/node/_backend_gateway.py
+++ b/merlintrail/node/_backend_gateway.py
@@ -230,25 +230,38 @@
         if isinstance(answer, Refusal):
             outcome = answer.outcome
             reason = answer.reason.value
-        return CallReport(
+        report = CallReport(
             header.call_id,
             outcome.value,
             reason,
             parent.account.balance,
-            0 if gate is None else gate.shedder.read_level(self._clock()),
-            parent.downstream_levels,
-            0 if gate is None else self.running,
-            0
-            if gate is None
-            else round(gate.admission.service_s * _MS_PER_S, 1),
-            self.is_draining or (gate is not None and gate.backend.is_draining),
-            not (
+            level=0,
+            downstream_levels=parent.downstream_levels,
+            in_flight=0,
+            service_ms=0,
+            is_draining=self.is_draining,
+            may_retry=not (
                 parent.has_failed_nested_call
                 and (is_refused or parent.has_failed)
             ),
             is_failure=parent.has_failed,
             nested_calls=parent.nested_calls,
-            notice=None if gate is None else gate.describe_notice(),
+        )
+        return report if gate is None else self._add_gate_state(report, gate)
+
+    def _add_gate_state(
+        self, report: CallReport, gate: AdmissionGate
+    ) -> CallReport:
+        """Add load and statements of the backend server to a report."""
+        now = self._clock()
+        admission = gate.admission
+        return report._replace(
+            level=gate.shedder.read_level(now),
+            in_flight=self.running,
+            service_ms=round(admission.service_s * _MS_PER_S, 1),
+            is_draining=self.is_draining or gate.backend.is_draining,
+            notice=gate.describe_notice(),
+            rate_load=round(admission.rate_limit.compute_load(now), 2),
         )
 
     def _record(
--- a/merlintrail/node/tests/notice_load.py
+++ b/merlintrail/node/tests/notice_load.py
@@ -175,6 +175,16 @@
         await asyncio.gather(*(self.send('read', entry) for _ in self.servers))
         assert len(self.servers[server].arrivals) > arrivals
 
+    def count_refused(self, reason: str) -> int:
+        """Count the calls that the nodes of servers refused for a reason."""
+        label = f'merlintrail_reason="{reason}"'
+        count = 0
+        for node in self.session.nodes.values():
+            for line in node.metrics.render_text().decode().splitlines():
+                if line.startswith('merlintrail_calls') and label in line:
+                    count += int(float(line.rpartition(' ')[2]))
+        return count
+
     async def finish(self) -> None:
         """Wait for all answers."""
         await asyncio.gather(*self._tasks)
--- a/merlintrail/node/tests/test_rate_limits.py
+++ b/merlintrail/node/tests/test_rate_limits.py
@@ -18,6 +18,9 @@
 _OK: Final = 200
 #: Largest number of nodes in a test, each with little traffic.
 _NODES: Final = 40
+#: Share of the calls that may reach a limited server's node in vain while
+#: others have room.
+_MAX_REFUSED_SHARE: Final = 0.05
 #: Share of a limit that is used at least while more is asked for.
 _MIN_USED_SHARE: Final = 0.8
 
@@ -95,6 +98,10 @@
                 answer for _, _, answer in load.answers if answer.status != _OK
             ]
             self.assertEqual(failed, [])
+            self.assertLessEqual(
+                load.count_refused('rate-limited'),
+                _MAX_REFUSED_SHARE * len(load.answers),
+            )
 
         run_virtually(scenario())
 
@@ -283,12 +290,12 @@
             load.announce('server-0', 2, health_path='/health')
             load.state_limit('5')
             await load.run(2.0, 40.0)
+            await load.finish()
             gateway = load.session.nodes['server-0'].gateway
             server.rate_limit = None
-            polls = [
-                asyncio.create_task(gateway.refresh_hints()) for _ in range(5)
-            ]
-            await asyncio.gather(*polls)
+            for _ in range(5):
+                await gateway.refresh_hints()
+                await asyncio.sleep(1.0)
             limit = gateway.gates['svc'].admission.rate_limit
             self.assertEqual(limit.rate, 5.0)
 
--- a/merlintrail/protocol/_call.py
+++ b/merlintrail/protocol/_call.py
@@ -80,6 +80,9 @@
     #: What the backend server states, as the fields of ``RunNotice``; ``None``
     #: if it neither limits the rate nor leaves, or has not answered yet.
     notice: Sequence[Any] | None = None
+    #: Rate of calls that ask for the backend server in terms of the limit that
+    #: it states, 0 without a limit.
+    rate_load: float = 0.0
 
 
 def encode_header_record(record: CallHeader | CallReport) -> str:
--- a/merlintrail/state/_rate_limit.py
+++ b/merlintrail/state/_rate_limit.py
@@ -11,9 +11,9 @@
 #: Seconds over which the rate of arrivals is averaged, at high limits.
 AVERAGING_S: Final = 1.0
 #: Calls at the limit in the time over which arrivals are averaged at least.
-MIN_AVERAGED_CALLS: Final = 2.0
+MIN_AVERAGED_CALLS: Final = 1.0
 #: Highest load that is computed.
-MAX_LOAD: Final = 10.0
+MAX_LOAD: Final = 2.0
 
 
 class RateLimit:
--- a/merlintrail/state/_targets.py
+++ b/merlintrail/state/_targets.py
@@ -1,9 +1,11 @@
 """Backend servers as routing targets."""
 
+import math
 from typing import Final
 
-from merlintrail.protocol import CallReport
+from merlintrail.protocol import CallReport, read_run_notice
 from merlintrail.state._members import Member, ServiceOffer
+from merlintrail.state._rate_limit import AVERAGING_S, compute_averaging_time
 from merlintrail.state._reported_levels import ReportedLevel
 
 #: Weight of a new sample in the moving average of the latency.
@@ -29,6 +31,9 @@
 SUSPENSION_S: Final = 0.5
 #: Share of its slots that a cold backend server gets at first.
 MIN_WARMUP_SHARE: Final = 0.1
+#: Load by a stated rate from which on it counts. Below, the backend server is
+#: chosen like any other, so that what it takes is used.
+MIN_RATE_LOAD: Final = 0.9
 #: Seconds after which a reported number of calls in flight is ignored.
 MAX_REPORT_AGE_S: Final = 1.0
 _MS_PER_S: Final = 1000
@@ -57,6 +62,9 @@
         self._level = ReportedLevel(0, 0.0)
         self._reported_in_flight = 0
         self._reported_at = 0.0
+        self._rate_load = 0.0
+        #: Time constant in seconds with which it decays.
+        self._rate_load_decay_s = AVERAGING_S
         self._consecutive_failures = 0
         self._ejections = 0
         self._failure_share = 0.0
@@ -72,8 +80,10 @@
         """Return the load of the backend server with one more call.
 
         It is the ratio of calls in flight to slots, where a backend server
-        in its warm-up has only a share of its slots. Failures and a service
-        time far above the median add to it.
+        in its warm-up has only a share of its slots. Once the rate that it
+        states to take is nearly used up, it is at least the ratio of the calls
+        that ask for it to that rate. Failures and a service time far above the
+        median add to it.
 
         :param median_service_s: median service time of the service in
             seconds, 0 if unknown.
@@ -86,6 +96,10 @@
             progress = (now - self.warmup_started_at) / warmup_s
             share = max(MIN_WARMUP_SHARE, min(1.0, progress))
         load = (in_flight + 1) / (self.offer.slots * share)
+        if self._rate_load:
+            rate_load = self._read_rate_load(now)
+            if rate_load > MIN_RATE_LOAD:
+                load = max(load, rate_load)
         if self._failure_share:
             load += self._read_failure_share(now) * FAILURE_LOAD
         if median_service_s > 0:
@@ -111,6 +125,11 @@
         """
         self._level = ReportedLevel(report.level, now)
         self._reported_in_flight = report.in_flight
+        self._rate_load = report.rate_load
+        if report.rate_load:
+            notice = read_run_notice(report.notice)
+            rate_limit = None if notice is None else notice.rate_limit
+            self._rate_load_decay_s = compute_averaging_time(rate_limit)
         self._reported_at = now
         self.is_draining = report.is_draining
         self._consecutive_failures = 0
@@ -148,6 +167,10 @@
         self.ejected_until = now + duration_s
         return duration_s
 
+    def _read_rate_load(self, now: float) -> float:
+        age_s = now - self._reported_at
+        return self._rate_load * math.exp(-age_s / self._rate_load_decay_s)
+
     def _read_failure_share(self, now: float) -> float:
         age_s = now - self._failure_share_at
         share: float = self._failure_share * 0.5 ** (
