Call refused callers back when a stated limit has room for them

Callers with an objective were asked back after 0.2 to 0.5 of it, also where the server says that its next request is due in four seconds: a second refusal in vain. The refusal for a used-up rate tells the time until the next free start, and an objective only shortens it below a second, the step in which nodes tell each other. test_return_to_a_low_limit failed before (1.0 s, then 0.5 s; 4 s now).

--- a/merlintrail/node/_ingress.py
+++ b/merlintrail/node/_ingress.py
@@ -183,6 +183,7 @@
             refusal.retry_after_s,
             None if objective_ms is None else objective_ms / _MS_PER_S,
             self._deps.rng.random(),
+            _find_earliest_retry(refusal),
         )
         return refusal._replace(retry_after_s=retry_after_s)
 
@@ -349,3 +350,14 @@
             outcome=refusal.outcome.value,
             detail=refusal.detail,
         )
+
+
+def _find_earliest_retry(refusal: Refusal) -> float:
+    """Return the seconds until which a retry is known to be refused.
+
+    Nodes tell each other whole seconds, so that one says nothing.
+    """
+    is_limited = refusal.reason == Reason.RATE_LIMITED
+    if is_limited and refusal.retry_after_s > 1:
+        return refusal.retry_after_s
+    return 0.0
--- a/merlintrail/state/_admission.py
+++ b/merlintrail/state/_admission.py
@@ -43,6 +43,8 @@
 OBJECTIVE_WAIT_SHARE: Final = 0.125
 #: Number of call classes above which the averages by class are discarded.
 MAX_CALL_CLASSES: Final = 256
+#: Seconds after which a caller is asked to retry at least after an overload.
+MIN_OVERLOAD_PAUSE_S: Final = 1.0
 #: Longest time in seconds after which a refused caller is asked to retry.
 MAX_RETRY_AFTER_S: Final = 5.0
 
@@ -311,14 +313,20 @@
 
         An overload that is due to the rate limit is named so.
         """
-        is_rate_used_up = self.rate_limit.compute_delay(self._clock()) > 0
+        now = self._clock()
+        is_rate_used_up = self.rate_limit.compute_delay(now) > 0
         if reason == Reason.OVERLOAD and is_rate_used_up:
             reason = Reason.RATE_LIMITED
-        pause_s = (self.queued + 1) / self._compute_throughput()
+        pause_s = max(
+            (self.queued + 1) / self._compute_throughput(),
+            self.rate_limit.compute_delay(now, self.queued),
+        )
+        if reason != Reason.RATE_LIMITED:
+            pause_s += MIN_OVERLOAD_PAUSE_S
         return Refusal(
             Outcome.NOT_RUN,
             reason,
-            retry_after_s=min(MAX_RETRY_AFTER_S, 1.0 + pause_s),
+            retry_after_s=min(MAX_RETRY_AFTER_S, pause_s),
         )
 
     def _take_slot(self) -> None:
--- a/merlintrail/state/_refused_requests.py
+++ b/merlintrail/state/_refused_requests.py
@@ -67,7 +67,10 @@
 
 
 def compute_retry_after(
-    retry_after_s: float, objective_s: float | None, draw: float
+    retry_after_s: float,
+    objective_s: float | None,
+    draw: float,
+    earliest_s: float = 0.0,
 ) -> float:
     """Return the seconds after which a refused caller should retry.
 
@@ -75,10 +78,11 @@
     :param objective_s: time in seconds within which an answer has its full
         value, if stated.
     :param draw: random number from 0 to 1.
+    :param earliest_s: seconds until which a retry is known to be refused.
     """
     if objective_s is None:
         return retry_after_s + draw * JITTER_S
     share = MIN_OBJECTIVE_SHARE + draw * (
         MAX_OBJECTIVE_SHARE - MIN_OBJECTIVE_SHARE
     )
-    return max(MIN_RETRY_AFTER_S, objective_s * share)
+    return max(MIN_RETRY_AFTER_S, objective_s * share, earliest_s)
--- a/merlintrail/state/tests/test_rate_limit.py
+++ b/merlintrail/state/tests/test_rate_limit.py
@@ -11,6 +11,7 @@
     FixedLimit,
     RateLimit,
     SheddingController,
+    compute_retry_after,
     is_shed,
 )
 from merlintrail.state._rate_limit import BURST_S, MIN_RATE
@@ -148,6 +149,26 @@
             self.assertEqual(refusal.reason, Reason.RATE_LIMITED)
             self.assertGreater(refusal.retry_after_s, 0.1)
 
+    def test_return_to_a_low_limit(self) -> None:
+        """An objective does not call a caller back before there is room."""
+
+        async def scenario() -> Refusal | None:
+            admission = self.create()
+            admission.update_rate_limit(0.25)
+            await self.admit(admission, _NORMAL)
+            return await self.admit(admission, _NORMAL)
+
+        refusal = run_virtually(scenario())
+        assert refusal is not None
+        self.assertGreater(refusal.retry_after_s, 3.0)
+        retry_after_s = compute_retry_after(
+            refusal.retry_after_s,
+            objective_s=1.5,
+            draw=0.5,
+            earliest_s=refusal.retry_after_s,
+        )
+        self.assertEqual(retry_after_s, refusal.retry_after_s)
+
     def test_paused_process(self) -> None:
         """A call is not started later than its answer could be in time."""
 
