Let backend servers of the soak state limits and leave

They can now: limits from 0 to 4 a second for four to nine seconds, and leaving, after which they serve on and then restart, overlapping with all other faults. The requests that each ran are checked against the rule, for the entry node without faults, which passes every answer on.

One of three servers still announces no identity, and does not leave: nothing tells a restarted node which run left.

--- a/merlintrail/bench/_fault_soak.py
+++ b/merlintrail/bench/_fault_soak.py
@@ -2,7 +2,7 @@
 
 Callers send requests to a small deployment of real processes. Meanwhile nodes
 are killed, paused and restarted, backend servers are killed or crash on a
-request that comes again and again, connections between nodes are reset,
+request that comes again and again, state limits or that they leave, connections between nodes are reset,
 delayed or have their traffic dropped, and the store fails, is slow or loses
 answers. Afterwards the answers that the callers
 received and the run logs of the backend servers are checked for violated
@@ -26,6 +26,8 @@
     count_runs,
 )
 from merlintrail.bench._soak_faults import FaultInjector, FaultTargets
+from merlintrail.bench._soak_statements import check_statements
+from merlintrail.lab.backend import read_run_log
 from merlintrail.lab.processes import Deployment, WorkerPlan
 from merlintrail.lab.relay import TcpRelay
 
@@ -36,6 +38,8 @@
 }
 #: Instances with a backend server.
 WORKERS: Final = ('echo-0', 'echo-1', 'echo-2')
+#: Instance whose backend server announces no identity.
+ANONYMOUS_WORKER: Final = 'echo-2'
 #: Direction in which the relay of each worker drops traffic.
 DROPPED_DIRECTIONS: Final = ('forward', 'backward', 'both')
 #: Instances without a backend server, to which callers send requests.
@@ -90,6 +94,7 @@
                 'slots': 16,
                 'service_ms': 15,
                 'run_log': str(deployment.folder / f'{name}.runs'),
+                'has_identity': name != ANONYMOUS_WORKER,
             },
         )
         for number, name in enumerate(WORKERS)
@@ -147,7 +152,14 @@
         [deployment.workers[name].call_address for name in ENTRY_NODES], seed
     )
     faults = FaultInjector(
-        FaultTargets(deployment, WORKERS, ENTRY_NODES, relays), seed
+        FaultTargets(
+            deployment,
+            WORKERS,
+            ENTRY_NODES,
+            relays,
+            [name for name in WORKERS if name != ANONYMOUS_WORKER],
+        ),
+        seed,
     )
     measured_from_s = await _run_load(callers, faults, duration_s)
     for relay in relays:
@@ -155,6 +167,12 @@
     findings = check_records(
         callers.records, count_runs(_list_run_logs(deployment))
     )
+    for path in _list_run_logs(deployment):
+        findings.extend(
+            check_statements(
+                read_run_log(path), callers.records, callers.started_at
+            )
+        )
     share = compute_success_share(callers.records, measured_from_s)
     if share < MIN_RECOVERED_SHARE:
         findings.append(
--- a/merlintrail/bench/_soak_callers.py
+++ b/merlintrail/bench/_soak_callers.py
@@ -96,6 +96,11 @@
         self._started_at: float | None = None
         self.records: list[RequestRecord] = []
 
+    @property
+    def started_at(self) -> float:
+        """Monotonic time of the first request in seconds, 0 before it."""
+        return self._started_at or 0.0
+
     async def run(self) -> None:
         """Send requests at random intervals until cancelled."""
         while True:
--- a/merlintrail/bench/_soak_checks.py
+++ b/merlintrail/bench/_soak_checks.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from merlintrail.bench._soak_callers import RequestRecord, build_run_label
+from merlintrail.lab.backend import read_run_log
 from merlintrail.protocol import Reason
 
 #: Minimum share of successes among the requests sent after recovery.
@@ -35,8 +36,7 @@
     """
     runs: Counter[str] = Counter()
     for log in logs:
-        if log.exists():
-            runs.update(log.read_text(encoding='utf-8').split())
+        runs.update(run.label for run in read_run_log(log))
     return runs
 
 
--- a/merlintrail/bench/_soak_faults.py
+++ b/merlintrail/bench/_soak_faults.py
@@ -4,9 +4,11 @@
 import random
 import signal
 from collections import Counter
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Any, Final, NamedTuple, TypeAlias
 
+import urllib3
+
 from merlintrail.bench._soak_checks import FAULT_FREE_ENTRY_INDEX
 from merlintrail.lab.processes import Deployment
 from merlintrail.lab.relay import TcpRelay
@@ -26,6 +28,13 @@
 MAX_COPY_AGE_S: Final = 10.0
 #: Seconds for which the store is away before it is restored.
 RESTORE_DOWN_S: Final = 0.3
+#: Mean seconds between two statements of backend servers.
+MEAN_STATEMENT_INTERVAL_S: Final = 1.5
+#: Bounds of the time in seconds for which a statement holds.
+MIN_STATEMENT_S: Final = 4.0
+MAX_STATEMENT_S: Final = 9.0
+#: Limits that backend servers state, in requests per second.
+STATED_LIMITS: Final = ('0', '0.5', '1', '2.5', '4')
 #: Seconds until a crashed backend server is started again.
 RESTART_DELAY_S: Final = 0.5
 #: Seconds between two polls for the exit of a process.
@@ -56,6 +65,9 @@
     entries: Sequence[str]
     #: Relays in front of the peer addresses of the workers.
     relays: Sequence[TcpRelay]
+    #: Workers whose backend servers announce an identity. Only these leave: a
+    #: restarted node cannot tell which run of another one left.
+    identified: Sequence[str]
 
 
 class FaultInjector:
@@ -69,6 +81,7 @@
         self._rng = random.Random(seed)
         #: Separate, so that the other faults of a seed stay the same.
         self._restore_rng = random.Random(f'restores {seed}')
+        self._statement_rng = random.Random(f'statements {seed}')
         #: Whether the store is restored from copies. It is not for odd seeds,
         #: whose keys are all served, which a restored store prevents.
         self._restores = seed % 2 == 0
@@ -93,7 +106,10 @@
 
     async def run(self, duration_s: float) -> None:
         """Inject faults for a time, then wait until the last one has ended."""
-        work = [self._inject_repeatedly(duration_s)]
+        work = [
+            self._inject_repeatedly(duration_s),
+            self._make_statements(duration_s),
+        ]
         if self._restores:
             work.append(self._restore_repeatedly(duration_s))
         await asyncio.gather(*work)
@@ -109,6 +125,52 @@
                 self._inject()
         await asyncio.gather(*self._tasks)
 
+    async def _make_statements(self, duration_s: float) -> None:
+        """Let backend servers state limits and leave, until a time is over.
+
+        One that leaves goes on serving for a time and then restarts.
+        """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + duration_s
+        statements = []
+        while loop.time() < end:
+            statements.append(
+                asyncio.create_task(self._make_statement(end - loop.time()))
+            )
+            await asyncio.sleep(
+                self._statement_rng.expovariate(1 / MEAN_STATEMENT_INTERVAL_S)
+            )
+        await asyncio.gather(*statements)
+
+    async def _make_statement(self, remaining_s: float) -> None:
+        rng = self._statement_rng
+        is_leaving = rng.random() < 1 / 4
+        targets = self._targets
+        instance = rng.choice(
+            targets.identified if is_leaving else targets.workers
+        )
+        held_s = min(remaining_s, rng.uniform(MIN_STATEMENT_S, MAX_STATEMENT_S))
+        change: dict[str, Any] = {'rate_limit': rng.choice(STATED_LIMITS)}
+        if is_leaving:
+            change = {'is_leaving': True}
+        name = 'state_leaving' if is_leaving else 'state_limit'
+        self.counts[name] += await self._control(instance, change)
+        await asyncio.sleep(held_s)
+        if is_leaving:
+            await self._kill_backend(instance, RESTART_DELAY_S)
+        else:
+            await self._control(instance, {'rate_limit': None})
+
+    async def _control(self, instance: str, change: Mapping[str, Any]) -> bool:
+        """Change what a backend server does, unless it is down."""
+        try:
+            await asyncio.to_thread(
+                self._targets.deployment.control_backend, instance, change
+            )
+        except urllib3.exceptions.HTTPError:
+            return False
+        return True
+
     async def _restore_repeatedly(self, duration_s: float) -> None:
         """Restore the store from copies, whatever other faults there are."""
         loop = asyncio.get_running_loop()
--- a/merlintrail/bench/tests/test_fault_soak.py
+++ b/merlintrail/bench/tests/test_fault_soak.py
@@ -11,6 +11,8 @@
     RequestRecord,
 )
 from merlintrail.bench._soak_checks import check_records, compute_success_share
+from merlintrail.bench._soak_statements import check_statements
+from merlintrail.lab.backend import LoggedRun
 
 #: Even, so that the store is restored.
 _RESTORE_SEED: Final = 38
@@ -133,6 +135,39 @@
         self.assertIn('6 of 6 harmless', ''.join(findings))
 
 
+class StatementTest(unittest.TestCase):
+    """Requests that a backend server gets after it stated something."""
+
+    def check(
+        self, interval_s: float, rate_limit: str | None, *, is_leaving: bool
+    ) -> list[str]:
+        """Check 10 s of requests at an interval, all with a statement."""
+        times = [number * interval_s for number in range(int(10 / interval_s))]
+        records = [
+            _build_record(label=f'{at}', sent_at=at, entry_index=0)
+            for at in times
+        ]
+        runs = [
+            LoggedRun(f'{at}.1', 100.0 + at, 1, rate_limit, is_leaving)
+            for at in times
+        ]
+        return list(check_statements(runs, records, 100.0))
+
+    def test_limit(self) -> None:
+        """A limit of 2 a second allows 17 requests in 4 s."""
+        self.assertEqual(self.check(0.25, '2', is_leaving=False), [])
+        findings = self.check(0.2, '2', is_leaving=False)
+        self.assertIn('got 20 in 4.0 s', ''.join(findings))
+        self.assertEqual(self.check(0.2, 'nan', is_leaving=False), [])
+        self.assertEqual(self.check(0.2, None, is_leaving=False), [])
+
+    def test_leaving(self) -> None:
+        """Requests sent long after the statement are reported."""
+        findings = self.check(0.5, None, is_leaving=True)
+        self.assertIn('got 10 requests later', ''.join(findings))
+        self.assertEqual(self.check(4.0, None, is_leaving=True), [])
+
+
 class SoakTest(unittest.TestCase):
     """A short soak of real processes with injected faults."""
 
@@ -141,6 +176,7 @@
         result = run_soak(_RESTORE_SEED, 8.0)
         self.assertEqual(result.findings, [])
         self.assertGreater(result.faults['restore_store'], 0)
+        self.assertGreater(result.faults['state_limit'], 0)
 
     def test_seed_that_failed(self) -> None:
         """The highest seed that once had findings has none."""
--- a/merlintrail/lab/backend.py
+++ b/merlintrail/lab/backend.py
@@ -6,6 +6,7 @@
 import asyncio
 import os
 import random
+import time
 from collections import Counter
 from collections.abc import Mapping, Sequence
 from pathlib import Path
@@ -18,7 +19,9 @@
 from merlintrail.protocol import (
     CONTEXT_HEADER,
     IDEMPOTENCY_KEY_HEADER,
+    LEAVING_HEADER,
     OUTCOME_HEADER,
+    RATE_LIMIT_HEADER,
     encode_json,
 )
 from merlintrail.transport import (
@@ -67,10 +70,53 @@
     enforces_slots: bool = True
     #: Path of the health endpoint.
     health_path: str = '/health'
-    #: File to which the ``RUN_LABEL_HEADER`` of each request that starts to
-    #: run is appended, so that the labels survive a crash of the process;
-    #: empty for none.
+    #: File to which a line with a :class:`LoggedRun` is appended for each
+    #: labelled request that starts to run, so that it survives a crash of the
+    #: process; empty for none.
     run_log: str = ''
+    #: Whether announcements tell the identity and the start of the run.
+    has_identity: bool = False
+
+
+class LoggedRun(NamedTuple):
+    """A request that started to run, as logged."""
+
+    #: Value of the ``RUN_LABEL_HEADER``.
+    label: str
+    #: Time of the monotonic clock of this machine in seconds.
+    at: float
+    #: Start of the backend server in milliseconds since the epoch.
+    started_at_ms: int
+    #: What the backend server stated at that time.
+    rate_limit: str | None
+    is_leaving: bool
+
+
+def read_run_log(path: Path) -> list[LoggedRun]:
+    """Read the requests that a backend server logged."""
+    if not path.exists():
+        return []
+    return [
+        LoggedRun(*orjson.loads(line))
+        for line in path.read_bytes().splitlines()
+    ]
+
+
+class Statements(NamedTuple):
+    """What the backend server states of itself in its answers."""
+
+    #: Text of the header for the rate limit, ``None`` to state none.
+    rate_limit: str | None = None
+    is_leaving: bool = False
+
+    def build_headers(self) -> list[tuple[str, str]]:
+        """Return the headers that make the statements."""
+        headers = []
+        if self.rate_limit is not None:
+            headers.append((RATE_LIMIT_HEADER, self.rate_limit))
+        if self.is_leaving:
+            headers.append((LEAVING_HEADER, '1'))
+        return headers
 
 
 class FakeBackendServer:
@@ -89,6 +135,9 @@
         self.health_status = _OK
         #: Readiness that is announced to the node.
         self.is_ready = True
+        self.statements = Statements()
+        self._started_at_ms = int(time.time() * _MS_PER_S)
+        self._sequence = 0
         #: Requests by event: ``shed``, ``begun``, ``finished``, ``failed``,
         #: ``cancelled``.
         self.counts: Counter[str] = Counter()
@@ -129,19 +178,27 @@
             'POST',
             '/-/announce',
             (('host', self.plan.node_address),),
-            encode_json(
-                {
-                    'service': self.plan.service,
-                    'address': self.plan.address,
-                    'slots': self.plan.slots,
-                    'is_ready': self.is_ready,
-                    'ttl_s': ANNOUNCE_INTERVAL_S * 4,
-                    'health_path': self.plan.health_path,
-                }
-            ),
+            encode_json(self._build_announcement()),
             timeout_s=1.0,
         )
 
+    def _build_announcement(self) -> Mapping[str, Any]:
+        self._sequence += 1
+        run = {
+            'identity': f'{self.plan.service} {self.plan.address}',
+            'started_at_ms': self._started_at_ms,
+            'sequence': self._sequence,
+        }
+        return {
+            'service': self.plan.service,
+            'address': self.plan.address,
+            'slots': self.plan.slots,
+            'is_ready': self.is_ready,
+            'ttl_s': ANNOUNCE_INTERVAL_S * 4,
+            'health_path': self.plan.health_path,
+            **(run if self.plan.has_identity else {}),
+        }
+
     async def _run(self, request: HttpRequest) -> HttpResponse:
         self.counts['begun'] += 1
         self._log_run(request)
@@ -163,15 +220,25 @@
             'target': request.target,
             'echo': request.body.decode('latin-1'),
         }
-        return HttpResponse(
-            _OK, (('content-type', 'application/json'),), encode_json(body)
-        )
+        headers = [
+            ('content-type', 'application/json'),
+            *self.statements.build_headers(),
+        ]
+        return HttpResponse(_OK, headers, encode_json(body))
 
     def _log_run(self, request: HttpRequest) -> None:
         label = request.headers.get(RUN_LABEL_HEADER)
-        if label is not None and self.plan.run_log:
-            with Path(self.plan.run_log).open('a', encoding='utf-8') as log:
-                log.write(f'{label}\n')
+        if label is None or not self.plan.run_log:
+            return
+        run = LoggedRun(
+            label,
+            time.monotonic(),
+            self._started_at_ms,
+            self.statements.rate_limit,
+            self.statements.is_leaving,
+        )
+        with Path(self.plan.run_log).open('ab') as log:
+            log.writelines((encode_json(run), b'\n'))
 
     async def _send_nested_call(
         self, request: HttpRequest, target: str
@@ -190,6 +257,10 @@
             change: Mapping[str, Any] = orjson.loads(request.body)
             self.slowdown = change.get('slowdown', self.slowdown)
             self.is_ready = change.get('is_ready', self.is_ready)
+            self.statements = Statements(
+                change.get('rate_limit', self.statements.rate_limit),
+                change.get('is_leaving', self.statements.is_leaving),
+            )
             self.health_status = change.get('health_status', self.health_status)
         body = {
             'counts': dict(self.counts),
