Play stated limits and leaving in the virtual overloads

Nested calls stay near up to a load of 1.4, which with slots is a short wait, and with a stated rate a refusal.

--- a/merlintrail/bench/tests/test_virtual_overload.py
+++ b/merlintrail/bench/tests/test_virtual_overload.py
@@ -8,6 +8,11 @@
     RETTELSE,
     BenchDeployment,
 )
+from merlintrail.bench._soak_statements import (
+    LIMIT_FACTOR,
+    LIMIT_SLACK,
+    WINDOW_S,
+)
 from merlintrail.bench.tests.virtual_overload import (
     Overload,
     OverloadFigures,
@@ -63,6 +68,36 @@
                     ),
                 )
 
+    def play_limited(self, limited: int) -> None:
+        """Play servers of the deepest service that state a low limit."""
+        figures = self.play(
+            BEDENREHBER,
+            Overload(limited_servers=limited, rate_limit=60.0, trigger_s=10.0),
+        )
+        self.assertLessEqual(
+            figures.busiest_window, LIMIT_FACTOR * 60.0 * WINDOW_S + LIMIT_SLACK
+        )
+        self.assertGreaterEqual(figures.goodput, _TARGET_GOODPUT)
+
+    def test_limited_server(self) -> None:
+        """One of three states a limit; the others have room."""
+        self.play_limited(1)
+
+    def test_some_limited_servers(self) -> None:
+        """Two of three state a limit, below what is asked for."""
+        self.play_limited(2)
+
+    def test_all_servers_limited(self) -> None:
+        """All state a limit, far below what is asked for."""
+        self.play_limited(3)
+
+    def test_leaving_server(self) -> None:
+        """One of three servers of the deepest service leaves."""
+        for deployment in (BEDENREHBER, RETTELSE):
+            with self.subTest(deployment.name):
+                figures = self.play(deployment, Overload(leaving_servers=1))
+                self.assertEqual(figures.late_requests, 0)
+
     def test_goodput_with_lost_servers(self) -> None:
         """The servers that are left are kept busy with useful work."""
         figures = self.play(BEDENREHBER, Overload(lost_servers=2))
--- a/merlintrail/state/_targets.py
+++ b/merlintrail/state/_targets.py
@@ -34,6 +34,9 @@
 #: Load by a stated rate from which on it counts. Below, the backend server is
 #: chosen like any other, so that what it takes is used.
 MIN_RATE_LOAD: Final = 0.9
+#: Load of a backend server whose stated rate is just used up. Calls beyond it
+#: are refused, while those beyond the slots only wait.
+FULL_RATE_LOAD: Final = 2.0
 #: Seconds after which a reported number of calls in flight is ignored.
 MAX_REPORT_AGE_S: Final = 1.0
 _MS_PER_S: Final = 1000
@@ -80,10 +83,9 @@
         """Return the load of the backend server with one more call.
 
         It is the ratio of calls in flight to slots, where a backend server
-        in its warm-up has only a share of its slots. Once the rate that it
-        states to take is nearly used up, it is at least the ratio of the calls
-        that ask for it to that rate. Failures and a service time far above the
-        median add to it.
+        in its warm-up has only a share of its slots. It is higher once the rate
+        that it states to take is nearly used up. Failures and a service time
+        far above the median add to it.
 
         :param median_service_s: median service time of the service in
             seconds, 0 if unknown.
@@ -99,7 +101,7 @@
         if self._rate_load:
             rate_load = self._read_rate_load(now)
             if rate_load > MIN_RATE_LOAD:
-                load = max(load, rate_load)
+                load = max(load, rate_load * FULL_RATE_LOAD)
         if self._failure_share:
             load += self._read_failure_share(now) * FAILURE_LOAD
         if median_service_s > 0:
