Keep an adopted limit when the first answer states no number

A server that states 5 a second, whose node restarts and is told so by another, lost the limit if its next answer held a value that is no number: the value was to leave the limit stated before, and the node looked for it in an earlier answer, of which the new process had none. The gate holds the limit in force, wherever it is from, and takes the notice of an answer itself. Found in review; the test failed before (no limit) and passes.

--- a/merlintrail/bench/_fault_soak.py
+++ b/merlintrail/bench/_fault_soak.py
@@ -2,11 +2,11 @@
 
 Callers send requests to a small deployment of real processes. Meanwhile nodes
 are killed, paused and restarted, backend servers are killed or crash on a
-request that comes again and again, state limits or that they leave, connections between nodes are reset,
-delayed or have their traffic dropped, and the store fails, is slow or loses
-answers. Afterwards the answers that the callers
-received and the run logs of the backend servers are checked for violated
-guarantees.
+request that comes again and again, state limits or that they are leaving,
+connections between nodes are reset, delayed or have their traffic dropped, and
+the store fails, is slow or loses answers. Afterwards the answers that the
+callers received and the run logs of the backend servers are checked for
+violated guarantees.
 """
 
 import asyncio
--- a/merlintrail/node/_backend.py
+++ b/merlintrail/node/_backend.py
@@ -7,12 +7,7 @@
 from typing import Any, Final, NamedTuple
 
 from merlintrail.node._calls import OutgoingCall, compute_request_digest
-from merlintrail.protocol import (
-    BackendLoad,
-    BackendNotice,
-    DecodeFailure,
-    RunNotice,
-)
+from merlintrail.protocol import BackendLoad, BackendNotice, RunNotice
 from merlintrail.transport import (
     ConnectionPool,
     HttpRequest,
@@ -205,10 +200,8 @@
         self.health_hint = 'unknown'
         #: Last response of the load endpoint, or why there was none.
         self.load_hint: object = None
-        #: What it states of itself, ``None`` before its first response. An
-        #: invalid limit leaves the one stated before.
+        #: What its last response stated of it, ``None`` before the first.
         self.notice: BackendNotice | None = None
-        self._last_notice = BackendNotice()
         #: Load that it reported with its last response.
         self.load: BackendLoad | None = None
         #: Calls that run in it, by call identifier.
@@ -258,19 +251,6 @@
             self.announcement.started_at_ms,
         )
 
-    def record_notice(self, notice: BackendNotice) -> bool:
-        """Record what an answer states.
-
-        :returns: whether it differs from what was known.
-        """
-        is_changed = notice != self._last_notice
-        self._last_notice = notice
-        if isinstance(notice.rate_limit, DecodeFailure):
-            known = self.notice or BackendNotice()
-            notice = notice._replace(rate_limit=known.rate_limit)
-        self.notice = notice
-        return is_changed
-
     def record_lost_call(self, call_id: str, now: float) -> list[str]:
         """Record that the connection of a call was lost.
 
--- a/merlintrail/node/_backend_exchange.py
+++ b/merlintrail/node/_backend_exchange.py
@@ -181,9 +181,8 @@
         answer = await self.prober.poll(gate.backend, path)
         if isinstance(answer, HttpResponse):
             notice = self._deps.dialect.read_notice(answer)
-            known = gate.backend.notice
-            if notice.rate_limit is None and known is not None:
-                notice = notice._replace(rate_limit=known.rate_limit)
+            if notice.rate_limit is None:
+                notice = notice._replace(rate_limit=gate.rate_limit)
             if notice != BackendNotice():
                 self._record_notice(gate, notice)
         return answer
@@ -193,8 +192,7 @@
     ) -> None:
         backend = gate.backend
         was_leaving = backend.is_leaving
-        is_changed = backend.record_notice(notice)
-        gate.apply_notice()
+        is_changed = gate.apply_notice(notice)
         if backend.is_leaving != was_leaving:
             self._deps.on_change()
         if not is_changed:
--- a/merlintrail/node/_gate.py
+++ b/merlintrail/node/_gate.py
@@ -6,6 +6,7 @@
 
 from merlintrail.node._backend import Announcement, BackendServer
 from merlintrail.protocol import (
+    BackendNotice,
     DecodeFailure,
     Outcome,
     Reason,
@@ -34,21 +35,30 @@
         self.admission = AdmissionController(
             self.limit, self.shedder, clock, _DEFAULT_QUEUE_LIMIT_S
         )
-        #: Calls per second that the backend server states to take.
         self._rate_limit: float | None = None
         #: Ensures that at most one request under suspicion of crashing
         #: backend servers runs at a time.
         self.suspect_lock = asyncio.Lock()
 
-    def apply_notice(self) -> None:
-        """Keep to what the backend server states of itself."""
-        notice = self.backend.notice
-        if notice is None:
-            return
+    @property
+    def rate_limit(self) -> float | None:
+        """Calls per second that the backend server states to take."""
+        return self._rate_limit
+
+    def apply_notice(self, notice: BackendNotice) -> bool:
+        """Keep to what the backend server states of itself in an answer.
+
+        A limit that is no number leaves the one stated before.
+
+        :returns: whether the notice differs from the last one.
+        """
+        is_changed = notice != (self.backend.notice or BackendNotice())
+        self.backend.notice = notice
         if notice.is_leaving and not self.backend.is_leaving:
             self.stop_for_leaving()
         if not isinstance(notice.rate_limit, DecodeFailure):
             self._update_rate_limit(notice.rate_limit)
+        return is_changed
 
     def adopt_notice(self, notice: RunNotice) -> bool:
         """Keep to what the backend server stated before this node started.
--- a/merlintrail/node/tests/test_rate_limits.py
+++ b/merlintrail/node/tests/test_rate_limits.py
@@ -231,6 +231,21 @@
 class DisturbedLimitTest(RateLimitTestCase):
     """Nodes that lose what they knew, or are cut off, around a limit."""
 
+    def test_restart_and_a_value_that_is_no_number(self) -> None:
+        """It does not end the limit that another node tells."""
+
+        async def scenario() -> None:
+            load = NoticeLoad(1, entries=1)
+            load.state_limit('5')
+            await load.send('read', 'entry-0')
+            load.state_limit('nan')
+            load.restart_node('server-0')
+            await load.send('read', 'entry-0')
+            gateway = load.session.nodes['server-0'].gateway
+            self.assertEqual(gateway.gates['svc'].rate_limit, 5.0)
+
+        run_virtually(scenario())
+
     def test_restarts_beside_the_server(self) -> None:
         """Other nodes that passed the limit on are still bound by it."""
 
