Keep a server that left out of use when its node restarts

A server said to its node that it leaves, the node restarted, and an announcement that was delayed behind both made it ready again: 59 requests in two seconds, until it ended.

Cause: the departure is known to the process that took it. The offer in the member record names the run that left, so that every node learns it with the change that takes the server out of use anyway, and tells a node that has started since with its calls, like the statements in answers. A later run is not meant by it.

Evidence: test_restart_after_a_departure failed before (59 calls) and passes. Member records grow by a null an offer; nodes of an earlier build do not read them.

--- a/merlintrail/node/_dispatch.py
+++ b/merlintrail/node/_dispatch.py
@@ -119,7 +119,7 @@
         self._retries = RetryPolicy(deps.suspect_quarantine, deps.clock)
         self._level_filter = LevelReportFilter()
         self._sizes = MessageSizes()
-        self._notices = BackendNotices()
+        self.notices = BackendNotices()
 
     def configure_retries(
         self, settings: RetryBudgetSettings, nodes: int
@@ -291,7 +291,7 @@
         call.account.refund(reserved_retries, report.retries)
         if report.call_id:
             target.record_report(report, now - started_at, now)
-            self._notices.record(target.member, call.service, report)
+            self.notices.record(target.member, call.service, report)
         self._deps.suspect_quarantine.merge_record(report.suspicion)
         self._record_failure(target, gateway_result.answer)
         has_failed = has_failed_in_backend(gateway_result)
@@ -374,5 +374,5 @@
             caller_service=call.caller_service,
             objective_ms=call.objective_ms,
             is_routed=call.is_routed,
-            notice=self._notices.find_lost(target.member, call.service),
+            notice=self.notices.find_lost(target.member, call.service),
         )
--- a/merlintrail/node/_gate.py
+++ b/merlintrail/node/_gate.py
@@ -93,6 +93,13 @@
             self.backend.is_leaving,
         )
 
+    def describe_departure(self) -> RunNotice | None:
+        """Return the run that is leaving; ``None`` if it cannot be told."""
+        is_told = self.backend.is_leaving
+        if not is_told or self.backend.announcement.identity is None:
+            return None
+        return self.describe_notice()
+
     def stop_for_leaving(self) -> None:
         """Accept no more calls, as this run is about to end."""
         self.backend.record_leaving()
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -101,6 +101,7 @@
         )
         self.holder.add_listener(self._apply_configuration)
         self.table.add_listener(self.routing.update_member)
+        self.table.add_listener(self.dispatcher.notices.record_member)
         self.table.add_listener(self._drop_idle_connections)
 
     async def start(self) -> None:
@@ -401,6 +402,7 @@
                 name,
                 gate.backend.announcement.slots,
                 gate.backend.is_ready(now),
+                gate.describe_departure(),
             )
             for name, gate in sorted(self.gateway.gates.items())
         )
--- a/merlintrail/node/tests/test_leaving_servers.py
+++ b/merlintrail/node/tests/test_leaving_servers.py
@@ -70,6 +70,25 @@
 
         run_virtually(scenario())
 
+    def test_restart_after_a_departure(self) -> None:
+        """An announcement delayed behind departure and restart is too late."""
+
+        async def scenario() -> None:
+            load = NoticeLoad(2, entries=4)
+            load.entries = load.entries[1:]
+            await load.run(1.0, _RATE)
+            await load.finish()
+            registry = load.session.nodes['server-0'].gateway.registry
+            registry.record_departure('i-server-0', 1000)
+            load.session.share_members()
+            await load.run(1.0, _RATE)
+            since = asyncio.get_running_loop().time()
+            load.restart_node('server-0')
+            await load.run(2.0, _RATE)
+            self.assertEqual(load.servers['server-0'].count_since(since), 0)
+
+        run_virtually(scenario())
+
     def test_new_run_under_the_same_identity(self) -> None:
         """A later run has said nothing yet and gets calls."""
 
--- a/merlintrail/state/_backend_notices.py
+++ b/merlintrail/state/_backend_notices.py
@@ -28,8 +28,8 @@
     """Notices that a restarted node beside a backend server has lost.
 
     The node beside a backend server keeps to its statements, but forgets them
-    when it restarts. The nodes that passed them on tell it with their calls,
-    until it has had an answer itself.
+    when it restarts. The nodes that passed them on, or heard of a departure,
+    tell it with their calls, until it has had an answer itself.
     """
 
     def __init__(self) -> None:
@@ -41,15 +41,17 @@
         A refusal that reports nothing leaves what is known: the node may not
         have heard of its backend server since it started.
         """
-        place = _Place(member.node_id, service)
         notice = read_run_notice(report.notice)
         if notice is not None:
-            self._kept.pop(place, None)
-            self._kept[place] = _KeptNotice(notice, member.incarnation)
-            if len(self._kept) > MAX_NOTICES:
-                del self._kept[next(iter(self._kept))]
+            self._keep(member, service, notice)
         elif not report.reason:
-            self._kept.pop(place, None)
+            self._kept.pop(_Place(member.node_id, service), None)
+
+    def record_member(self, previous: Member | None, member: Member) -> None:
+        """Record departures; a listener of the member table."""
+        for offer in member.offers:
+            if offer.departure is not None:
+                self._keep(member, offer.service, offer.departure)
 
     def find_lost(self, member: Member, service: str) -> RunNotice | None:
         """Return a notice that an earlier run of a node reported."""
@@ -57,3 +59,10 @@
         if kept is None or kept.incarnation == member.incarnation:
             return None
         return kept.notice
+
+    def _keep(self, member: Member, service: str, notice: RunNotice) -> None:
+        place = _Place(member.node_id, service)
+        self._kept.pop(place, None)
+        self._kept[place] = _KeptNotice(notice, member.incarnation)
+        if len(self._kept) > MAX_NOTICES:
+            del self._kept[next(iter(self._kept))]
--- a/merlintrail/state/_members.py
+++ b/merlintrail/state/_members.py
@@ -2,11 +2,11 @@
 
 import enum
 from collections.abc import Callable, Iterable, Iterator, Sequence
-from typing import Final, NamedTuple
+from typing import Any, Final, NamedTuple
 
 import xxhash
 
-from merlintrail.protocol import encode_json
+from merlintrail.protocol import RunNotice, encode_json, read_run_notice
 
 #: Seconds for which a member that left is kept in the table.
 LEFT_RETENTION_S: Final = 120.0
@@ -41,6 +41,8 @@
     slots: int
     #: Whether it accepts new calls.
     is_ready: bool = True
+    #: The run that has left or is about to, ``None`` while it serves.
+    departure: RunNotice | None = None
 
 
 class Member(NamedTuple):
@@ -92,7 +94,7 @@
         return None
     try:
         member = Member(*document)
-        offers = tuple(ServiceOffer(*offer) for offer in member.offers)
+        offers = tuple(_read_offer(offer) for offer in member.offers)
     except TypeError:
         return None
     numbers = (member.incarnation, member.version, member.status)
@@ -101,6 +103,11 @@
     return member._replace(offers=offers)
 
 
+def _read_offer(record: Sequence[Any]) -> ServiceOffer:
+    offer = ServiceOffer(*record[: len(ServiceOffer._fields)])
+    return offer._replace(departure=read_run_notice(offer.departure))
+
+
 def compute_member_hash(member: Member) -> int:
     """Return a hash of a member's identifier and update order."""
     identity = (member.node_id, *member.order)
