Keep the rule for statements of servers in one place for all tests

The bound of a window, its notice times and the search for the busiest window stood in the checks of the soak, in the virtual overload and in the load of the node tests. They are one module of the lab now; what is checked is the same.

--- a/merlintrail/bench/_soak_statements.py
+++ b/merlintrail/bench/_soak_statements.py
@@ -15,18 +15,15 @@
 )
 from merlintrail.bench._soak_checks import FAULT_FREE_ENTRY_INDEX
 from merlintrail.lab.backend import LoggedRun
+from merlintrail.lab.statement_rule import (
+    LEAVING_NOTICE_S,
+    LIMIT_NOTICE_S,
+    WINDOW_S,
+    compute_allowed,
+    find_busiest_window,
+)
 from merlintrail.protocol import DecodeFailure, parse_rate_limit
 
-#: Seconds after the first statement of a limit from which it binds.
-LIMIT_NOTICE_S: Final = 3.0
-#: Length of the windows in seconds, and what a backend server may get in one:
-#: the stated rate times the factor, and some requests more.
-WINDOW_S: Final = 4.0
-LIMIT_FACTOR: Final = 1.5
-LIMIT_SLACK: Final = 5
-#: Seconds after the first statement of leaving within which requests may still
-#: be sent.
-LEAVING_NOTICE_S: Final = 2.5
 _MS_PER_S: Final = 1000
 
 
@@ -62,15 +59,9 @@
 
 
 def _check_limit(limit: float, runs: Sequence[LoggedRun]) -> Iterator[str]:
-    allowed = LIMIT_FACTOR * limit * WINDOW_S + LIMIT_SLACK
-    binding_from = runs[0].at + LIMIT_NOTICE_S
-    times = [run.at for run in runs if run.at >= binding_from]
-    busiest = max(
-        (
-            sum(start <= at < start + WINDOW_S for at in times)
-            for start in times
-        ),
-        default=0,
+    allowed = compute_allowed(limit)
+    busiest = find_busiest_window(
+        [run.at for run in runs], runs[0].at + LIMIT_NOTICE_S
     )
     if busiest > allowed:
         yield (
--- a/merlintrail/bench/tests/test_virtual_overload.py
+++ b/merlintrail/bench/tests/test_virtual_overload.py
@@ -8,16 +8,12 @@
     RETTELSE,
     BenchDeployment,
 )
-from merlintrail.bench._soak_statements import (
-    LIMIT_FACTOR,
-    LIMIT_SLACK,
-    WINDOW_S,
-)
 from merlintrail.bench.tests.virtual_overload import (
     Overload,
     OverloadFigures,
     play_overload,
 )
+from merlintrail.lab.statement_rule import compute_allowed
 
 #: Targets of the overload benchmarks.
 _TARGET_GOODPUT: Final = 0.9
@@ -74,9 +70,7 @@
             BEDENREHBER,
             Overload(limited_servers=limited, rate_limit=60.0, trigger_s=10.0),
         )
-        self.assertLessEqual(
-            figures.busiest_window, LIMIT_FACTOR * 60.0 * WINDOW_S + LIMIT_SLACK
-        )
+        self.assertLessEqual(figures.busiest_window, compute_allowed(60.0))
         self.assertGreaterEqual(figures.goodput, _TARGET_GOODPUT)
 
     def test_limited_server(self) -> None:
--- a/merlintrail/bench/tests/virtual_overload.py
+++ b/merlintrail/bench/tests/virtual_overload.py
@@ -15,10 +15,10 @@
     BenchDeployment,
     BenchService,
 )
-from merlintrail.bench._soak_statements import (
+from merlintrail.lab.statement_rule import (
     LEAVING_NOTICE_S,
     LIMIT_NOTICE_S,
-    WINDOW_S,
+    find_busiest_window,
 )
 from merlintrail.load import LoadKind
 from merlintrail.node.tests.session import Session
@@ -225,7 +225,7 @@
     #: Share of successful requests by kind.
     served: Mapping[str, float]
     reasons: Mapping[str, int]
-    #: Most requests that a server with a limit got in :data:`WINDOW_S`.
+    #: Most requests that a server with a limit got in any window of the rule.
     busiest_window: int
     #: Requests that leaving servers got later than :data:`LEAVING_NOTICE_S`
     #: after they stated it.
@@ -288,17 +288,20 @@
 ) -> int:
     since_s = overload.before_s + LIMIT_NOTICE_S
     until_s = overload.before_s + overload.trigger_s
-    busiest = 0
-    for number in range(overload.limited_servers):
-        times = [
-            at
-            for at in run.arrivals[f'{deployment.deepest}-{number}']
-            if since_s <= at < until_s
-        ]
-        for start in times:
-            count = sum(start <= at < start + WINDOW_S for at in times)
-            busiest = max(busiest, count)
-    return busiest
+    return max(
+        (
+            find_busiest_window(
+                [
+                    at
+                    for at in run.arrivals[f'{deployment.deepest}-{number}']
+                    if at < until_s
+                ],
+                since_s,
+            )
+            for number in range(overload.limited_servers)
+        ),
+        default=0,
+    )
 
 
 def _count_late_requests(
--- a/merlintrail/node/tests/notice_load.py
+++ b/merlintrail/node/tests/notice_load.py
@@ -10,14 +10,6 @@
 from merlintrail.protocol import LEAVING_HEADER, RATE_LIMIT_HEADER
 from merlintrail.transport import HttpRequest, HttpResponse
 
-#: Seconds after its first statement from which a limit binds.
-NOTICE_S: Final = 3.0
-#: Length in seconds of the windows in which the calls are counted.
-WINDOW_S: Final = 4.0
-#: What a backend server may get in a window: the rate that it states times
-#: the factor, and some calls more.
-LIMIT_FACTOR: Final = 1.5
-LIMIT_SLACK: Final = 5
 #: Seconds between two exchanges of the member records.
 GOSSIP_INTERVAL_S: Final = 0.25
 #: Seconds for which a backend server works on a call.
@@ -61,17 +53,6 @@
         """Count the calls that arrived later than a loop time."""
         return sum(1 for arrival in self.arrivals if arrival.at > since)
 
-    def find_busiest_window(self, since: float) -> int:
-        """Return the most calls in any window that begins after a time."""
-        times = [arrival.at for arrival in self.arrivals if arrival.at >= since]
-        return max(
-            (
-                sum(1 for at in times if start <= at < start + WINDOW_S)
-                for start in times
-            ),
-            default=0,
-        )
-
 
 class CallerAnswer(NamedTuple):
     """An answer to a request, as its caller saw it."""
--- a/merlintrail/node/tests/test_rate_limits.py
+++ b/merlintrail/node/tests/test_rate_limits.py
@@ -4,14 +4,12 @@
 import unittest
 from typing import Final
 
-from merlintrail.node.tests.notice_load import (
-    LIMIT_FACTOR,
-    LIMIT_SLACK,
-    NOTICE_S,
-    WINDOW_S,
-    NoticeLoad,
-    NoticeServer,
+from merlintrail.lab.statement_rule import (
+    LIMIT_NOTICE_S,
+    compute_allowed,
+    find_busiest_window,
 )
+from merlintrail.node.tests.notice_load import NoticeLoad, NoticeServer
 from merlintrail.protocol import OUTCOME_HEADER
 from merlintrail.testing import run_virtually
 
@@ -32,10 +30,9 @@
         self, server: NoticeServer, rate_limit: float, since: float
     ) -> None:
         """Check the windows that begin when the limit binds."""
-        allowed = LIMIT_FACTOR * rate_limit * WINDOW_S + LIMIT_SLACK
-        self.assertLessEqual(
-            server.find_busiest_window(since + NOTICE_S), allowed
-        )
+        times = [arrival.at for arrival in server.arrivals]
+        busiest = find_busiest_window(times, since + LIMIT_NOTICE_S)
+        self.assertLessEqual(busiest, compute_allowed(rate_limit))
 
     def check_use(
         self, server: NoticeServer, rate_limit: float, since: float
