Show that a keyed request's owner forgets that a server leaves

The case reproduces on whole nodes in virtual time: four requests reach the server, because the owner of the ledger slot is the node beside it, restarted, and the first node tells what it passed on with unkeyed calls only.

--- a/merlintrail/node/tests/notice_load.py
+++ b/merlintrail/node/tests/notice_load.py
@@ -7,7 +7,11 @@
 
 from merlintrail.node._backend import Announcement
 from merlintrail.node.tests.session import Session, build_document, build_kind
-from merlintrail.protocol import LEAVING_HEADER, RATE_LIMIT_HEADER
+from merlintrail.protocol import (
+    IDEMPOTENCY_KEY_HEADER,
+    LEAVING_HEADER,
+    RATE_LIMIT_HEADER,
+)
 from merlintrail.transport import HttpRequest, HttpResponse
 
 #: Seconds between two exchanges of the member records.
@@ -146,6 +150,18 @@
         self.answers.append(CallerAnswer(sent_at, kind, answer))
         return answer
 
+    async def send_keyed(self, key: str, name: str) -> HttpResponse:
+        """Send a non-idempotent request with a key to a node."""
+        return await self.session.nodes[name].local_service.handle(
+            HttpRequest(
+                'POST',
+                '/svc/write',
+                {IDEMPOTENCY_KEY_HEADER: key},
+                key.encode(),
+                '1.1.1.1',
+            )
+        )
+
     async def pass_statement_on(self, entry: str, server: str) -> None:
         """Let a node send a request to each server, and pass on what they state.
 
--- a/merlintrail/node/tests/test_leaving_servers.py
+++ b/merlintrail/node/tests/test_leaving_servers.py
@@ -4,6 +4,7 @@
 import unittest
 from typing import Final
 
+from merlintrail.coordination import find_slot_owner
 from merlintrail.node.tests.notice_load import NoticeLoad
 from merlintrail.protocol import OUTCOME_HEADER, Outcome
 from merlintrail.testing import run_virtually
@@ -70,6 +71,29 @@
 
         run_virtually(scenario())
 
+    def test_restart_of_a_keyed_requests_owner(self) -> None:
+        """The owner of a key beside the server learns what others passed on."""
+
+        async def scenario() -> None:
+            load = NoticeLoad(2)
+            first = next(iter(load.session.nodes.values()))
+            configuration = first.holder.current
+            assert configuration is not None
+            owner = find_slot_owner(first.table, configuration, 0)
+            assert owner is not None
+            other = next(name for name in load.entries if name != owner.node_id)
+            server = load.servers[owner.node_id]
+            server.leaving = '1'
+            await load.pass_statement_on(other, owner.node_id)
+            since = asyncio.get_running_loop().time()
+            load.restart_node(owner.node_id)
+            await asyncio.gather(
+                *(load.send_keyed(f'key-{key}', other) for key in range(8))
+            )
+            self.assertEqual(server.count_since(since), 0)
+
+        run_virtually(scenario())
+
     def test_restart_after_a_departure(self) -> None:
         """An announcement delayed behind departure and restart is too late."""
 
