Hold requests while a node that has just started learns what there is

Change: within two seconds of its start a node holds such a request for half of its objective at most, a nested call for half of its remaining time.

Weighed: asking the backend server's health endpoint at the start, to know it before its next heartbeat (0.02 to 0.86 s): the answer does not name the service, and an address may have passed to another one, so that requests could run at the wrong service.

--- a/merlintrail/node/_call_path.py
+++ b/merlintrail/node/_call_path.py
@@ -28,6 +28,7 @@
 from merlintrail.node._ingress import Ingress, IngressDependencies
 from merlintrail.node._keyed import KeyedCalls, KeyedCallsDependencies
 from merlintrail.node._settings import Settings
+from merlintrail.node._startup import StartupWait
 from merlintrail.node._suspect_quarantine import SuspectQuarantine
 from merlintrail.observability import NodeMetrics
 from merlintrail.protocol import create_id
@@ -113,6 +114,7 @@
             gateway,
             deps.metrics,
             suspect_quarantine,
+            StartupWait(deps.holder, deps.table, routing, environment.clock),
             environment.clock,
             environment.rng,
         )
--- a/merlintrail/node/_dispatch.py
+++ b/merlintrail/node/_dispatch.py
@@ -18,6 +18,7 @@
     RetryPolicy,
     has_failed_in_backend,
 )
+from merlintrail.node._startup import StartupWait
 from merlintrail.node._suspect_quarantine import SuspectQuarantine
 from merlintrail.observability import NodeMetrics, log_decision
 from merlintrail.protocol import (
@@ -105,6 +106,7 @@
     gateway: LocalGateway
     metrics: NodeMetrics
     suspect_quarantine: SuspectQuarantine
+    startup: StartupWait
     clock: Callable[[], float]
     rng: random.Random
 
@@ -120,6 +122,7 @@
         self._level_filter = LevelReportFilter()
         self._sizes = MessageSizes()
         self.notices = BackendNotices()
+        self.startup = deps.startup
 
     def configure_retries(
         self, settings: RetryBudgetSettings, nodes: int
@@ -137,6 +140,7 @@
     async def dispatch(self, call: OutgoingCall) -> CallResult:
         """Send a call until it is answered or may not be sent again."""
         self._retries.record_first_attempt(call)
+        await self.startup.wait_for_service(call)
         progress = Progress()
         while True:
             choice = self._find_target(call, progress.tried)
--- a/merlintrail/node/_ingress.py
+++ b/merlintrail/node/_ingress.py
@@ -98,9 +98,9 @@
         headers = self._deps.dialect.read_caller(request)
         request_id = headers.request_id or create_id(self._deps.rng)
         received = _ReceivedRequest(request, request_id, headers)
-        resolution = self._resolve(received)
         self.running += 1
         try:
+            resolution = await self._resolve(received)
             answer = (
                 resolution
                 if isinstance(resolution, Refusal)
@@ -124,7 +124,10 @@
         )
         return response
 
-    def _resolve(self, received: _ReceivedRequest) -> Resolution | Refusal:
+    async def _resolve(
+        self, received: _ReceivedRequest
+    ) -> Resolution | Refusal:
+        await self._wait_for_configuration(received)
         refusal = self._check_request(received)
         if refusal is None:
             resolution = self._resolver.resolve(
@@ -136,6 +139,13 @@
         self._log_refusal(received.request_id, received.request.target, refusal)
         return self._set_retry_after(refusal, None)
 
+    async def _wait_for_configuration(self, received: _ReceivedRequest) -> None:
+        deadline_ms = received.headers.deadline_ms
+        await self._deps.dispatcher.startup.wait_for_configuration(
+            received.request_id,
+            None if deadline_ms is None else deadline_ms / _MS_PER_S,
+        )
+
     async def _serve(
         self, received: _ReceivedRequest, resolution: Resolution
     ) -> HttpResponse | Refusal:
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -110,6 +110,7 @@
 
         :raises OSError: if an address cannot be bound.
         """
+        self.dispatcher.startup.begin()
         host, port = split_host_port(
             self.settings.peer_listen_address or self.settings.peer_address
         )
--- a/merlintrail/node/tests/session.py
+++ b/merlintrail/node/tests/session.py
@@ -97,7 +97,14 @@
     def add_backend(
         self, name: str, service: str, handler: BackendHandler, slots: int = 4
     ) -> None:
-        """Add a backend server beside a node."""
+        """Add a backend server beside a node, known to all nodes."""
+        self.announce_backend(name, service, handler, slots)
+        self.share_members()
+
+    def announce_backend(
+        self, name: str, service: str, handler: BackendHandler, slots: int = 4
+    ) -> None:
+        """Add a backend server beside a node, which alone knows it."""
         address = f'{name}:{service}'
 
         async def run(request: HttpRequest) -> HttpResponse:
@@ -108,7 +115,6 @@
         self.nodes[name].gateway.registry.announce(
             Announcement(service, address, slots, ttl_s=1.0e6)
         )
-        self.share_members()
 
     def add_node(self, name: str) -> Node:
         """Create a node without other members and without configuration."""
--- a/merlintrail/state/__init__.py
+++ b/merlintrail/state/__init__.py
@@ -67,6 +67,10 @@
     Tier,
 )
 from merlintrail.state._shedding import SheddingController
+from merlintrail.state._startup_wait import (
+    MAX_UNCONFIGURED_S,
+    compute_startup_wait,
+)
 from merlintrail.state._stops import find_planned_stop, overlaps_planned_stop
 from merlintrail.state._suspicion import (
     Suspicion,
@@ -98,6 +102,7 @@
 )
 
 __all__ = (
+    'MAX_UNCONFIGURED_S',
     'AdaptiveLimit',
     'AdmissionController',
     'AdmissionRequest',
@@ -165,6 +170,7 @@
     'build_level_key',
     'compute_digest',
     'compute_retry_after',
+    'compute_startup_wait',
     'create_limit',
     'find_differences',
     'find_planned_stop',
