Send a call that its region refuses to another region that has room

Cause: 'no room in the region' although servers of other regions were used to a third: a call that all servers in reach had refused was only sent on if their load was 1.5 less the margin for its size, which is below zero for nested calls.

Change: it is sent on if the server there is not above the load up to which the nearest ones are used.

--- a/merlintrail/state/_routing.py
+++ b/merlintrail/state/_routing.py
@@ -18,10 +18,6 @@
 )
 from merlintrail.state._targets import Target
 
-#: Load that is assumed for the backend servers of the region when there are
-#: some but none can be chosen. A call goes to another region only if the
-#: load there, with the margin, is not above it.
-UNAVAILABLE_LOAD: Final = 1.5
 #: Seconds for which the median service time of a service is cached.
 MEDIAN_CACHE_S: Final = 0.5
 #: Largest share of a service's backend servers that may be ejected.
@@ -274,7 +270,7 @@
         if isinstance(remote, NoTarget):
             return best or remote
         if best is None and self._has_region_server(request.service, now):
-            if remote.load + rule.remote_margin > UNAVAILABLE_LOAD:
+            if remote.load > rule.max_near_load:
                 return NoTarget(
                     is_shedding=True, level=0, reason='no room in the region'
                 )
--- a/merlintrail/state/tests/test_routing.py
+++ b/merlintrail/state/tests/test_routing.py
@@ -80,6 +80,37 @@
         self.assert_chosen('region', self.choose(50, 'near'))
         self.assert_chosen('remote', self.choose(50, 'near', 'region'))
 
+    def test_refused_in_its_region(self) -> None:
+        """A call goes to another region that has room, however large it is.
+
+        Its region has taken none of its attempts, so the choice is between
+        that room and a refusal, which wastes the work of a whole request if
+        the call is nested.
+        """
+        for is_nested in (False, True):
+            for in_flight in (0, 8):
+                with self.subTest(is_nested=is_nested, in_flight=in_flight):
+                    self.find('remote').record_report(
+                        _build_report(0, in_flight), 0.01, self.now
+                    )
+                    request = RoutingRequest(
+                        'svc', 50, is_nested=is_nested, size=6000.0
+                    )
+                    choice = self.table.choose(request, ('near', 'region'))
+                    self.assert_chosen('remote', choice)
+
+    def test_refused_everywhere(self) -> None:
+        """No call goes to another region whose servers are full too."""
+        for is_nested in (False, True):
+            with self.subTest(is_nested=is_nested):
+                self.find('remote').record_report(
+                    _build_report(0, 20), 0.01, self.now
+                )
+                request = RoutingRequest('svc', 50, is_nested=is_nested)
+                choice = self.table.choose(request, ('near', 'region'))
+                assert isinstance(choice, NoTarget), choice
+                self.assertTrue(choice.is_shedding)
+
     def test_loaded_data_centre_spills_into_the_region(self) -> None:
         """A full server in the own data centre is not chosen."""
         self.find('near').record_report(_build_report(0, 20), 0.01, self.now)
