Listen for callers before the program is loaded

Cause: for 0.1 to 0.15 s of each start, while imports are loaded, connections to the call address are rejected: 138, 221 and 176 after the loss of power, 687 after a kill of all processes. A caller that is rejected twice gives up.

Change: the daemon opens the socket of the call address before anything else; callers wait in its backlog and are served, or held, as soon as the node runs.

--- a/merlintrail/daemon/__init__.py
+++ b/merlintrail/daemon/__init__.py
@@ -1,5 +1,5 @@
 """The daemon ``merlintraild``, which runs one node as a process."""
 
-from merlintrail.daemon._main import run_daemon
+from merlintrail.daemon._startup import run_daemon
 
 __all__ = ('run_daemon',)
--- a/merlintrail/daemon/_main.py
+++ b/merlintrail/daemon/_main.py
@@ -1,9 +1,10 @@
-"""Entry point, startup and shutdown of the daemon process."""
+"""Assembly, running and shutdown of the daemon process."""
 
 import asyncio
 import gc
 import os
 import signal
+import socket
 import sys
 from collections.abc import Sequence
 from pathlib import Path
@@ -45,12 +46,16 @@
 )
 
 
-def run_daemon() -> None:
-    """Run the daemon; the console script ``merlintraild`` calls this."""
-    app.run(_run)
+def run_node(listener: socket.socket | None) -> None:
+    """Run a node until it is stopped, and exit.
 
+    :param listener: socket that listens on the call address already, if
+        there is one.
+    """
+    app.run(lambda arguments: _run(arguments, listener))
 
-def _run(arguments: Sequence[str]) -> int:
+
+def _run(arguments: Sequence[str], listener: socket.socket | None) -> int:
     if len(arguments) > 1 or _SETTINGS_FLAG.value is None:
         sys.stderr.write(
             'usage: merlintraild --settings FILE [--check_settings]\n'
@@ -71,7 +76,7 @@
     sys.setswitchinterval(THREAD_SWITCH_INTERVAL_S)
     gc.set_threshold(GC_YOUNG_GENERATION_THRESHOLD, 20, 100)
     with log.applicationbound():
-        status = uvloop.run(_serve(settings, text, log))
+        status = uvloop.run(_serve(settings, text, log, listener))
     log.flush()
     sys.stderr.flush()
     # Skip the interpreter's shutdown, which may wait for the threads of the
@@ -96,7 +101,12 @@
     return settings
 
 
-async def _serve(settings: Settings, text: str, log: JsonLinesHandler) -> int:
+async def _serve(
+    settings: Settings,
+    text: str,
+    log: JsonLinesHandler,
+    listener: socket.socket | None,
+) -> int:
     runtime = create_runtime(settings)
     loop = asyncio.get_running_loop()
     reloader = SettingsReloader(
@@ -107,7 +117,7 @@
     loop.add_signal_handler(signal.SIGTERM, node.begin_shutdown, 'SIGTERM')
     loop.add_signal_handler(signal.SIGINT, node.lifecycle.stopped.set)
     try:
-        await node.start()
+        await node.start(listener)
         await runtime.start_adapter()
         start_console(node, loop)
     except OSError as error:
--- /dev/null
+++ b/merlintrail/daemon/_startup.py
@@ -0,0 +1,65 @@
+"""Start of the daemon: listens for callers before it loads the program.
+
+Loading the program takes most of the start. Callers that connect meanwhile
+wait in the backlog of the socket instead of being rejected. Therefore this
+module imports little.
+"""
+
+import json
+import socket
+import sys
+from collections.abc import Sequence
+from typing import Final
+
+#: Connections that wait to be accepted.
+BACKLOG: Final = 1024
+_CHECK_ARGUMENT: Final = '--check_settings'
+_SETTINGS_PREFIX: Final = '--settings='
+
+
+def run_daemon() -> None:
+    """Run the daemon; the console script ``merlintraild`` calls this."""
+    listener = open_call_listener(sys.argv[1:])
+    # The rest of the program is loaded while the socket listens.
+    from merlintrail.daemon._main import run_node  # noqa: WPS433
+
+    run_node(listener)
+
+
+def open_call_listener(arguments: Sequence[str]) -> socket.socket | None:
+    """Listen on the call address of the settings file.
+
+    :param arguments: arguments of the command line.
+    :returns: ``None`` if they name no readable settings file, or its call
+        address cannot be bound. The program tries again and reports why.
+    """
+    if _CHECK_ARGUMENT in arguments:
+        return None
+    for argument in arguments:
+        if argument.startswith(_SETTINGS_PREFIX):
+            path = argument.removeprefix(_SETTINGS_PREFIX)
+            try:
+                return _listen(_read_call_address(path))
+            except (OSError, ValueError):
+                return None
+    return None
+
+
+def _read_call_address(path: str) -> tuple[str, int]:
+    """Read the call address.
+
+    :raises ValueError: if the settings have none.
+    """
+    with open(path, encoding='utf-8') as settings_file:
+        settings = json.load(settings_file)
+    address = isinstance(settings, dict) and settings.get('call_address')
+    if not isinstance(address, str):
+        raise ValueError('the settings have no call address')
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+def _listen(address: tuple[str, int]) -> socket.socket:
+    listener = socket.create_server(address, backlog=BACKLOG)
+    listener.setblocking(False)
+    return listener
--- /dev/null
+++ b/merlintrail/daemon/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the daemon."""
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import resource
+import socket
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Any, Final
 
@@ -105,9 +106,10 @@
         self.table.add_listener(self.dispatcher.notices.record_member)
         self.table.add_listener(self._drop_idle_connections)
 
-    async def start(self) -> None:
+    async def start(self, call_listener: socket.socket | None = None) -> None:
         """Listen on the addresses and start the background tasks.
 
+        :param call_listener: socket that listens on the call address already.
         :raises OSError: if an address cannot be bound.
         """
         self.dispatcher.startup.begin()
@@ -123,6 +125,7 @@
                 self.local_service.handle,
                 host,
                 port,
+                listener=call_listener,
                 report_bad_request=lambda bad_request: log_decision(
                     'refuse', reason=bad_request.reason
                 ),
--- a/merlintrail/transport/_server.py
+++ b/merlintrail/transport/_server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server with one task for each connection."""
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Final, NamedTuple, TypeAlias, cast
@@ -15,6 +16,8 @@
 
 RequestHandler: TypeAlias = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
+#: Connections that wait to be accepted.
+BACKLOG: Final = 1024
 #: Number of waiting requests at which a connection stops reading.
 MAX_PIPELINED: Final = 16
 _CONTINUE_RESPONSE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -264,7 +267,14 @@
         """Accept connections on an address; port 0 selects a free port."""
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
-            lambda: ServerConnection(self), host, port, backlog=1024
+            lambda: ServerConnection(self), host, port, backlog=BACKLOG
+        )
+
+    async def accept_from(self, listener: socket.socket) -> None:
+        """Accept connections from a socket that listens already."""
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            lambda: ServerConnection(self), sock=listener, backlog=BACKLOG
         )
 
     @property
@@ -293,11 +303,16 @@
     *,
     limits: ServerLimits | None = None,
     report_bad_request: Callable[[BadRequest], None] = _ignore_bad_request,
+    listener: socket.socket | None = None,
 ) -> HttpServer:
     """Start a server.
 
+    :param listener: socket that listens on the address already, if any.
     :raises OSError: if the address cannot be bound.
     """
     server = HttpServer(handler, limits or ServerLimits(), report_bad_request)
-    await server.listen(host, port)
+    if listener is None:
+        await server.listen(host, port)
+    else:
+        await server.accept_from(listener)
     return server
