Send the retry of a failed request to another region that has room

Cause: after the loss of power all servers work at half of their speed for 3 s.

Change: the entry remembers for 3 s where an idempotent request failed; an equal request that comes back prefers another region, if it has room there.

--- a/merlintrail/node/_calls.py
+++ b/merlintrail/node/_calls.py
@@ -55,6 +55,8 @@
     is_routed: bool = False
     #: Customer of the request, empty without one.
     customer: str = ''
+    #: Data centre in which the request failed before, empty if in none.
+    failed_data_centre: str = ''
 
 
 def compute_call_digest(call: OutgoingCall) -> str:
@@ -78,6 +80,8 @@
     downstream_levels: Mapping[str, int]
     #: Number of calls made for it: its attempts and their nested calls.
     calls: int = 1
+    #: Data centre of the last attempt that failed, empty if none did.
+    failed_data_centre: str = ''
 
 
 class GatewayResult(NamedTuple):
--- a/merlintrail/node/_dispatch.py
+++ b/merlintrail/node/_dispatch.py
@@ -11,7 +11,7 @@
     OutgoingCall,
 )
 from merlintrail.node._exchange import PeerExchange
-from merlintrail.node._progress import Progress
+from merlintrail.node._progress import Progress, has_failed
 from merlintrail.node._retry_policy import (
     Attempts,
     RetryDecision,
@@ -157,7 +157,9 @@
             )
             if call.depth == 1:
                 self._record_outcome(call, choice.target, gateway_result)
-            progress.record_attempt(gateway_result)
+            progress.record_attempt(
+                gateway_result, choice.target.member.data_centre
+            )
             if progress.answer is not None:
                 break
             decision = self._retries.decide(
@@ -168,7 +170,10 @@
                 break
             self._deps.metrics.record_retry(call.service)
         return CallResult(
-            progress.choose_answer(), progress.downstream_levels, progress.calls
+            progress.choose_answer(),
+            progress.downstream_levels,
+            progress.calls,
+            progress.failed_data_centre,
         )
 
     def _record_outcome(
@@ -191,13 +196,13 @@
             now,
         )
         answer = gateway_result.answer
-        has_failed = gateway_result.report.is_failure
-        if isinstance(answer, Refusal):
-            if answer.outcome == Outcome.NOT_RUN:
-                return
-            has_failed = True
+        if isinstance(answer, Refusal) and answer.outcome == Outcome.NOT_RUN:
+            return
         self._routing.outcomes.record(
-            call.kind, data_centre, has_failed=has_failed, now=now
+            call.kind,
+            data_centre,
+            has_failed=has_failed(gateway_result),
+            now=now,
         )
 
     def _list_downstream_levels(
@@ -240,6 +245,7 @@
             is_nested=call.depth > 1,
             kind=call.kind,
             size=self._sizes.read(_get_size_class(call)),
+            failed_data_centre=call.failed_data_centre,
         )
         choice = self._routing.choose(routing_request, tried)
         if isinstance(choice, Choice):
--- a/merlintrail/node/_ingress.py
+++ b/merlintrail/node/_ingress.py
@@ -28,6 +28,7 @@
     Configuration,
     ConfigurationHolder,
     Customer,
+    FailedRequests,
     RefusedRequests,
     RetryAccount,
     compute_retry_after,
@@ -87,6 +88,7 @@
         self._clock = deps.clock
         self._resolver = Resolver(deps.rng)
         self._refused_requests = RefusedRequests()
+        self._failed_requests = FailedRequests()
         #: Number of requests in progress.
         self.running = 0
         #: Whether requests of callers are refused; nested calls still run.
@@ -189,8 +191,20 @@
             compute_call_digest(call), self._clock()
         ):
             call = call._replace(priority=raise_priority(call.priority))
+        if self._failed_requests:
+            call = call._replace(
+                failed_data_centre=self._failed_requests.pop(
+                    compute_call_digest(call), self._clock()
+                )
+            )
         call_result = await self._send(call)
         answer = call_result.answer
+        if call_result.failed_data_centre and call.is_idempotent:
+            self._failed_requests.record(
+                compute_call_digest(call),
+                call_result.failed_data_centre,
+                self._clock(),
+            )
         if isinstance(answer, Refusal) and answer.outcome == Outcome.NOT_RUN:
             self._deps.customers.return_token(customer)
             self._refused_requests.record(
--- a/merlintrail/node/_progress.py
+++ b/merlintrail/node/_progress.py
@@ -3,10 +3,18 @@
 from merlintrail.node._answers import combine_refusals
 from merlintrail.node._calls import GatewayResult
 from merlintrail.node._retry_policy import Attempts
-from merlintrail.protocol import Reason, Refusal
+from merlintrail.protocol import Outcome, Reason, Refusal
 from merlintrail.transport import HttpResponse
 
 
+def has_failed(gateway_result: GatewayResult) -> bool:
+    """Return whether an attempt ran and failed, or may have."""
+    answer = gateway_result.answer
+    if isinstance(answer, Refusal):
+        return answer.outcome != Outcome.NOT_RUN
+    return gateway_result.report.is_failure
+
+
 class Progress:
     """Results of the attempts made for one call so far."""
 
@@ -19,16 +27,22 @@
         self.attempts = Attempts()
         #: Number of calls made, nested calls included.
         self.calls = 0
+        #: Data centre of the last attempt that failed, empty if none did.
+        self.failed_data_centre = ''
         #: Answer that ends the call; that of a failed attempt is kept apart.
         self.answer: HttpResponse | None = None
         self._failed: HttpResponse | None = None
         self._refusal: Refusal | None = None
 
-    def record_attempt(self, gateway_result: GatewayResult) -> None:
-        """Record the result of an attempt."""
+    def record_attempt(
+        self, gateway_result: GatewayResult, data_centre: str
+    ) -> None:
+        """Record the result of an attempt in a data centre."""
         answer = gateway_result.answer
         self.attempts = self.attempts.add(gateway_result)
         self.calls += 1 + gateway_result.report.nested_calls
+        if has_failed(gateway_result):
+            self.failed_data_centre = data_centre
         if isinstance(answer, Refusal):
             self.record_refusal(answer, is_sent=True)
             if answer.reason == Reason.TOMBSTONE:
--- a/merlintrail/node/tests/fake_network.py
+++ b/merlintrail/node/tests/fake_network.py
@@ -39,6 +39,8 @@
         self.answers_to_lose: Counter[str] = Counter()
         #: Exchanges started, by address.
         self.counts: Counter[str] = Counter()
+        #: One-way delay in seconds from a node to an address, ``NAME:PORT``.
+        self.find_delay: Callable[[str, str], float] = lambda *_: DELAY_S
         #: Partition of each node; different ones cannot reach each other.
         self.partitions: dict[str, int] = {}
 
@@ -151,7 +153,8 @@
         )
         if drops_request or is_silent:
             await asyncio.Event().wait()
-        await asyncio.sleep(DELAY_S)
+        delay_s = network.find_delay(self._origin, address)
+        await asyncio.sleep(delay_s)
         if address not in network.handlers:
             return TransportFailure(FailureStage.ANSWER, 'connection lost')
         drops_answer = address in network.dropping_answers and not is_fresh
@@ -160,7 +163,7 @@
         if network.answers_to_lose[address]:
             network.answers_to_lose[address] -= 1
             return TransportFailure(FailureStage.ANSWER, 'connection lost')
-        await asyncio.sleep(DELAY_S)
+        await asyncio.sleep(delay_s)
         return answer
 
     async def _await_answer(
--- a/merlintrail/state/__init__.py
+++ b/merlintrail/state/__init__.py
@@ -41,11 +41,6 @@
 from merlintrail.state._message_sizes import MessageSizes
 from merlintrail.state._quarantine import Quarantine, compute_digest
 from merlintrail.state._rate_limit import RateLimit
-from merlintrail.state._refused_requests import (
-    RefusedRequests,
-    compute_retry_after,
-    raise_priority,
-)
 from merlintrail.state._reported_levels import SheddingLevelTable
 from merlintrail.state._retry_account import (
     RetryAccount,
@@ -87,6 +82,12 @@
     parse_json_object,
     validate_document,
 )
+from merlintrail.state.caller_retries import (
+    FailedRequests,
+    RefusedRequests,
+    compute_retry_after,
+    raise_priority,
+)
 from merlintrail.state.customers import (
     Customer,
     CustomerTable,
@@ -121,6 +122,7 @@
     'Difference',
     'DownstreamLevels',
     'Envelope',
+    'FailedRequests',
     'FairOrder',
     'Finding',
     'FixedLimit',
--- a/merlintrail/state/_routing.py
+++ b/merlintrail/state/_routing.py
@@ -18,6 +18,10 @@
 )
 from merlintrail.state._targets import Target
 
+#: Load that is added in the region where the same request failed before. It
+#: exceeds the margins for messages of usual size, so that the retry goes to
+#: another region that has room.
+FAILED_BEFORE_LOAD: Final = 2.0
 #: Seconds for which the median service time of a service is cached.
 MEDIAN_CACHE_S: Final = 0.5
 #: Largest share of a service's backend servers that may be ejected.
@@ -330,9 +334,18 @@
         """Return the load added for request failures in a data centre."""
         if request.is_nested:
             return 0.0
-        return self.outcomes.compute_load(
+        load = self.outcomes.compute_load(
             request.kind, target.member.data_centre, now
         )
+        if request.failed_data_centre and self._is_same_region(
+            request.failed_data_centre, target.member.data_centre
+        ):
+            load += FAILED_BEFORE_LOAD
+        return load
+
+    def _is_same_region(self, data_centre: str, other: str) -> bool:
+        region = self._regions.get(data_centre, data_centre)
+        return region == self._regions.get(other, other)
 
     def _find_median_service_time(self, service: str, now: float) -> float:
         """Return the median service time of a service in seconds.
--- a/merlintrail/state/_routing_request.py
+++ b/merlintrail/state/_routing_request.py
@@ -71,6 +71,8 @@
     kind: str = ''
     #: Expected bytes of the call and its answer.
     size: float = 0.0
+    #: Data centre in which the request failed before, empty if in none.
+    failed_data_centre: str = ''
 
     @property
     def rule(self) -> SpilloverRule:
--- a/merlintrail/state/tests/test_routing.py
+++ b/merlintrail/state/tests/test_routing.py
@@ -111,6 +111,20 @@
                 assert isinstance(choice, NoTarget), choice
                 self.assertTrue(choice.is_shedding)
 
+    def test_retry_of_failed_request(self) -> None:
+        """It leaves the region where the request failed, if there is room."""
+        request = RoutingRequest(
+            'svc', 50, size=6000.0, failed_data_centre='a2'
+        )
+        self.assert_chosen('remote', self.table.choose(request, ()))
+        self.find('remote').record_report(_build_report(0, 20), 0.01, self.now)
+        self.assert_chosen('near', self.table.choose(request, ()))
+
+    def test_retry_of_request_that_failed_elsewhere(self) -> None:
+        """The nearest server takes it, as it does any other request."""
+        request = RoutingRequest('svc', 50, failed_data_centre='b1')
+        self.assert_chosen('near', self.table.choose(request, ()))
+
     def test_loaded_data_centre_spills_into_the_region(self) -> None:
         """A full server in the own data centre is not chosen."""
         self.find('near').record_report(_build_report(0, 20), 0.01, self.now)
