Serve nested calls newest first while more wait than there are slots

Each request makes four such calls one after the other and waits at each of them, so that nearly all miss their timeout.

Change: the order that held for fresh calls holds for nested ones too.

Tried for the same loss and not kept, each worse or no better: corrections of the capacity in proportion to what waits or capped at 1, a faster estimate of demand, shorter times to work off what waits (docs/design/overload.md).

--- a/merlintrail/state/__init__.py
+++ b/merlintrail/state/__init__.py
@@ -64,7 +64,6 @@
 from merlintrail.state._shedding import SheddingController
 from merlintrail.state._startup_wait import (
     MAX_UNCONFIGURED_S,
-    STARTUP_PERIOD_S,
     compute_startup_wait,
 )
 from merlintrail.state._stops import find_planned_stop, overlaps_planned_stop
@@ -158,7 +157,6 @@
     'RouteTable',
     'RoutingRequest',
     'RoutingTable',
-    'STARTUP_PERIOD_S',
     'Service',
     'ServiceOffer',
     'ServiceShare',
--- a/merlintrail/state/_call_queues.py
+++ b/merlintrail/state/_call_queues.py
@@ -61,10 +61,11 @@
 class CallQueues:
     """Two queues for each importance class, one of them for nested calls.
 
-    Calls that are not nested are served in last-in, first-out order while
-    their queue holds more calls than there are slots. First-in, first-out
-    order would then spend the slots on calls whose callers are about to
-    time out.
+    Calls are served in last-in, first-out order while their queue holds more
+    calls than there are slots. First-in, first-out order would then spend the
+    slots on calls whose callers are about to time out. With nested calls, all
+    requests would wait at each of their calls, and hardly any would finish;
+    this way those whose first calls were served soon go through.
     """
 
     def __init__(self) -> None:
@@ -90,11 +91,9 @@
 
     def take_next(self, slots: int) -> QueuedCall | None:
         """Remove and return the call that is to be served next."""
-        for (_, is_nested), queue in zip(
-            reversed(_QUEUES), reversed(self._queues), strict=True
-        ):
+        for queue in reversed(self._queues):
             while queue:
-                is_overloaded = len(queue) > slots and not is_nested
+                is_overloaded = len(queue) > slots
                 call = queue.pop() if is_overloaded else queue.popleft()
                 if not call.decision.done():
                     return call
--- a/merlintrail/state/tests/test_admission.py
+++ b/merlintrail/state/tests/test_admission.py
@@ -12,9 +12,11 @@
 from merlintrail.state import (
     AdmissionController,
     AdmissionRequest,
+    CallQueues,
     FixedLimit,
     SheddingController,
 )
+from merlintrail.state._call_queues import QueuedCall
 from merlintrail.testing import run_virtually
 
 
@@ -235,6 +237,20 @@
             ],
         )
 
+    def test_nested_calls_under_overload(self) -> None:
+        """The newest goes first while more wait than there are slots."""
+
+        async def scenario(waiting: int, slots: int) -> list[float]:
+            queues = CallQueues()
+            for number in range(waiting):
+                request = AdmissionRequest(0, float(number), is_nested=True)
+                queues.append(QueuedCall(request, 1.0))
+            taken = [queues.take_next(slots) for _ in range(waiting)]
+            return [call.request.deadline for call in taken if call]
+
+        self.assertEqual(run_virtually(scenario(3, 3)), [0.0, 1.0, 2.0])
+        self.assertEqual(run_virtually(scenario(4, 2)), [3.0, 2.0, 0.0, 1.0])
+
 
 class SheddingControllerTest(unittest.TestCase):
     """The shedding level under and after an overload."""
