--- a/merlintrail/node/_ingress.py
+++ b/merlintrail/node/_ingress.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
+from merlintrail.node._caller_retries import CallerRetries
 from merlintrail.node._calls import (
     CallResult,
     OutgoingCall,
@@ -28,14 +29,11 @@
     Configuration,
     ConfigurationHolder,
     Customer,
-    FailedRequests,
-    RefusedRequests,
     RetryAccount,
     compute_retry_after,
     find_planned_stop,
     merge_levels,
     overlaps_planned_stop,
-    raise_priority,
 )
 from merlintrail.transport import HttpRequest, HttpResponse
 
@@ -87,8 +85,7 @@
         self._deps = deps
         self._clock = deps.clock
         self._resolver = Resolver(deps.rng)
-        self._refused_requests = RefusedRequests()
-        self._failed_requests = FailedRequests()
+        self._retries = CallerRetries(deps.clock)
         #: Number of requests in progress.
         self.running = 0
         #: Whether requests of callers are refused; nested calls still run.
@@ -176,40 +173,19 @@
     async def _serve_caller(
         self, call: OutgoingCall, customer: Customer | None
     ) -> HttpResponse | Refusal:
-        """Serve a request of a caller.
-
-        A request that was refused recently gets a higher priority when the
-        caller retries it.
-        """
+        """Serve a request of a caller."""
         refusal = self._check_caller(call) or self._deps.customers.check_quota(
             customer
         )
         if refusal is not None:
             self._log_refusal(call.request_id, call.kind, refusal)
             return self._set_retry_after(refusal, call.objective_ms)
-        if self._refused_requests and self._refused_requests.pop(
-            compute_call_digest(call), self._clock()
-        ):
-            call = call._replace(priority=raise_priority(call.priority))
-        if self._failed_requests:
-            call = call._replace(
-                failed_data_centre=self._failed_requests.pop(
-                    compute_call_digest(call), self._clock()
-                )
-            )
+        call = self._retries.prepare(call)
         call_result = await self._send(call)
+        self._retries.record(call, call_result)
         answer = call_result.answer
-        if call_result.failed_data_centre and call.is_idempotent:
-            self._failed_requests.record(
-                compute_call_digest(call),
-                call_result.failed_data_centre,
-                self._clock(),
-            )
         if isinstance(answer, Refusal) and answer.outcome == Outcome.NOT_RUN:
             self._deps.customers.return_token(customer)
-            self._refused_requests.record(
-                compute_call_digest(call), self._clock()
-            )
             return self._set_retry_after(answer, call.objective_ms)
         return answer
 
