--- a/merlintrail/node/tests/test_inquiries.py
+++ b/merlintrail/node/tests/test_inquiries.py
@@ -5,6 +5,8 @@
 
 from merlintrail.node.tests.fake_network import get_header
 from merlintrail.node.tests.session import (
+    READ_AND_WRITE,
+    answer_after,
     create_read_write_session,
 )
 from merlintrail.protocol import (
@@ -76,6 +78,22 @@
 
         run_virtually(scenario())
 
+    def test_slow_call_runs_once(self) -> None:
+        """A peer that says that the call is running is waited for."""
+
+        async def scenario() -> None:
+            session = create_read_write_session()
+            for name in ('one', 'two'):
+                session.add_node(name)
+                session.add_backend(name, 'svc', answer_after(1.2))
+            session.apply(READ_AND_WRITE, 2)
+            session.share_members()
+            answer = await session.call('ingress', '/svc/read', 'a')
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(session.executions['svc a'], 1)
+
+        run_virtually(scenario())
+
     def test_not_run_counts_every_attempt(self) -> None:
         """After an attempt that may have run, ``not-run`` is not reported."""
 
