Count the time for which a request is held against its deadline

Cause: the deadline of a call was computed after the wait for a configuration, so that a backend server could be handed up to 0.25 s more than the caller waits. That wait was also cut at half of its stated limit. Found by reading.

--- a/merlintrail/coordination/__init__.py
+++ b/merlintrail/coordination/__init__.py
@@ -63,12 +63,13 @@
 from merlintrail.coordination._usage_exchange import UsageExchange
 
 __all__ = (
-    'Backoff',
     'CONFIGURATION_KEY',
+    'ERA_HEADER',
+    'PEER_PATH',
+    'Backoff',
     'ChangeConflict',
     'ChangeInvalid',
     'ConfigurationChange',
-    'ERA_HEADER',
     'Gossip',
     'Heartbeats',
     'HttpPeerClient',
@@ -78,11 +79,11 @@
     'LedgerSlot',
     'Membership',
     'MembershipState',
-    'PEER_PATH',
     'PeerClient',
     'QuarantineArchive',
     'Relay',
     'RelayAnnouncement',
+    'RelayAnnouncement',
     'SlotDependencies',
     'Store',
     'StoreCall',
--- a/merlintrail/daemon/_startup.py
+++ b/merlintrail/daemon/_startup.py
@@ -11,7 +11,8 @@
 from collections.abc import Sequence
 from typing import Final
 
-#: Connections that wait to be accepted.
+#: Connections that wait to be accepted, as in ``transport``, which is not
+#: loaded yet.
 BACKLOG: Final = 1024
 _CHECK_ARGUMENT: Final = '--check_settings'
 _SETTINGS_PREFIX: Final = '--settings='
--- a/merlintrail/node/_ingress.py
+++ b/merlintrail/node/_ingress.py
@@ -72,6 +72,8 @@
     request: HttpRequest
     request_id: str
     headers: CallerHeaders
+    #: Clock time at which it arrived.
+    received_at: float
 
 
 class Ingress:
@@ -96,7 +98,7 @@
         started_at = self._clock()
         headers = self._deps.dialect.read_caller(request)
         request_id = headers.request_id or create_id(self._deps.rng)
-        received = _ReceivedRequest(request, request_id, headers)
+        received = _ReceivedRequest(request, request_id, headers, started_at)
         self.running += 1
         try:
             resolution = await self._resolve(received)
@@ -313,7 +315,7 @@
                 kind.importance, customer, received.request_id
             ),
             kind.is_idempotent,
-            self._clock() + deadline_ms / _MS_PER_S,
+            received.received_at + deadline_ms / _MS_PER_S,
             RetryAccount(kind.retries),
             1,
             received.headers.key,
--- a/merlintrail/node/_startup.py
+++ b/merlintrail/node/_startup.py
@@ -59,15 +59,13 @@
         """
         if self._holder.current is not None:
             return
-        limit_s = MAX_UNCONFIGURED_S
-        if deadline_s is not None:
-            limit_s = min(limit_s, deadline_s)
+        limit_s = compute_startup_wait(
+            self._read_age(), deadline_s or math.inf, None, is_nested=False
+        )
         await self._hold(
             request_id,
             'no configuration yet',
-            compute_startup_wait(
-                self._read_age(), limit_s, None, is_nested=False
-            ),
+            min(MAX_UNCONFIGURED_S, limit_s),
             lambda: self._holder.current is not None,
         )
 
--- a/merlintrail/node/tests/test_startup.py
+++ b/merlintrail/node/tests/test_startup.py
@@ -15,10 +15,10 @@
     Session,
     answer_after,
 )
-from merlintrail.protocol import OUTCOME_HEADER, Outcome
+from merlintrail.protocol import DEADLINE_HEADER, OUTCOME_HEADER, Outcome
 from merlintrail.state import Envelope
 from merlintrail.testing import run_virtually
-from merlintrail.transport import HttpResponse
+from merlintrail.transport import HttpRequest, HttpResponse
 
 _OK: Final = 200
 _UNAVAILABLE: Final = 503
@@ -113,6 +113,32 @@
 
         run_virtually(scenario())
 
+    def test_time_of_the_caller(self) -> None:
+        """The time for which a request is held counts against its deadline."""
+
+        async def scenario() -> None:
+            remaining_ms: list[float] = []
+
+            async def serve(request: HttpRequest) -> HttpResponse:
+                remaining_ms.append(float(request.headers[DEADLINE_HEADER]))
+                return HttpResponse(_OK, (), b'')
+
+            session = Session(READ_AND_WRITE, ('server',))
+            session.add_backend('server', 'svc', serve)
+            _start_node(session, 'entry')
+            call = asyncio.create_task(
+                session.call(
+                    'entry', '/svc/read', 'body', {DEADLINE_HEADER: '1000'}
+                )
+            )
+            await asyncio.sleep(0.4)
+            session.apply(READ_AND_WRITE, 1)
+            session.share_members()
+            self.assertEqual((await call).status, _OK)
+            self.assertLessEqual(remaining_ms[0], 600.0)
+
+        run_virtually(scenario())
+
     def test_nothing_arrives(self) -> None:
         """The caller is told in time that the request has not run."""
 
