Keep requests near where another region gains them nothing

In an overload of all regions a fresh request that its region sheds went to another one whose first service has room, whatever the last one has; and each retry of a failed request left its region although as many fail elsewhere.

Change: only nested calls, whose request's work would be lost, go to another region regardless of their size; fresh requests count their bytes as before. For a retry the failure shares of other regions count three times.

--- a/merlintrail/state/_routing.py
+++ b/merlintrail/state/_routing.py
@@ -18,10 +18,17 @@
 )
 from merlintrail.state._targets import Target
 
+#: Load that is assumed for the backend servers of the region when there are
+#: some but none can be chosen. A call goes to another region only if the
+#: load there is not above it, for a request with the margin.
+UNAVAILABLE_LOAD: Final = 1.5
 #: Load that is added in the region where the same request failed before. It
 #: exceeds the margins for messages of usual size, so that the retry goes to
 #: another region that has room.
 FAILED_BEFORE_LOAD: Final = 2.0
+#: Factor on the failure shares of the other regions for such a retry. Where
+#: requests fail as often, nothing is gained there.
+FAILED_BEFORE_FACTOR: Final = 3.0
 #: Seconds for which the median service time of a service is cached.
 MEDIAN_CACHE_S: Final = 0.5
 #: Largest share of a service's backend servers that may be ejected.
@@ -274,7 +281,8 @@
         if isinstance(remote, NoTarget):
             return best or remote
         if best is None and self._has_region_server(request.service, now):
-            if remote.load > rule.max_near_load:
+            margin = 0.0 if request.is_nested else rule.remote_margin
+            if remote.load + margin > UNAVAILABLE_LOAD:
                 return NoTarget(
                     is_shedding=True, level=0, reason='no room in the region'
                 )
@@ -337,11 +345,14 @@
         load = self.outcomes.compute_load(
             request.kind, target.member.data_centre, now
         )
-        if request.failed_data_centre and self._is_same_region(
+        if not request.failed_data_centre:
+            return load
+        is_same_region = self._is_same_region(
             request.failed_data_centre, target.member.data_centre
-        ):
-            load += FAILED_BEFORE_LOAD
-        return load
+        )
+        if is_same_region:
+            return load + FAILED_BEFORE_LOAD
+        return load * FAILED_BEFORE_FACTOR
 
     def _is_same_region(self, data_centre: str, other: str) -> bool:
         region = self._regions.get(data_centre, data_centre)
