Compare enough calls before the last slots of a server are used for good

Among the suspects: a hundred calls whose times spread by half of their mean tell 1.25 times slower from equal only three times in four; a server misjudged once ran nearly full, and slower, from then on.

Change: calls are compared until the standard error of their mean is 0.03, at most 1,000.

--- a/merlintrail/state/_slot_reserve.py
+++ b/merlintrail/state/_slot_reserve.py
@@ -12,8 +12,12 @@
 RESERVED_SHARE: Final = 0.05
 #: Number of slots from which on a share of them is kept free.
 MIN_SLOTS_TO_RESERVE: Final = 8
-#: Completed calls that are compared, with the reserve and without it.
-TRIAL_CALLS: Final = 100
+#: Completed calls that are compared at least and at most, with the reserve and
+#: without it. More are needed the more their times differ.
+MIN_TRIAL_CALLS: Final = 100
+MAX_TRIAL_CALLS: Final = 1000
+#: Largest standard error of the mean times, in relation to them.
+MAX_STANDARD_ERROR: Final = 0.03
 #: Ratio of the mean times above which the reserve is kept.
 MAX_TIME_RATIO: Final = 1.12
 #: Pause in seconds after a trial that kept the reserve. It doubles with each
@@ -26,18 +30,29 @@
     """Times of completed calls."""
 
     def __init__(self) -> None:
+        self._calls = 0
         self._sum_s = 0.0
-        self.calls = 0
+        self._sum_of_squares = 0.0
 
     @property
     def mean_s(self) -> float:
         """Mean time in seconds."""
-        return self._sum_s / self.calls
+        return self._sum_s / self._calls
 
     def add(self, time_s: float) -> None:
         """Add one call."""
+        self._calls += 1
         self._sum_s += time_s
-        self.calls += 1
+        self._sum_of_squares += time_s * time_s
+
+    def is_sufficient(self) -> bool:
+        """Return whether the mean is known well enough to be compared."""
+        if self._calls < MIN_TRIAL_CALLS:
+            return False
+        variance = self._sum_of_squares / self._calls - self.mean_s**2
+        error_s = math.sqrt(max(0.0, variance) / self._calls)
+        is_exact = error_s <= self.mean_s * MAX_STANDARD_ERROR
+        return is_exact or self._calls >= MAX_TRIAL_CALLS
 
 
 class SlotReserve:
@@ -69,13 +84,13 @@
             return
         if self.is_released:
             self._trial.add(time_s)
-            if self._trial.calls >= TRIAL_CALLS:
+            if self._trial.is_sufficient():
                 self._decide(now)
             return
         if now < self._next_trial_at:
             return
         self._usual.add(time_s)
-        self.is_released = self._usual.calls >= TRIAL_CALLS
+        self.is_released = self._usual.is_sufficient()
 
     def _decide(self, now: float) -> None:
         is_slower = self._trial.mean_s > self._usual.mean_s * MAX_TIME_RATIO
--- a/merlintrail/state/tests/test_limits.py
+++ b/merlintrail/state/tests/test_limits.py
@@ -1,11 +1,16 @@
 """Tests of the adaptive concurrency limit."""
 
+import random
 import unittest
 from collections.abc import Callable
 
 from merlintrail.state import AdaptiveLimit, create_limit
 
 
+#: Calls that a server with 12 slots completes in a minute, 0.03 s each.
+_CALLS_OF_A_MINUTE = 22000
+
+
 def _drive(
     limit: AdaptiveLimit,
     latency_at: Callable[[int], float],
@@ -27,6 +32,23 @@
     return 0.03 if running < 12 else 0.039
 
 
+def _saturate_with_spread(slowdown: float, seed: int) -> AdaptiveLimit:
+    """Saturate a server with 12 slots for about a minute.
+
+    :param slowdown: factor on the times of calls while all slots are in use.
+    """
+    rng = random.Random(seed)
+    limit = create_limit(12, 0.0)
+    now = 0.0
+    for _ in range(_CALLS_OF_A_MINUTE):
+        running = limit.limit
+        mean_s = 0.03 if running < 12 else 0.03 * slowdown
+        now += mean_s / running
+        time_s = mean_s * rng.lognormvariate(-0.18, 0.6)
+        limit.record_success(now, time_s, running)
+    return limit
+
+
 class AdaptiveLimitTest(unittest.TestCase):
     """Reactions to slowness and to refusals of the backend server."""
 
@@ -92,3 +114,11 @@
                 limit.record_success(now, latency_s, running)
                 calls[running > 11] += 1
         self.assertLess(calls[1], calls[0] / 100)
+
+    def test_spread_of_times_does_not_mislead(self) -> None:
+        """Servers whose calls differ much are told apart all the same."""
+        for slowdown, expected in ((1.0, 12), (1.25, 11)):
+            for seed in range(20):
+                with self.subTest(slowdown=slowdown, seed=seed):
+                    limit = _saturate_with_spread(slowdown, seed)
+                    self.assertEqual(limit.limit, expected)
