Keep the last slots of a server free again

The servers that bind on the users' deployments slow down when nearly full, so that trials cost there and gain nothing.

--- a/merlintrail/state/_limits.py
+++ b/merlintrail/state/_limits.py
@@ -1,15 +1,19 @@
 """Concurrency limits of a backend server."""
 
 import abc
+import math
 from typing import Final, NamedTuple
 
-from merlintrail.state._slot_reserve import SlotReserve
-
 #: Factor by which a refusal of the backend server lowers the limit.
 REFUSAL_DECREASE_FACTOR: Final = 0.9
 #: Share of the limit that must be in use for a refusal to indicate a lack
 #: of slots rather than a fault of the backend server.
 MIN_REFUSAL_UTILIZATION: Final = 0.7
+#: Share of the slots that is kept free, because a backend server that is
+#: nearly full works more slowly.
+RESERVED_SHARE: Final = 0.05
+#: Number of slots from which on a share of them is kept free.
+MIN_SLOTS_TO_RESERVE: Final = 8
 #: Factor by which a probe lowers the limit.
 PROBE_DECREASE_FACTOR: Final = 0.9
 #: Ratio of the latency to its baseline above which a probe is started.
@@ -102,14 +106,14 @@
     limit, whereas one that is slow for another reason would lose throughput.
 
     Under saturation without high latency the limit increases additively, up
-    to the announced slots less those that are kept free (:class:`SlotReserve`). Refusals of the backend
+    to the announced slots less the reserved ones. Refusals of the backend
     server decrease it multiplicatively (AIMD).
     """
 
     def __init__(self, slots: int, now: float) -> None:
         self._announced_slots = slots
-        self._reserve = SlotReserve(slots, now)
-        self._limit = float(self._reserve.max_limit)
+        self._max_limit = _subtract_reserve(slots)
+        self._limit = float(self._max_limit)
         self._baseline_s: float | None = None
         self._window = _Window(now)
         #: Throughput before the current probe, ``None`` without a probe.
@@ -131,14 +135,13 @@
         """
         if slots != self._announced_slots:
             self._announced_slots = slots
-            self._reserve = SlotReserve(slots, self._window.started_at)
-            self._limit = float(self._reserve.max_limit)
+            self._max_limit = _subtract_reserve(slots)
+            self._limit = float(self._max_limit)
 
     def record_success(
         self, now: float, latency_s: float, running: int
     ) -> None:
         """Record a completed call and adapt the limit at a window's end."""
-        self._try_reserve(now, latency_s, running)
         window = self._window
         self._window = window._replace(
             completions=window.completions + 1,
@@ -157,13 +160,6 @@
             self._last_decrease_at = now
             self._limit = max(1.0, self._limit * REFUSAL_DECREASE_FACTOR)
 
-    def _try_reserve(self, now: float, latency_s: float, running: int) -> None:
-        """Use the reserved slots, or keep them free again, as is found out."""
-        is_at_maximum = self._limit >= self._reserve.max_limit
-        self._reserve.record(now, latency_s, running)
-        if is_at_maximum:
-            self._limit = float(self._reserve.max_limit)
-
     def _close_window(self, now: float) -> None:
         window = self._window
         self._window = _Window(now)
@@ -174,7 +170,7 @@
         elif window.was_saturated and self._is_slow(latency_s):
             self._start_probe(now, throughput)
         elif window.was_saturated:
-            self._limit = min(float(self._reserve.max_limit), self._limit + 1)
+            self._limit = min(float(self._max_limit), self._limit + 1)
         self._update_baseline(latency_s, now - window.started_at)
 
     def _is_slow(self, latency_s: float) -> bool:
@@ -198,7 +194,7 @@
         if throughput >= before * (1 - THROUGHPUT_TOLERANCE):
             self._probe_pause_s = PROBE_PAUSE_S
             return
-        self._limit = min(float(self._reserve.max_limit), self._limit_before)
+        self._limit = min(float(self._max_limit), self._limit_before)
         self._next_probe_at = now + self._probe_pause_s
         self._probe_pause_s = min(MAX_PROBE_PAUSE_S, self._probe_pause_s * 2)
 
@@ -211,6 +207,13 @@
         self._baseline_s += (latency_s - self._baseline_s) * weight
 
 
+def _subtract_reserve(slots: int) -> int:
+    """Return the slots less the share that is kept free."""
+    if slots < MIN_SLOTS_TO_RESERVE:
+        return slots
+    return slots - math.ceil(slots * RESERVED_SHARE)
+
+
 def create_limit(slots: int, now: float) -> AdaptiveLimit:
     """Create the limit of a backend server that announced its slots."""
     return AdaptiveLimit(slots, now)
