--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -260,7 +260,10 @@
         self.identity = f'i-{random.getrandbits(32):08x}'
         self.born = int(time.time() * 1000)
         self.sequence = 0
+        #: Attempts that began to run, and those that were worked on to the end.
         self.runs = []
+        self.run_times = []
+        self.done = []
         self.running = 0
 
     async def start(self):
@@ -296,6 +299,7 @@
         if self.running >= self.slots:
             return encode_answer(503, [('Not-Executed', '1'), *echo], b'')
         self.runs.append(attempt)
+        self.run_times.append(time.monotonic())
         self.record.write('run', worker=self.identity, service=self.service,
                           attempt=attempt, method=method, target=target,
                           body_bytes=len(body))
@@ -305,6 +309,7 @@
         finally:
             self.running -= 1
         seal = f'{self.identity}.{attempt}.{len(body)}'
+        self.done.append(attempt)
         self.record.write('done', worker=self.identity, attempt=attempt)
         body = build_body(attempt, self.answer_bytes)
         return encode_answer(200, [('Response-Seal', seal), *echo], body)
