--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -644,14 +644,22 @@
         record.say('not run: the build of the deploy file is missing')
         sys.exit(2)
     try:
-        findings = asyncio.run(asyncio.wait_for(play(record, has_trouble), 110))
+        asyncio.run(_play_to_the_end(play, record, has_trouble))
     except (CannotRun, asyncio.TimeoutError, OSError) as error:
         record.say(f'not run: {error!r}')
-        sys.exit(2)
+    os._exit(2)
+
+
+async def _play_to_the_end(play, record, has_trouble):
+    """Play a case and exit at once.
+
+    The deployment has ended its processes by then; what is left are tasks of
+    the stand-ins, which asyncio would wait for.
+    """
+    findings = await asyncio.wait_for(play(record, has_trouble), 110)
     for finding in findings:
         record.say(f'BROKEN: {finding}')
     if not findings:
         record.say('the rule held')
     sys.stdout.flush()
-    # Nothing is left to end: the processes were stopped by the deployment.
     os._exit(1 if findings else 0)
