--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,9 +1,7 @@
-"""CONFIG: half of the machines lose power, among them all that watch the store."""
+"""DRAIN: an incomplete heartbeat of another writer names a draining worker."""
 
 import asyncio
-import base64
 import json
-import signal
 import sys
 import time
 from pathlib import Path
@@ -14,16 +12,67 @@
 import standin  # noqa: E402
 
 HOST = 'desk.example'
-ZONES = ('ist-a', 'ank-a')
-MACHINES_PER_ZONE = 4
-CONFIG_S = 2.5
-#: Seconds for which the machines are without power.
-DARK_S = 5.0
-#: From the loss of power to the operator's change.
-LEAD_S = 0.5
-#: Added to the bound, for the way of a request to the node.
-MARGIN_S = 0.2
-DEADLINE_S = 2.0
+DRAIN_S = 2.5
+BEAT_S = 1.5
+#: Heartbeats that the worker sends before it drains, and all in all.
+READY_BEATS = 4
+BEATS = 10
+#: From the ack of draining to the heartbeat of another writer.
+FOREIGN_AFTER_S = 1.0
+DEADLINE_S = 3.0
+
+
+class LeavingWorker(standin.Worker):
+    """A worker that drains some seconds after its start."""
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.acked_at = None
+
+    async def run_life(self, record, has_foreign_writer):
+        started_at = time.monotonic()
+        others = []
+        for number in range(1, BEATS + 1):
+            state = 'ready' if number <= READY_BEATS else 'draining'
+            is_acked = await self.send_beat(
+                self.build_beat(number, state), record, number, state)
+            if is_acked and state == 'draining' and self.acked_at is None:
+                self.acked_at = time.monotonic()
+                if has_foreign_writer:
+                    others.append(asyncio.create_task(self.send_foreign(record)))
+            due = started_at + number * BEAT_S
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+        await asyncio.gather(*others)
+
+    async def send_foreign(self, record):
+        """Send what another writer says of this worker: no Zone, no Version."""
+        await asyncio.sleep(FOREIGN_AFTER_S)
+        document = json.loads(self.build_beat(100, 'ready'))
+        for name in ('Zone', 'Version', 'ColdRemaining'):
+            del document[name]
+        await self.send_beat(
+            json.dumps(document).encode(), record, 'foreign', 'ready')
+
+    def build_beat(self, number, state):
+        host, port = self.address
+        return json.dumps({
+            'Service': self.service, 'Address': f'{host}:{port}',
+            'Zone': self.zone, 'Version': 'v1', 'Slots': self.slots,
+            'State': state, 'ColdRemaining': '0ms', 'Sequence': number,
+            'born': self.born}).encode()
+
+    async def send_beat(self, beat, record, number, state):
+        try:
+            answer = await asyncio.wait_for(standin.ask(
+                self.control, 'POST', f'/Instances.Heartbeat/{self.identity}',
+                {'Host': 'control', 'Content-Type': 'application/json'}, beat), 1.0)
+        except (OSError, standin.Closed, asyncio.TimeoutError) as error:
+            record.write('beat', worker=self.identity, sequence=number,
+                         state=state, error=repr(error))
+            return False
+        record.write('beat', worker=self.identity, sequence=number, state=state,
+                     status=answer.status)
+        return 200 <= answer.status < 300
 
 
 async def play(record, has_trouble):
@@ -37,92 +86,49 @@
 
 async def play_in(deployment, record, has_trouble):
     await deployment.start()
-    for zone in ZONES:
-        for number in range(MACHINES_PER_ZONE):
-            name = f'{zone}-{number}'
-            deployment.add_machine(name, zone, 'desk')
-            deployment.add_worker(name, work_s=0.02)
-    first = standin.build_route('first', HOST, '/first/', 'idempotent', 'desk')
-    added = standin.build_route('added', HOST, '/added/', 'idempotent', 'desk')
-    deployment.store.write_config(standin.build_config(5, [first], ['desk']))
+    deployment.add_machine('entry', 'ist-a', 'other')
+    deployment.add_worker('entry')
+    for name in ('desk-1', 'desk-2'):
+        deployment.add_machine(name, 'ist-a', 'desk')
+    deployment.add_worker('desk-1', slots=16, work_s=0.2)
+    machine = deployment.machines['desk-2']
+    leaving = LeavingWorker(
+        record, 'desk', *machine.app, machine.control, zone='ist-a',
+        slots=100, work_s=0.2)
+    deployment.store.write_config(standin.build_config(
+        5, [standin.build_route('desk', HOST, '/desk/', 'idempotent', 'desk')],
+        ['desk', 'other']))
     await deployment.start_all()
+    await standin.serve_http(leaving.handle, *leaving.address)
     await deployment.wait_until_ready()
-    await asyncio.sleep(8)
-    dark = find_watching(deployment) if has_trouble else []
-    lit = [name for name in deployment.machines if name not in dark]
-    record.say(f'without power: {dark or "none"}')
-    for name in dark:
-        deployment.signal(name, signal.SIGKILL)
-        deployment.workers[name].stop()
-    restart = asyncio.create_task(restore_power(deployment, dark))
-    await asyncio.sleep(LEAD_S)
-    deployment.store.write_config(
-        standin.build_config(9, [first, added], ['desk']))
-    acked_at = time.monotonic()
-    record.write('ack', version=9)
-    looks = await asyncio.gather(
-        *(look(deployment, record, name, acked_at) for name in lit))
-    await restart
-    return judge(record, lit, looks)
-
-
-def find_watching(deployment):
-    """Return the machines whose nodes hold a key with a lease in the store."""
-    addresses = set()
-    for item in deployment.store.items.values():
-        if item['Lease']:
-            document = json.loads(base64.b64decode(item['Value']))
-            addresses.add(str(document.get('address', '')).rpartition(':')[0])
-    names = [name for name, machine in deployment.machines.items()
-             if machine.ip in addresses]
-    if not 0 < len(names) <= len(deployment.machines) * 0.55:
-        raise standin.CannotRun(f'{len(names)} machines hold a lease')
-    return names
-
-
-async def restore_power(deployment, names):
-    await asyncio.sleep(DARK_S)
-    for name in names:
-        await deployment.start_node(name)
-
-
-async def look(deployment, record, name, acked_at):
-    """Send requests on both routes to one node until 7 s after the ack.
-
-    :returns: for both routes the time since the ack and the status.
-    """
-    client = standin.Client(record, deployment.machines[name].outbound, HOST)
-    seen = []
-    while time.monotonic() < acked_at + 7:
-        for target in ('/first/1', '/added/1'):
-            at = time.monotonic() - acked_at
-            _, answer = await client.send('GET', target, DEADLINE_S)
-            seen.append((target, at, answer.status))
-        await asyncio.sleep(0.1)
-    return seen
-
-
-def judge(record, lit, looks):
-    findings = []
-    for name, seen in zip(lit, looks):
-        late = [at for target, at, status in seen
-                if target == '/added/1' and status == 404
-                and at > CONFIG_S + MARGIN_S]
-        first = [at for target, at, status in seen
-                 if target == '/added/1' and status == 200]
-        served = sum(status == 200 for target, _, status in seen
-                     if target == '/first/1')
-        record.say(
-            f'{name}: {served} on the first route, added route from '
-            f'{min(first, default=-1):.1f} s, {len(late)} late refusals')
-        if late:
-            findings.append(
-                f'CONFIG: {name} refused {len(late)} requests with 404, sent '
-                f'{min(late):.1f} s to {max(late):.1f} s after the ack of a '
-                'version that allows them')
-    if not any(status == 200 for seen in looks for _, _, status in seen):
-        raise standin.CannotRun('nothing is served')
-    return findings
+    await asyncio.sleep(4)
+    client = standin.Client(record, deployment.machines['entry'].outbound, HOST)
+    leaving.born = int(time.time() * 1000)
+    life = asyncio.create_task(leaving.run_life(record, has_trouble))
+    sending = asyncio.create_task(send_steadily(client))
+    await life
+    sending.cancel()
+    return judge(record, leaving, client)
+
+
+async def send_steadily(client):
+    tasks = []
+    while True:
+        tasks.append(asyncio.create_task(client.send('GET', '/desk/1', DEADLINE_S)))
+        await asyncio.sleep(0.03)
+
+
+def judge(record, leaving, client):
+    if leaving.acked_at is None or not leaving.runs:
+        raise standin.CannotRun('the worker had no ack or no request')
+    limit = leaving.acked_at + DRAIN_S
+    late = [at - leaving.acked_at for at in leaving.run_times if at > limit]
+    record.say(f'{len(leaving.runs)} requests reached the leaving worker, '
+               f'{len(late)} of them later than {DRAIN_S} s after the ack')
+    if late:
+        return [f'DRAIN: {len(late)} requests reached the worker {min(late):.1f} s '
+                f'to {max(late):.1f} s after the ack of draining']
+    return []
 
 
 standin.run_case(FOLDER, play)
