--- a/review/5/case.py
+++ b/review/5/case.py
@@ -14,11 +14,13 @@
 HOST = 'desk.example'
 DRAIN_S = 2.5
 BEAT_S = 1.5
-#: Heartbeats that the worker sends before it drains, and all in all.
+#: Heartbeats that the worker sends before it drains, and until it ends.
 READY_BEATS = 4
-BEATS = 10
+BEATS = 8
 #: From the ack of draining to the heartbeat of another writer.
 FOREIGN_AFTER_S = 1.0
+#: From the ack of draining to the end of the worker.
+SERVES_S = 5.0
 DEADLINE_S = 3.0
 
 
@@ -43,6 +45,16 @@
             due = started_at + number * BEAT_S
             await asyncio.sleep(max(0.0, due - time.monotonic()))
         await asyncio.gather(*others)
+        if self.acked_at is None:
+            return
+        await asyncio.sleep(max(0.0, self.acked_at + SERVES_S - time.monotonic()))
+        answer = await standin.ask(
+            self.control, 'POST', f'/Instances.Leave/{self.identity}',
+            {'Host': 'control', 'Content-Type': 'application/json'},
+            json.dumps({'born': self.born}).encode())
+        record.write('leave', worker=self.identity, status=answer.status)
+        self.stop()
+        record.write('end', worker=self.identity, at_work=self.running)
 
     async def send_foreign(self, record):
         """Send what another writer says of this worker: no Zone, no Version."""
@@ -96,10 +108,10 @@
         record, 'desk', *machine.app, machine.control, zone='ist-a',
         slots=100, work_s=0.2)
     deployment.store.write_config(standin.build_config(
-        5, [standin.build_route('desk', HOST, '/desk/', 'idempotent', 'desk')],
+        5, [standin.build_route('desk', HOST, '/desk/', 'non_idempotent', 'desk')],
         ['desk', 'other']))
     await deployment.start_all()
-    await standin.serve_http(leaving.handle, *leaving.address)
+    await leaving.start(sends_beats=False)
     await deployment.wait_until_ready()
     await asyncio.sleep(4)
     client = standin.Client(record, deployment.machines['entry'].outbound, HOST)
@@ -108,13 +120,15 @@
     sending = asyncio.create_task(send_steadily(client))
     await life
     sending.cancel()
+    await asyncio.sleep(DEADLINE_S + 1)
     return judge(record, leaving, client)
 
 
 async def send_steadily(client):
     tasks = []
     while True:
-        tasks.append(asyncio.create_task(client.send('GET', '/desk/1', DEADLINE_S)))
+        tasks.append(asyncio.create_task(client.send(
+            'POST', '/desk/1', DEADLINE_S, b'{"item": 7}')))
         await asyncio.sleep(0.03)
 
 
@@ -123,11 +137,14 @@
         raise standin.CannotRun('the worker had no ack or no request')
     limit = leaving.acked_at + DRAIN_S
     late = [at - leaving.acked_at for at in leaving.run_times if at > limit]
+    cut = set(leaving.runs) - set(leaving.done)
+    unserved = [attempt for attempt in cut if client.answers[attempt].status != 200]
     record.say(f'{len(leaving.runs)} requests reached the leaving worker, '
                f'{len(late)} of them later than {DRAIN_S} s after the ack')
     if late:
         return [f'DRAIN: {len(late)} requests reached the worker {min(late):.1f} s '
-                f'to {max(late):.1f} s after the ack of draining']
+                f'to {max(late):.1f} s after the ack of draining; {len(unserved)} '
+                'were at work when it ended and are lost']
     return []
 
 
--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -277,15 +277,18 @@
         self.runs = []
         self.run_times = []
         self.done = []
+        self.has_ended = False
         self.running = 0
 
-    async def start(self):
+    async def start(self, *, sends_beats=True):
         self._server = await serve_http(self.handle, *self.address)
-        self._beats = asyncio.create_task(self._beat())
+        self._beats = asyncio.create_task(self._beat()) if sends_beats else None
 
     def stop(self):
         """End without a word, as at a loss of power."""
-        self._beats.cancel()
+        self.has_ended = True
+        if self._beats is not None:
+            self._beats.cancel()
         self._server.close()
         for writer in tuple(self._server.writers):
             writer.transport.abort()
@@ -328,6 +331,8 @@
             await asyncio.sleep(self.work_s)
         finally:
             self.running -= 1
+        if self.has_ended:
+            raise Closed('the worker has ended')
         seal = f'{self.identity}.{attempt}.{len(body)}'
         self.done.append(attempt)
         self.record.write('done', worker=self.identity, attempt=attempt)
