--- a/review/5/case.py
+++ b/review/5/case.py
@@ -20,7 +20,7 @@
 #: From the ack of draining to the heartbeat of another writer.
 FOREIGN_AFTER_S = 1.0
 #: From the ack of draining to the end of the worker.
-SERVES_S = 5.0
+SERVES_S = 6.0
 DEADLINE_S = 3.0
 
 
