--- a/review/3/case.py
+++ b/review/3/case.py
@@ -14,11 +14,15 @@
 
 HOST = 'dossier.example'
 CLIENTS = 4
-#: Requests that a client sends one behind the other on its connection.
-PIPELINED = 4
 ANSWER_BYTES = 3_900_000
-#: What a client reads in a second: its four answers take 5.4 s.
-BYTES_PER_S = 2_900_000
+#: What the kernel may hold for a connection, mostly 4 MiB.
+KERNEL_BYTES = int(
+    Path('/proc/sys/net/ipv4/tcp_wmem').read_text(encoding='utf-8').split()[2])
+#: Requests that a client sends one behind the other on its connection: mostly
+#: four, more where the kernel holds more, so that the node holds some of them.
+PIPELINED = min(12, max(4, round(KERNEL_BYTES / (0.3 * ANSWER_BYTES))))
+#: What a client reads in a second: all its answers take 5.4 s.
+BYTES_PER_S = PIPELINED * ANSWER_BYTES / 5.4
 PIECE_BYTES = 65_536
 #: From the first request to the stop; the workers need 0.05 s.
 LEAD_S = 0.8
