--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""LOST: a client sends some requests at once, the last with Connection: close."""
+"""LOST: some answers of one worker have a body without an end."""
 
 import asyncio
 import sys
@@ -9,11 +9,68 @@
 
 import standin  # noqa: E402
 
-HOST = 'desk.example'
-CLIENTS = 5
-#: Requests that a client sends one behind the other.
-PIPELINED = 4
-DEADLINE_S = 5.0
+#: `MemoryMb` of the machines of the site, 300.
+MEMORY_MB = 300
+DESK_HOST = 'desk.example'
+BOARD_HOST = 'board.example'
+#: A piece of the endless body: some chunks of two bytes, sent at 3 MB a second.
+CHUNKS = b'2\r\nab\r\n' * 1000
+PAUSE_S = 0.002
+#: Clients that keep a connection to the node beside that worker, and read.
+READERS = 10
+#: Clients of the worker's service at another machine.
+VISITORS = 5
+PLAY_S = 60
+RESTART_S = 0.5
+DEADLINE_S = 6.0
+
+
+class EndlessWorker(standin.Worker):
+    """A worker whose answers have a body that does not end."""
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.is_in_trouble = True
+
+    async def start(self):
+        server = await asyncio.start_server(
+            self._serve, *self.address, limit=1 << 20)
+        self._beats = asyncio.create_task(self._beat())
+        self._server = server
+
+    async def _serve(self, reader, writer):
+        try:
+            while (head := await standin.read_head(reader)) is not None:
+                line, headers = head
+                method, target, _ = line.split(' ')
+                body = await standin.read_body(reader, headers)
+                if not self.is_in_trouble:
+                    writer.write(await self.handle(method, target, headers, body))
+                    await writer.drain()
+                    continue
+                await self._answer_without_end(headers.get('attempt-id', ''), writer)
+        except (standin.Closed, OSError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    async def _answer_without_end(self, attempt, writer):
+        self.runs.append(attempt)
+        self.record.write('run', worker=self.identity, attempt=attempt, answer='endless')
+        writer.write((
+            'HTTP/1.1 200 OK\r\n'
+            f'Attempt-Id: {attempt}\r\nResponse-Seal: {self.identity}\r\n'
+            'Transfer-Encoding: chunked\r\n\r\n').encode())
+        sent = 0
+        try:
+            while not writer.transport.is_closing():
+                writer.write(CHUNKS)
+                await writer.drain()
+                sent += len(CHUNKS)
+                await asyncio.sleep(PAUSE_S)
+        finally:
+            self.record.write('end', worker=self.identity, attempt=attempt,
+                              sent_bytes=sent)
 
 
 async def play(record, has_trouble):
@@ -29,69 +86,63 @@
     await deployment.start()
     deployment.add_machine('entry', 'ist-a', 'other')
     deployment.add_worker('entry')
-    for name in ('desk-1', 'desk-2'):
-        deployment.add_machine(name, 'ist-a', 'desk')
-        deployment.add_worker(name, work_s=0.3)
+    faulty = deployment.add_machine('desk-1', 'ist-a', 'desk')
+    worker = EndlessWorker(
+        record, 'desk', *faulty.app, faulty.control, zone='ist-a', slots=10,
+        work_s=0.3)
+    worker.is_in_trouble = has_trouble
+    deployment.workers['desk-1'] = worker
+    deployment.add_machine('desk-2', 'ist-a', 'desk')
+    deployment.add_worker('desk-2', slots=10, work_s=0.3)
+    for name in ('board-1', 'board-2'):
+        deployment.add_machine(name, 'ist-a', 'board')
+        deployment.add_worker(name, work_s=0.25)
     deployment.store.write_config(standin.build_config(
-        5, [standin.build_route('desk', HOST, '/desk/', 'idempotent', 'desk')],
-        ['desk', 'other']))
+        5,
+        [standin.build_route('desk', DESK_HOST, '/desk/', 'idempotent', 'desk',
+                             timeout=f'{DEADLINE_S:.0f}s'),
+         standin.build_route('board', BOARD_HOST, '/board/', 'idempotent', 'board')],
+        ['other', 'desk', 'board']))
     await deployment.start_all()
     await deployment.wait_until_ready()
     await asyncio.sleep(4)
-    client = standin.Client(record, deployment.machines['entry'].outbound, HOST)
-    await asyncio.gather(
-        *(use_connection(client, has_trouble) for _ in range(CLIENTS)))
-    await asyncio.sleep(0.5)
-    return judge(record, deployment, client)
-
-
-async def use_connection(client, closes):
-    """Send one request, then some at once, on one connection."""
-    reader, writer = await asyncio.open_connection(*client.address)
-    try:
-        for number in (1, PIPELINED):
-            attempts = [standin.create_attempt() for _ in range(number)]
-            parts = []
-            for attempt in attempts:
-                headers = {'Host': HOST, 'Attempt-Id': attempt,
-                           'Timeout-Ms': str(int(DEADLINE_S * 1000))}
-                if closes and number > 1 and attempt == attempts[-1]:
-                    headers['Connection'] = 'close'
-                client.record.write(
-                    'send', attempt=attempt, method='GET', target='/desk/1',
-                    connection=headers.get('Connection', '-'))
-                parts.append(standin.encode_request('GET', '/desk/1', headers))
-            writer.write(b''.join(parts))
-            await read_answers(client, reader, attempts)
-    finally:
-        writer.close()
 
-
-async def read_answers(client, reader, attempts):
-    for attempt in attempts:
-        try:
-            answer = await asyncio.wait_for(
-                standin.read_answer(reader), DEADLINE_S + 1)
-        except (standin.Closed, OSError, asyncio.TimeoutError) as error:
-            answer = standin.Answer(end=f'{type(error).__name__}: {error}')
-        client.note(attempt, answer)
-
-
-def judge(record, deployment, client):
-    run = {attempt for worker in deployment.workers.values() for attempt in worker.runs}
-    done = {attempt for worker in deployment.workers.values() for attempt in worker.done}
-    served = [attempt for attempt, answer in client.answers.items()
-              if answer.status == 200 and not answer.end
-              and answer.headers.get('attempt-id') == attempt]
-    cut = [attempt for attempt, answer in client.answers.items()
-           if not answer.status and attempt in run]
-    record.say(f'{len(client.answers)} requests, {len(run)} passed on to a worker, '
-               f'{len(done)} worked on to the end, {len(served)} answered')
-    if not served:
+    platform = standin.MemoryLimit(deployment, record, MEMORY_MB, RESTART_S)
+    tasks = [asyncio.create_task(platform.watch())]
+    visitor = standin.Client(record, deployment.machines['entry'].outbound, DESK_HOST)
+    tasks += [asyncio.create_task(visit(visitor)) for _ in range(VISITORS)]
+    readers = [
+        standin.KeptClient(record, faulty.outbound, BOARD_HOST, '/board/1', 5.0)
+        for _ in range(READERS)]
+    tasks += [asyncio.create_task(reader.run()) for reader in readers]
+    await asyncio.sleep(PLAY_S)
+    for task in tasks:
+        task.cancel()
+    return judge(deployment, record, platform, worker, readers)
+
+
+async def visit(client):
+    while True:
+        await client.send('GET', '/desk/1', DEADLINE_S)
+        await asyncio.sleep(0.1)
+
+
+def judge(deployment, record, platform, worker, readers):
+    passed_on = {
+        attempt for name in ('board-1', 'board-2')
+        for attempt in deployment.workers[name].runs}
+    cut = [attempt for reader in readers for attempt in reader.cut
+           if attempt in passed_on]
+    served = sum(reader.served for reader in readers)
+    record.say(f'{len(worker.runs)} requests at the worker of desk-1; {served} reads '
+               f'served, {len(cut)} cut; nodes killed for their memory: '
+               f'{platform.ends or "none"}; largest {platform.largest_mb:.0f} MB')
+    if not served or not worker.runs:
         raise standin.CannotRun('nothing is served')
     if len(cut) > 3:
         return [f'LOST: {len(cut)} requests on kept connections were passed on to '
-                'sound workers and their connections closed without an answer']
+                'sound workers and their connections closed without an answer, as '
+                f'the node ended by itself {len(platform.ends)} times']
     return []
 
 
--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -613,6 +613,97 @@
         self.folder.cleanup()
 
 
+class MemoryLimit:
+    """Ends a process that exceeds its memory, and starts it again."""
+
+    def __init__(self, deployment, record, memory_mb, restart_s):
+        self.deployment = deployment
+        self.record = record
+        self.memory_mb = memory_mb
+        self.restart_s = restart_s
+        self.ends = []
+        self.largest_mb = 0.0
+
+    async def watch(self):
+        while True:
+            await asyncio.sleep(0.1)
+            for name, machine in self.deployment.machines.items():
+                memory_mb = read_memory_mb(machine.process.pid)
+                self.largest_mb = max(self.largest_mb, memory_mb)
+                if memory_mb > self.memory_mb:
+                    await self.end(name, machine, memory_mb)
+
+    async def end(self, name, machine, memory_mb):
+        self.ends.append(name)
+        self.record.say(f'{name} has {memory_mb:.0f} MB and is killed')
+        machine.process.kill()
+        await machine.process.wait()
+        await asyncio.sleep(self.restart_s)
+        await self.deployment.start_node(name)
+
+
+def read_memory_mb(process):
+    """Return the resident memory of a process, 0 if it has ended."""
+    try:
+        text = Path(f'/proc/{process}/status').read_text()
+    except OSError:
+        return 0.0
+    for line in text.splitlines():
+        if line.startswith('VmRSS:'):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+class KeptClient:
+    """A client that keeps its connection for many requests."""
+
+    def __init__(self, record, address, host_header, target, deadline_s):
+        self.record = record
+        self.address = address
+        self.host_header = host_header
+        self.target = target
+        self.deadline_s = deadline_s
+        self.served = 0
+        #: Attempts that were sent on a kept connection and got no answer.
+        self.cut = []
+
+    async def run(self):
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection(*self.address)
+            except OSError:
+                await asyncio.sleep(0.2)
+                continue
+            try:
+                await self._use(reader, writer)
+            finally:
+                writer.close()
+            await asyncio.sleep(0.1)
+
+    async def _use(self, reader, writer):
+        number = 0
+        while True:
+            attempt = create_attempt()
+            number += 1
+            self.record.write('send', attempt=attempt, method='GET',
+                              target=self.target, number_on_connection=number)
+            try:
+                writer.write(encode_request(
+                    'GET', self.target,
+                    {'Host': self.host_header, 'Attempt-Id': attempt,
+                     'Timeout-Ms': str(int(self.deadline_s * 1000))}))
+                answer = await read_answer(reader)
+            except (Closed, OSError) as error:
+                self.record.write('answer', attempt=attempt, status='-', end=error)
+                if number > 1:
+                    self.cut.append(attempt)
+                return
+            self.record.write('answer', attempt=attempt, status=answer.status, end='-')
+            self.served += answer.status == 200
+            if answer.headers.get('connection', '').lower() == 'close':
+                return
+
+
 class CannotRun(Exception):
     """The case could not be set up."""
 
