--- a/review/3/case.py
+++ b/review/3/case.py
@@ -16,21 +16,25 @@
 #: A piece of the endless body: some chunks of two bytes, sent at 3 MB a second.
 CHUNKS = b'2\r\nab\r\n' * 1000
 PAUSE_S = 0.002
+#: One in so many answers of that worker has no end; 0.04 of them.
+ENDLESS_EVERY = 25
 #: Clients that keep a connection to the node beside that worker, and read.
 READERS = 10
 #: Clients of the worker's service at another machine.
 VISITORS = 5
-PLAY_S = 60
+PLAY_S = 75
 RESTART_S = 0.5
 DEADLINE_S = 6.0
 
 
 class EndlessWorker(standin.Worker):
-    """A worker whose answers have a body that does not end."""
+    """A worker some of whose answers have a body that does not end."""
 
     def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
         self.is_in_trouble = True
+        self.answers = 0
+        self.endless = 0
 
     async def start(self):
         server = await asyncio.start_server(
@@ -44,7 +48,8 @@
                 line, headers = head
                 method, target, _ = line.split(' ')
                 body = await standin.read_body(reader, headers)
-                if not self.is_in_trouble:
+                self.answers += 1
+                if not self.is_in_trouble or self.answers % ENDLESS_EVERY:
                     writer.write(await self.handle(method, target, headers, body))
                     await writer.drain()
                     continue
@@ -55,6 +60,7 @@
             writer.close()
 
     async def _answer_without_end(self, attempt, writer):
+        self.endless += 1
         self.runs.append(attempt)
         self.record.write('run', worker=self.identity, attempt=attempt, answer='endless')
         writer.write((
@@ -108,7 +114,8 @@
     await asyncio.sleep(4)
 
     platform = standin.MemoryLimit(deployment, record, MEMORY_MB, RESTART_S)
-    tasks = [asyncio.create_task(platform.watch())]
+    watch = asyncio.create_task(platform.watch())
+    tasks = []
     visitor = standin.Client(record, deployment.machines['entry'].outbound, DESK_HOST)
     tasks += [asyncio.create_task(visit(visitor)) for _ in range(VISITORS)]
     readers = [
@@ -118,6 +125,8 @@
     await asyncio.sleep(PLAY_S)
     for task in tasks:
         task.cancel()
+    platform.is_over = True
+    await watch
     return judge(deployment, record, platform, worker, readers)
 
 
@@ -134,7 +143,8 @@
     cut = [attempt for reader in readers for attempt in reader.cut
            if attempt in passed_on]
     served = sum(reader.served for reader in readers)
-    record.say(f'{len(worker.runs)} requests at the worker of desk-1; {served} reads '
+    record.say(f'{worker.endless} of {worker.answers} answers of one worker without '
+               f'an end; {served} reads '
                f'served, {len(cut)} cut; nodes killed for their memory: '
                f'{platform.ends or "none"}; largest {platform.largest_mb:.0f} MB')
     if not served or not worker.runs:
