Let every node find out by itself when nobody confirms its configuration

Callers saw requests handled by a version that had been replaced longer ago than the bound allows. Cause: a node learned of changes from its heartbeat neighbours alone and inferred from their silence whether it was up to date. When all of them died together it had no path to a relay until they were expelled (over 3 s); when all relays died, until their leases had run out (up to 6.9 s).

Each node now knows when its generation was last confirmed as the newest, by a relay's watch or by a neighbour's heartbeat, and reads the store itself, on a new connection, when that is 1.9 s ago. So the bound holds whatever was lost, as long as the store answers. The same covers a watch and pooled connections that fall silent together, a store that refuses the relays alone, and a new node whose first neighbour was behind.

--- a/merlintrail/coordination/__init__.py
+++ b/merlintrail/coordination/__init__.py
@@ -13,6 +13,7 @@
     read_stored_document,
 )
 from merlintrail.coordination._configuration_watch import ConfigurationWatch
+from merlintrail.coordination._confirmation import ConfirmationRecord
 from merlintrail.coordination._heartbeat import Heartbeats
 from merlintrail.coordination._http_store import HttpStore, create_http_store
 from merlintrail.coordination._ledger import (
@@ -78,6 +79,7 @@
     'ChangeInvalid',
     'ConfigurationChange',
     'ConfigurationWatch',
+    'ConfirmationRecord',
     'Gossip',
     'Heartbeats',
     'HttpPeerClient',
--- a/merlintrail/coordination/_configuration_watch.py
+++ b/merlintrail/coordination/_configuration_watch.py
@@ -35,14 +35,18 @@
         self,
         store: Store,
         offer: Callable[[StoreValue], None],
+        confirm: Callable[[float], None],
         rng: random.Random,
     ) -> None:
         """Initialize the watch.
 
         :param offer: called with each document that is read.
+        :param confirm: called after each answer with the seconds since which
+            the store may have had a newer document than the last one offered.
         """
         self._store = store
         self._offer = offer
+        self._confirm = confirm
         self._rng = rng
         #: Position from which to watch, 0 to read the document first.
         self._position = 0
@@ -67,7 +71,8 @@
         self._loop = asyncio.get_running_loop()
         while True:
             asked_at = _now()
-            changes = await self._wait_for_changes()
+            wait_s = self._choose_wait()
+            changes = await self._wait_for_changes(wait_s)
             if isinstance(changes, StoreFailure):
                 self._record_failure(changes, asked_at)
                 if changes.fault != StoreFault.HISTORY_LOST:
@@ -75,13 +80,22 @@
                 continue
             self._record_answer()
             self._accept(changes)
+            # The store holds an answer without changes back for the wait.
+            self._confirm(max(0.0, _now() - asked_at - wait_s))
 
-    async def _wait_for_changes(self) -> StoreItems | StoreFailure:
+    def _choose_wait(self) -> float:
+        """Return the seconds to wait for changes, 0 to read the document."""
+        if not self._position:
+            return 0
+        return WATCH_TIMEOUT_S * self._rng.uniform(MIN_TIMEOUT_SHARE, 1.0)
+
+    async def _wait_for_changes(
+        self, wait_s: float
+    ) -> StoreItems | StoreFailure:
         if not self._position:
             return await self._store.read_range(CONFIGURATION_KEY)
-        share = self._rng.uniform(MIN_TIMEOUT_SHARE, 1.0)
         return await self._store.watch(
-            CONFIGURATION_KEY, self._position, WATCH_TIMEOUT_S * share
+            CONFIGURATION_KEY, self._position, wait_s
         )
 
     def _accept(self, changes: StoreItems) -> None:
--- a/merlintrail/coordination/_heartbeat.py
+++ b/merlintrail/coordination/_heartbeat.py
@@ -40,6 +40,11 @@
 BATCH_DELAY_S: Final = 0.02
 #: Seconds between messages while updates remain for a neighbour after one.
 BACKLOG_DELAY_S: Final = 0.2
+#: Age in seconds of a neighbour's latest confirmation of the configuration
+#: above which a later one is passed on at once.
+CONFIRMATION_REFRESH_AGE_S: Final = 1.2
+#: Seconds by which it has to be later.
+MIN_CONFIRMATION_GAIN_S: Final = 0.3
 #: Seconds to wait for the reply to a heartbeat.
 HEARTBEAT_TIMEOUT_S: Final = 0.7
 #: Seconds for which heartbeats fail before a neighbour is suspected.
@@ -80,6 +85,7 @@
         self._paused_at = -PAUSE_THRESHOLD_S
         self._next_probe_at = 0.0
         self._refreshed_digest = 0
+        membership.confirmations.add_listener(self._pass_on_confirmation)
 
     async def run(self) -> None:
         """Sweep periodically until cancelled.
@@ -125,7 +131,7 @@
         gossip = decode_record(Gossip, document)
         if isinstance(gossip, DecodeFailure):
             return gossip
-        self._apply_gossip(gossip)
+        self._apply_gossip(gossip, self._clock())
         return encode_gossip(self._membership.build_gossip(gossip.sender))
 
     async def join(
@@ -229,6 +235,7 @@
         self, member: Member, *, is_fresh: bool
     ) -> Gossip | None:
         gossip = self._membership.build_gossip(member.node_id)
+        asked_at = self._clock()
         answer = await self._peers.send_request(
             member.peer_address,
             'gossip',
@@ -246,7 +253,7 @@
             return None
         if reply.sender != member.node_id:
             return None
-        self._apply_gossip(reply)
+        self._apply_gossip(reply, asked_at)
         return reply
 
     async def _wait_for_updates(self, member: Member) -> None:
@@ -266,15 +273,35 @@
                 await outbox.event.wait()
         except TimeoutError:
             return
-        await asyncio.sleep(BATCH_DELAY_S)
+        if outbox.has_updates:
+            await asyncio.sleep(BATCH_DELAY_S)
 
-    def _apply_gossip(self, gossip: Gossip) -> None:
-        self._membership.accept_gossip(gossip)
+    def _apply_gossip(self, gossip: Gossip, sent_at: float) -> None:
+        self._membership.accept_gossip(gossip, sent_at)
         sender = self._membership.table.find(gossip.sender)
         if sender is None:
             return
         self.pull.announce(sender.peer_address, gossip.generation)
 
+    def _pass_on_confirmation(self) -> None:
+        """Wake the heartbeats to neighbours whose confirmation is too old.
+
+        Those in other data centres get it with the regular heartbeats.
+        """
+        now = self._clock()
+        confirmed_at = self._membership.confirmations.latest.confirmed_at
+        for node_id, outbox in self._membership.outboxes.items():
+            is_old = now - outbox.confirmed_at > CONFIRMATION_REFRESH_AGE_S
+            gain_s = confirmed_at - outbox.confirmed_at
+            if is_old and gain_s > MIN_CONFIRMATION_GAIN_S:
+                self._wake_local(node_id, outbox)
+
+    def _wake_local(self, node_id: str, outbox: Outbox) -> None:
+        member = self._membership.table.find(node_id)
+        own = self._membership.own
+        if member is not None and member.data_centre == own.data_centre:
+            outbox.event.set()
+
     def _suspect_if_overdue(self, member: Member, failing_since: float) -> None:
         """Suspect a member whose heartbeats failed for the whole timeout.
 
@@ -304,6 +331,7 @@
                 },
             )
         self._membership.table.remove_expired()
+        self._pass_on_confirmation()
         if self._membership.table.digest != self._refreshed_digest:
             self._refreshed_digest = self._membership.table.digest
             self.refresh_neighbours()
--- a/merlintrail/coordination/_http_store.py
+++ b/merlintrail/coordination/_http_store.py
@@ -44,9 +44,13 @@
         """The latest era known, 0 before the first answer."""
         return self._client.era
 
-    async def read(self, key: str) -> StoreValue | StoreFailure:
+    async def read(
+        self, key: str, *, is_fresh: bool = False
+    ) -> StoreValue | StoreFailure:
         """Read a key."""
-        return await self._run('read', lambda: self._client.read(key))
+        return await self._run(
+            'read', lambda: self._client.read(key, is_fresh=is_fresh)
+        )
 
     async def read_range(
         self, prefix: str, *, may_be_stale: bool = False
--- a/merlintrail/coordination/_membership.py
+++ b/merlintrail/coordination/_membership.py
@@ -3,9 +3,15 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any, Final, NamedTuple
 
+from merlintrail.coordination._confirmation import (
+    Confirmation,
+    ConfirmationRecord,
+)
 from merlintrail.coordination._messages import (
     Gossip,
     StatusUpdate,
+    encode_age,
+    read_age,
     read_members,
     read_statuses,
     read_suspicions,
@@ -67,6 +73,8 @@
         self.table = state.table
         self.holder = state.holder
         self.quarantine = state.quarantine
+        #: When the configuration in force was last confirmed as the newest.
+        self.confirmations = ConfirmationRecord(state.holder, clock)
         #: Updates that wait to be sent, by the neighbour's identifier.
         self.outboxes: dict[str, Outbox] = {}
         self.table.add_listener(self._track_suspects)
@@ -94,6 +102,8 @@
         members, suspicions = (
             ([], []) if outbox is None else outbox.take_batch()
         )
+        if outbox is not None:
+            outbox.note_confirmation(self.confirmations.latest.confirmed_at)
         return Gossip(
             self._own.node_id,
             self._own.incarnation,
@@ -107,6 +117,7 @@
             ],
             suspicions,
             self.compute_suspicion_digest(),
+            encode_age(self.confirmations.read_age()),
         )
 
     def compute_suspicion_digest(self) -> int:
@@ -140,8 +151,12 @@
         ]
         outbox.requeue([*gossip.members, *members], list(gossip.suspicions))
 
-    def accept_gossip(self, gossip: Gossip) -> None:
-        """Merge the updates of a gossip message."""
+    def accept_gossip(self, gossip: Gossip, sent_at: float) -> None:
+        """Merge the updates of a gossip message and its confirmation.
+
+        :param sent_at: clock time before which it was not sent.
+        """
+        self._accept_confirmation(gossip, sent_at)
         members = read_members(gossip.members)
         statuses = self._complete_statuses(read_statuses(gossip.statuses))
         self._merge_members([*members, *statuses], gossip.sender)
@@ -216,6 +231,18 @@
             if _find_bucket(member.node_id) in differing
         ]
 
+    def _accept_confirmation(self, gossip: Gossip, sent_at: float) -> None:
+        age_s = read_age(gossip.confirmation_age_ms)
+        if age_s is None:
+            return
+        confirmed_at = sent_at - age_s
+        outbox = self.outboxes.get(gossip.sender)
+        if outbox is not None:
+            outbox.note_confirmation(confirmed_at)
+        self.confirmations.record(
+            Confirmation(gossip.generation, confirmed_at, gossip.sender)
+        )
+
     def _merge_members(self, members: Sequence[Member], sender: str) -> None:
         refuted = [self._refute(member) for member in members]
         for member in self.table.merge(refuted):
--- a/merlintrail/coordination/_messages.py
+++ b/merlintrail/coordination/_messages.py
@@ -26,6 +26,7 @@
 _REQUIRED_FIELDS: Final = frozenset(
     ('sender', 'incarnation', 'generation', 'digest')
 )
+_MS_PER_S: Final = 1000
 
 
 class Gossip(NamedTuple):
@@ -47,6 +48,9 @@
     suspicions: Sequence[Any] = ()
     #: Digest of the sender's suspicions, 0 without any.
     suspicion_digest: int = 0
+    #: Milliseconds since the sender's generation was last confirmed as the
+    #: newest, ``None`` if the sender does not state it.
+    confirmation_age_ms: int | None = None
 
     @property
     def has_updates(self) -> bool:
@@ -63,6 +67,21 @@
     }
 
 
+def encode_age(age_s: float) -> int:
+    """Return the milliseconds of an age, at least 1."""
+    return max(1, round(age_s * _MS_PER_S))
+
+
+def read_age(age_ms: object) -> float | None:
+    """Return the seconds of an age that a message states.
+
+    :returns: ``None`` for anything but a whole number of milliseconds.
+    """
+    if isinstance(age_ms, bool) or not isinstance(age_ms, int) or age_ms < 0:
+        return None
+    return age_ms / _MS_PER_S
+
+
 def read_members(records: Sequence[Any]) -> list[Member]:
     """Decode member records; malformed ones are skipped."""
     members = [read_member(record) for record in records]
--- a/merlintrail/coordination/_outbox.py
+++ b/merlintrail/coordination/_outbox.py
@@ -1,6 +1,7 @@
 """Queue of updates to be sent to one neighbour."""
 
 import asyncio
+import math
 from typing import Final
 
 from merlintrail.coordination._messages import StatusUpdate
@@ -18,6 +19,18 @@
         self._suspicions: dict[str, Suspicion] = {}
         #: Set while updates are queued, and to request a message at once.
         self.event = asyncio.Event()
+        #: Clock time of the latest confirmation of the configuration that the
+        #: neighbour is assumed to know.
+        self.confirmed_at = -math.inf
+
+    @property
+    def has_updates(self) -> bool:
+        """Whether any update waits to be sent."""
+        return bool(self._members or self._suspicions)
+
+    def note_confirmation(self, confirmed_at: float) -> None:
+        """Record a confirmation that was sent to the neighbour or by it."""
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
 
     def put_member(self, member: Member) -> None:
         """Queue a member's record."""
@@ -50,7 +63,7 @@
         suspicions = by_urgency[:MAX_UPDATES_PER_MESSAGE]
         for suspicion in suspicions:
             del self._suspicions[suspicion.digest]
-        if not self._members and not self._suspicions:
+        if not self.has_updates:
             self.event.clear()
         return members, suspicions
 
--- a/merlintrail/coordination/_relay.py
+++ b/merlintrail/coordination/_relay.py
@@ -8,12 +8,14 @@
 import asyncio
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Final, NamedTuple
 
 from merlintrail.coordination._changes import (
     CONFIGURATION_KEY,
     read_envelope,
 )
+from merlintrail.coordination._configuration_check import ConfigurationCheck
 from merlintrail.coordination._configuration_watch import ConfigurationWatch
 from merlintrail.coordination._heartbeat import Heartbeats
 from merlintrail.coordination._membership import Membership
@@ -98,7 +100,12 @@
         #: are held.
         self._vacant_since: float | None = None
         #: Watch of the configuration, which begins anew with each slot.
-        self.watch = ConfigurationWatch(store, self._offer_configuration, rng)
+        self.watch = ConfigurationWatch(
+            store,
+            self._offer_configuration,
+            deps.membership.confirmations.record_store,
+            rng,
+        )
 
     async def run(self) -> None:
         """Repeatedly acquire a free slot and serve as a relay."""
@@ -108,11 +115,29 @@
             await self._check_slots()
             await asyncio.sleep(CHECK_INTERVAL_S * self._rng.uniform(0.7, 1.3))
 
-    async def fetch_configuration(self) -> StoreValue | StoreFailure:
-        """Read the configuration from the store and offer it to the node."""
-        stored = await self._store.read(CONFIGURATION_KEY)
+    async def check_configuration(self) -> None:
+        """Read the configuration whenever nobody has confirmed it for long."""
+        check = ConfigurationCheck(
+            self._membership.confirmations,
+            partial(self.fetch_configuration, is_fresh=True),
+            lambda: len(self._membership.table.list_active()),
+            self._rng,
+        )
+        await check.run()
+
+    async def fetch_configuration(
+        self, *, is_fresh: bool = False
+    ) -> StoreValue | StoreFailure:
+        """Read the configuration from the store and offer it to the node.
+
+        :param is_fresh: whether to use a new connection.
+        """
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
+        stored = await self._store.read(CONFIGURATION_KEY, is_fresh=is_fresh)
         if isinstance(stored, StoreValue):
             self._offer_configuration(stored)
+            self._membership.confirmations.record_store(loop.time() - asked_at)
         return stored
 
     async def _check_slots(self) -> None:
--- a/merlintrail/coordination/_store.py
+++ b/merlintrail/coordination/_store.py
@@ -109,8 +109,14 @@
         """The latest era known, 0 before the first answer."""
 
     @abc.abstractmethod
-    async def read(self, key: str) -> StoreValue | StoreFailure:
-        """Read a key."""
+    async def read(
+        self, key: str, *, is_fresh: bool = False
+    ) -> StoreValue | StoreFailure:
+        """Read a key.
+
+        :param is_fresh: whether to use a new connection, since those that are
+            open may have fallen silent.
+        """
 
     @abc.abstractmethod
     async def read_range(
--- a/merlintrail/coordination/_store_client.py
+++ b/merlintrail/coordination/_store_client.py
@@ -72,8 +72,15 @@
         """The latest era that an answer has stated, 0 before the first."""
         return self._latest_era or 0
 
-    def read(self, key: str) -> StoreValue | StoreFailure:
-        """Read a key."""
+    def read(
+        self, key: str, *, is_fresh: bool = False
+    ) -> StoreValue | StoreFailure:
+        """Read a key.
+
+        :param is_fresh: whether to drop the idle connections first.
+        """
+        if is_fresh:
+            self._exchange.drop_idle()
         answer = self._try_addresses(self._wire.build_read(key))
         if isinstance(answer, StoreFailure):
             return answer
--- a/merlintrail/coordination/_store_exchange.py
+++ b/merlintrail/coordination/_store_exchange.py
@@ -70,6 +70,10 @@
         )
         self._http.pool_classes_by_scheme = {'http': BoundedConnectionPool}
 
+    def drop_idle(self) -> None:
+        """Close the idle connections, so that the next call opens one."""
+        self._http.clear()
+
     def send(
         self, address: str, call: StoreCall[Any]
     ) -> HttpAnswer | StoreFailure:
@@ -84,7 +88,7 @@
         )
         response = self._request(address, call, first_timeout_s)
         if _is_unknown(response):
-            self._http.clear()
+            self.drop_idle()
             if call.is_repeatable:
                 response = self._request(address, call, READ_TIMEOUT_S)
         if isinstance(response, StoreFailure):
--- a/merlintrail/coordination/tests/test_lost_paths.py
+++ b/merlintrail/coordination/tests/test_lost_paths.py
@@ -14,6 +14,9 @@
 #: Seconds within which a confirmed change must be in force at every living
 #: node that reaches the store.
 _BOUND_S: Final = 2.5
+#: Share of the nodes whose open connections to the store fall silent.
+_SILENT_SHARE: Final = 0.7
+_CALM_S: Final = 12.0
 
 
 class _Draw(NamedTuple):
@@ -64,6 +67,48 @@
     return await _change_repeatedly(fleet, rng)
 
 
+async def _silence_paths(draw: _Draw) -> float:
+    """Let open connections to the store fall silent, and lose some nodes."""
+    rng = random.Random(draw.seed)
+    fleet = ConfigurationFleet(draw.data_centres, draw.size, draw.seed)
+    await fleet.start()
+    await asyncio.sleep(rng.uniform(0, 2))
+    nodes = fleet.nodes
+    for node in rng.sample(nodes, round(len(nodes) * draw.lost_share)):
+        fleet.kill(node)
+    for node in fleet.nodes:
+        if rng.random() < _SILENT_SHARE:
+            node.link.silence()
+    return await _change_repeatedly(fleet, rng)
+
+
+async def _refuse_nodes(draw: _Draw) -> float:
+    """Let the store refuse the relays and some others beside a loss."""
+    rng = random.Random(draw.seed)
+    fleet = ConfigurationFleet(draw.data_centres, draw.size, draw.seed)
+    await fleet.start()
+    for node in (*fleet.list_relays(), *rng.sample(fleet.nodes, draw.size)):
+        node.link.is_cut = True
+    await asyncio.sleep(rng.uniform(0, 8))
+    nodes = fleet.nodes
+    for node in rng.sample(nodes, round(len(nodes) * draw.lost_share)):
+        fleet.kill(node)
+    return await _change_repeatedly(fleet, rng)
+
+
+async def _count_calm_reads(draw: _Draw) -> int:
+    """Return the reads of the configuration in a calm time."""
+    fleet = ConfigurationFleet(draw.data_centres, draw.size, draw.seed)
+    await fleet.start()
+    before = fleet.state.counts['read']
+    for _ in range(3):
+        await asyncio.sleep(_CALM_S / 3)
+        fleet.change()
+    reads = fleet.state.counts['read'] - before
+    await fleet.stop()
+    return reads
+
+
 class LostPathsTest(unittest.TestCase):
     """A change is in force in time at every node that reaches the store."""
 
@@ -89,6 +134,42 @@
             ],
         )
 
+    def test_changes_are_in_force_in_time_when_connections_fall_silent(
+        self,
+    ) -> None:
+        """Watches and pooled connections do so together."""
+        self._check(
+            _silence_paths,
+            [
+                *(_Draw(6, 4, 0.4, seed) for seed in range(10)),
+                *(_Draw(6, 11, 0.4, seed) for seed in range(3)),
+            ],
+        )
+
+    def test_changes_are_in_force_in_time_when_the_store_refuses_relays(
+        self,
+    ) -> None:
+        """Nodes that it serves read in their place."""
+        self._check(
+            _refuse_nodes,
+            [
+                *(_Draw(6, 4, 0.3, seed) for seed in range(10)),
+                *(_Draw(6, 11, 0.3, seed) for seed in range(3)),
+            ],
+        )
+
+    def test_survivors_in_a_large_data_centre_have_changes_in_time(
+        self,
+    ) -> None:
+        """The ring of one of 14 data centres of 1,800 nodes has 32 hops."""
+        self._check(_lose_nodes, [_Draw(1, 129, 0.5, seed) for seed in (1, 2)])
+
+    def test_calm_nodes_do_not_read_the_store(self) -> None:
+        """Heartbeats confirm the configuration to all of them."""
+        for draw in (_Draw(6, 4, 0, 1), _Draw(1, 129, 0, 1)):
+            with self.subTest(draw=draw):
+                self.assertEqual(run_virtually(_count_calm_reads(draw)), 0)
+
     def _check(
         self,
         play: Callable[[_Draw], Coroutine[Any, Any, float]],
--- a/merlintrail/node/_gauges.py
+++ b/merlintrail/node/_gauges.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final, NamedTuple
 
-from merlintrail.coordination import ConfigurationWatch
+from merlintrail.coordination import ConfigurationWatch, ConfirmationRecord
 from merlintrail.node._backend_gateway import BackendGateway
 from merlintrail.node._gate import AdmissionGate
 from merlintrail.node._repeat_limits import RepeatLimits
@@ -105,7 +105,10 @@
 
 
 def register_coordination_gauges(
-    metrics: NodeMetrics, watch: ConfigurationWatch, repeats: RepeatLimits
+    metrics: NodeMetrics,
+    watch: ConfigurationWatch,
+    confirmations: ConfirmationRecord,
+    repeats: RepeatLimits,
 ) -> None:
     """Register the gauges of what a node shares with the others."""
     metrics.register_gauge(
@@ -114,6 +117,12 @@
         'Time since the store last answered a watch of this relay.',
         lambda: _read_age(watch),
     )
+    metrics.register_gauge(
+        'merlintrail.configuration_age',
+        's',
+        'Time since the generation in force was confirmed as the newest.',
+        lambda: [GaugePoint(confirmations.read_age())],
+    )
     metrics.register_gauge(
         'merlintrail.repeat_room',
         '{call}',
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -107,7 +107,10 @@
             self._wall_clock,
         )
         register_coordination_gauges(
-            self.metrics, self._relay.watch, self._repeats
+            self.metrics,
+            self._relay.watch,
+            self.membership.confirmations,
+            self._repeats,
         )
         self.holder.add_listener(self._apply_configuration)
         self.table.add_listener(self.routing.update_member)
@@ -147,6 +150,7 @@
         self.start_task('join', self.join)
         self.start_task('heartbeats', self.heartbeats.run)
         self.start_task('relay', self.run_relay)
+        self.start_task('check', self._relay.check_configuration)
         self.start_task('archive', self.run_archive)
         self.start_task('usage', self._usage.run)
         self.start_task('readiness', self._poll_readiness)
