Send names beyond Latin-1 in the headers of calls

Callers of a route whose name has a letter beyond Latin-1 got no answer: their connections were closed. Cause: the header of a call is JSON in UTF-8 text, and encoding the head as Latin-1 raised an error that nothing expected. The header is ASCII JSON now, which every receiver reads as before; other header lines beyond Latin-1, such as the service of a caller, are sent in UTF-8.

--- a/merlintrail/protocol/_call.py
+++ b/merlintrail/protocol/_call.py
@@ -7,7 +7,7 @@
     DecodeFailure,
     decode_array_record,
     decode_json,
-    encode_json,
+    encode_ascii_json,
 )
 
 
@@ -105,7 +105,7 @@
     defaults = list(record._field_defaults.values())
     while defaults and fields[-1] == defaults.pop():
         fields.pop()
-    return encode_json(fields).decode()
+    return encode_ascii_json(fields)
 
 
 def decode_call_header(text: str) -> CallHeader | DecodeFailure:
--- a/merlintrail/protocol/_codec.py
+++ b/merlintrail/protocol/_codec.py
@@ -1,5 +1,6 @@
 """JSON encoding and decoding of typed records."""
 
+import json
 from typing import Any, NamedTuple, TypeVar
 
 import orjson
@@ -30,6 +31,14 @@
     )
 
 
+def encode_ascii_json(document: object) -> str:
+    """Encode a document as JSON of ASCII characters, as headers need it."""
+    text = encode_json(document).decode()
+    if text.isascii():
+        return text
+    return json.dumps(orjson.loads(text), separators=(',', ':'))
+
+
 def decode_json(text: bytes | str) -> Any:
     """Decode a JSON text.
 
--- a/merlintrail/transport/_message.py
+++ b/merlintrail/transport/_message.py
@@ -48,6 +48,24 @@
     return ''.join(f'{name}: {text}\r\n' for name, text in headers)
 
 
+def _encode_head(head: str) -> bytes:
+    """Encode a head; lines beyond Latin-1, such as names, are in UTF-8.
+
+    Received headers are decoded as Latin-1, which restores their bytes.
+    """
+    try:
+        return head.encode('latin-1')
+    except UnicodeEncodeError:
+        return b'\r\n'.join(map(_encode_line, head.split('\r\n')))
+
+
+def _encode_line(line: str) -> bytes:
+    try:
+        return line.encode('latin-1')
+    except UnicodeEncodeError:
+        return line.encode('utf-8', 'replace')
+
+
 def encode_request(
     method: str,
     target: str,
@@ -59,7 +77,7 @@
         f'{method} {target} HTTP/1.1\r\n{_encode_headers(headers)}'
         f'content-length: {len(body)}\r\n\r\n'
     )
-    return head.encode('latin-1') + body
+    return _encode_head(head) + body
 
 
 def encode_response(response: HttpResponse, *, with_body: bool = True) -> bytes:
@@ -73,5 +91,6 @@
     head = (
         f'{line}{_encode_headers(response.headers)}'
         f'content-length: {len(response.body)}\r\n\r\n'
-    ).encode('latin-1')
-    return head + response.body if with_body else head
+    )
+    encoded = _encode_head(head)
+    return encoded + response.body if with_body else encoded
