Leave every path of the platform's call address to the routes

Callers of a route under /-/ got the node's own 200 or 404 instead of a backend server's answer, and a caller on the instance itself could announce or drain its backend server there. Cause: the node's own endpoints took the prefix on the address that callers use. On a platform, announcements and health checks have addresses of their own, so the call address passes everything to the routes now; without one, the interface stays.

--- a/merlintrail/node/_local_service.py
+++ b/merlintrail/node/_local_service.py
@@ -27,7 +27,9 @@
     """Serves the call address of a node.
 
     Answers health checks, announcements and drain requests under
-    :data:`LOCAL_PATH` and passes every other request to the ingress.
+    :data:`LOCAL_PATH` and passes every other request to the ingress. On a
+    platform these have addresses of their own, and every path belongs to the
+    routes.
     """
 
     def __init__(
@@ -36,15 +38,22 @@
         serve: RequestHandler,
         own_host: str,
         build_health: Callable[[], Mapping[str, Any]],
+        *,
+        has_own_paths: bool,
     ) -> None:
+        """Initialize the service.
+
+        :param has_own_paths: whether it answers under :data:`LOCAL_PATH`.
+        """
         self._gateway = gateway
         self._serve = serve
         self._own_host = own_host
         self._build_health = build_health
+        self._has_own_paths = has_own_paths
 
     def handle(self, request: HttpRequest) -> Awaitable[HttpResponse]:
         """Answer a request on the call address."""
-        if request.target.startswith(LOCAL_PATH):
+        if self._has_own_paths and request.target.startswith(LOCAL_PATH):
             return self._handle_local(request)
         return self._serve(request)
 
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -368,7 +368,11 @@
         )
         host, _ = split_host_port(settings.call_address)
         self.local_service = LocalService(
-            self.gateway, self.ingress.handle, host, self.build_health
+            self.gateway,
+            self.ingress.handle,
+            host,
+            self.build_health,
+            has_own_paths=settings.platform is None,
         )
         self.peer_service = PeerService(
             PeerServiceDependencies(
--- a/merlintrail/node/tests/session.py
+++ b/merlintrail/node/tests/session.py
@@ -9,7 +9,13 @@
 from typing import Any, Final
 
 from merlintrail.coordination.tests.fake_store import FakeStore
-from merlintrail.node import Environment, Node, Settings, create_node
+from merlintrail.node import (
+    Environment,
+    Node,
+    PlatformSettings,
+    Settings,
+    create_node,
+)
 from merlintrail.node._backend import Announcement
 from merlintrail.node.tests.fake_network import FakeNetwork, FakePool
 from merlintrail.observability import JsonLinesHandler, run_deferred
@@ -67,13 +73,16 @@
         names: Sequence[str],
         dialect: Dialect | None = None,
         data_centres: Mapping[str, str] | None = None,
+        platform: PlatformSettings | None = None,
     ) -> None:
         """Create the nodes.
 
         :param data_centres: data centre of each node, by default one for all.
+        :param platform: settings of a platform, ``None`` without one.
         """
         # Lines that an earlier test deferred do not belong to this session.
         run_deferred()
+        self._platform = platform
         self._dialect = dialect or NativeDialect()
         #: Data centre by node.
         self.data_centres = data_centres or {}
@@ -197,6 +206,7 @@
             None,
             'INFO',
             None,
+            platform=self._platform,
         )
         environment = Environment(
             self.store,
--- a/merlintrail/protocol/tests/test_call.py
+++ b/merlintrail/protocol/tests/test_call.py
@@ -20,7 +20,7 @@
     """Names in the header are any text of the configuration."""
 
     @given(st.text(st.characters(exclude_categories=['Cs'])))
-    def test_name_beyond_latin_1_leaves_a_request_without_an_answer(
+    def test_name_beyond_latin_leaves_a_request_without_an_answer(
         self, name: str
     ) -> None:
         """The header is sent and read back."""
@@ -32,7 +32,7 @@
         assert not isinstance(decoded, DecodeFailure)
         self.assertEqual(decoded.kind, name)
 
-    def test_header_beyond_latin_1_is_sent_in_utf_8(self) -> None:
+    def test_header_beyond_latin_is_sent_in_utf(self) -> None:
         """Others of the same head keep their bytes."""
         headers = [('caller', '\u015f'), ('received', '\xe9')]
         sent = encode_request('GET', '/', headers, b'')
