Let what is taken during a planned stop end, and answer the rest

Callers of a node that was told to stop had their connections closed without an answer: requests taken late in the serving time were cut when the process ended, among them ones that may not be repeated, and answers that callers still read were cut within their bodies. Two causes in one place: nothing compared the time that a request may take with the time left, and idle meant that answers were built, not that they had been sent.

From the signal on, calls that are not idempotent are taken only if they can end: from other nodes by their deadline (the sender asks another server), from callers by one and a half times the longest recent request of their kind. A node is idle when no connection has anything left to send, and who still waits at the end is told so (504, may have run).

--- a/merlintrail/node/_backend_gateway.py
+++ b/merlintrail/node/_backend_gateway.py
@@ -88,6 +88,8 @@
         self.planned_stop: PlannedStop | None = None
         #: Whether this node is draining and refuses new calls.
         self.is_draining = False
+        #: Clock time at which this process ends, ``None`` if it goes on.
+        self.ends_at: float | None = None
 
     @property
     def running(self) -> int:
@@ -245,6 +247,8 @@
             return Refusal(Outcome.NOT_RUN, Reason.STALE_INCARNATION)
         if self.is_draining:
             return Refusal(Outcome.NOT_RUN, Reason.DRAINING)
+        if not header.is_idempotent and self._outlasts_process(remaining_s):
+            return Refusal(Outcome.NOT_RUN, Reason.DRAINING)
         if gate is None:
             return Refusal(Outcome.NOT_RUN, Reason.NO_BACKEND_SERVER)
         refusal = gate.check_ready(self._clock())
@@ -256,6 +260,12 @@
             return Refusal(Outcome.NOT_RUN, Reason.PLANNED_STOP)
         return None
 
+    def _outlasts_process(self, remaining_s: float) -> bool:
+        """Return whether a deadline is later than the end of this process."""
+        if self.ends_at is None:
+            return False
+        return self._clock() + remaining_s > self.ends_at
+
     def _refuse_seen_call(
         self, header: CallHeader, state: InquiryState
     ) -> GatewayResult:
--- /dev/null
+++ b/merlintrail/node/_connections.py
@@ -0,0 +1,45 @@
+"""The servers of a node and what their connections still have to send."""
+
+from collections.abc import Callable
+
+from merlintrail.transport import HttpRequest, HttpResponse, HttpServer
+
+
+class NodeServers:
+    """Servers for callers, the backend server and other nodes."""
+
+    def __init__(
+        self, build_last_answer: Callable[[HttpRequest], HttpResponse]
+    ) -> None:
+        """Initialize without servers.
+
+        :param build_last_answer: builds the answer to a caller whose request
+            has not ended when the node does.
+        """
+        self._build_last_answer = build_last_answer
+        #: Servers for callers and the backend server.
+        self.callers: list[HttpServer] = []
+        #: Servers for other nodes.
+        self.peers: list[HttpServer] = []
+
+    def count_busy(self) -> int:
+        """Count the connections with an unfinished request or answer."""
+        return sum(server.count_busy() for server in self._list_all())
+
+    def close_after_answers(self) -> None:
+        """Close each caller's connection after its next answer."""
+        for server in self.callers:
+            server.is_closing = True
+
+    def answer_unfinished(self) -> None:
+        """Answer the callers that still wait, and close their connections."""
+        for server in self.callers:
+            server.answer_unfinished(self._build_last_answer)
+
+    def close(self) -> None:
+        """Close all servers and their connections."""
+        for server in self._list_all():
+            server.close()
+
+    def _list_all(self) -> list[HttpServer]:
+        return [*self.callers, *self.peers]
--- a/merlintrail/node/_ingress.py
+++ b/merlintrail/node/_ingress.py
@@ -30,6 +30,7 @@
     Configuration,
     ConfigurationHolder,
     Customer,
+    LongestDurations,
     RetryAccount,
     compute_retry_after,
     find_planned_stop,
@@ -44,6 +45,8 @@
 _REASONS_WITH_RETRY_TIME: Final = frozenset(
     (Reason.QUARANTINED, Reason.QUOTA_EXCEEDED)
 )
+#: Factor by which a call may take longer than the longest recent one.
+DURATION_MARGIN: Final = 1.5
 _UNSUPPORTED_METHODS: Final = frozenset(('CONNECT', 'TRACE'))
 
 
@@ -93,6 +96,9 @@
         self.running = 0
         #: Whether requests of callers are refused; nested calls still run.
         self.is_closed = False
+        #: Clock time at which this process ends, ``None`` if it goes on.
+        self.ends_at: float | None = None
+        self._durations = LongestDurations(deps.clock())
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Serve a request of a caller or a nested call."""
@@ -126,6 +132,14 @@
         )
         return response
 
+    def build_last_answer(self, request: HttpRequest) -> HttpResponse:
+        """Build the answer to a request that does not end before the process."""
+        headers = self._deps.dialect.read_caller(request)
+        request_id = headers.request_id or create_id(self._deps.rng)
+        refusal = Refusal(Outcome.MAY_HAVE_RUN, Reason.NODE_STOPPED)
+        self._log_refusal(request_id, request.target, refusal)
+        return self._build_response(refusal, request_id)
+
     async def _resolve(
         self, received: _ReceivedRequest
     ) -> Resolution | Refusal:
@@ -184,9 +198,13 @@
             self._log_refusal(call.request_id, call.kind, refusal)
             return self._set_retry_after(refusal, call.objective_ms)
         call = self._retries.prepare(call)
+        begun_at = self._clock()
         call_result = await self._send(call)
         self._retries.record(call, call_result)
         answer = call_result.answer
+        if not isinstance(answer, Refusal):
+            now = self._clock()
+            self._durations.record(call.kind, now - begun_at, now)
         if isinstance(answer, Refusal) and answer.outcome == Outcome.NOT_RUN:
             self._deps.customers.return_token(customer)
             return self._set_retry_after(answer, call.objective_ms)
@@ -223,8 +241,25 @@
         remaining_s = call.deadline - self._clock()
         if overlaps_planned_stop(stop, wall_time, remaining_s):
             return Refusal(Outcome.NOT_RUN, Reason.PLANNED_STOP)
+        if not self._can_end(call, remaining_s):
+            return Refusal(
+                Outcome.NOT_RUN, Reason.DRAINING, 'it may not end in time'
+            )
         return self._deps.suspect_quarantine.check(call)
 
+    def _can_end(self, call: OutgoingCall, remaining_s: float) -> bool:
+        """Return whether a call may be expected to end before the process.
+
+        Idempotent calls need not: they can be sent again.
+        """
+        if self.ends_at is None or call.is_idempotent:
+            return True
+        now = self._clock()
+        longest_s = self._durations.find(call.kind, now)
+        if longest_s is not None:
+            remaining_s = min(remaining_s, longest_s * DURATION_MARGIN)
+        return now + remaining_s <= self.ends_at
+
     async def _serve_nested_call(
         self, call: OutgoingCall, parent: ParentCall
     ) -> HttpResponse | Refusal:
--- a/merlintrail/node/_lifecycle.py
+++ b/merlintrail/node/_lifecycle.py
@@ -6,6 +6,7 @@
 
 from merlintrail.coordination import Heartbeats, Membership
 from merlintrail.node._backend_gateway import BackendGateway
+from merlintrail.node._connections import NodeServers
 from merlintrail.node._ingress import Ingress
 from merlintrail.observability import log_decision
 from merlintrail.state import (
@@ -30,6 +31,8 @@
 #: Share of the grace period that is kept in reserve for the end of the
 #: process.
 EXIT_RESERVE_SHARE: Final = 0.15
+#: Seconds for the last answers to leave.
+LAST_ANSWERS_S: Final = 0.1
 #: Timeout in seconds for notifying the neighbours of the departure.
 DEPARTURE_NOTICE_TIMEOUT_S: Final = 0.25
 #: Longest wait in seconds for running calls when a node drains without a
@@ -48,6 +51,8 @@
     heartbeats: Heartbeats
     gateway: BackendGateway
     ingress: Ingress
+    servers: NodeServers
+    clock: Callable[[], float]
     wall_clock: Callable[[], float]
 
 
@@ -119,6 +124,9 @@
         return stop.starts_at - longest_ms / _MS_PER_S - STOP_NOTICE_S
 
     async def _shut_down_within(self, grace_s: float) -> None:
+        ends_at = self._deps.clock() + grace_s * (1 - EXIT_RESERVE_SHARE)
+        self._deps.gateway.ends_at = ends_at
+        self._deps.ingress.ends_at = ends_at
         serve_s = grace_s * SERVING_SHARE
         await asyncio.sleep(max(0.0, serve_s - DRAIN_NOTICE_S))
         self._deps.membership.update_own(status=MemberStatus.DRAINING)
@@ -145,6 +153,7 @@
                 instance=self._deps.instance,
                 reason=f'calls still running after {limit_s:.1f} s',
             )
+            await self._answer_unfinished()
         self._deps.membership.update_own(status=MemberStatus.LEFT)
         try:
             async with asyncio.timeout(DEPARTURE_NOTICE_TIMEOUT_S):
@@ -157,9 +166,21 @@
             )
         self.stopped.set()
 
+    async def _answer_unfinished(self) -> None:
+        """Tell callers that wait, and give the answers time to leave."""
+        self._deps.servers.answer_unfinished()
+        await asyncio.sleep(LAST_ANSWERS_S)
+
     async def _wait_until_idle(self) -> None:
+        """Wait until no call runs and no connection has anything to send."""
         idle_checks = 0
         while idle_checks < 2:
-            running = self._deps.gateway.running + self._deps.ingress.running
-            idle_checks = 0 if running else idle_checks + 1
+            idle_checks = 0 if self._count_running() else idle_checks + 1
             await asyncio.sleep(CHECK_INTERVAL_S)
+
+    def _count_running(self) -> int:
+        return (
+            self._deps.gateway.running
+            + self._deps.ingress.running
+            + self._deps.servers.count_busy()
+        )
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -20,6 +20,7 @@
 )
 from merlintrail.node._backend import HINT_INTERVAL_S
 from merlintrail.node._call_path import CallPathDependencies, create_call_path
+from merlintrail.node._connections import NodeServers
 from merlintrail.node._environment import Environment, split_host_port
 from merlintrail.node._gauges import (
     register_coordination_gauges,
@@ -51,10 +52,7 @@
     ServiceOffer,
 )
 from merlintrail.state.repeats import SlotRight
-from merlintrail.transport import (
-    HttpServer,
-    start_server,
-)
+from merlintrail.transport import start_server
 
 #: Seconds between checks of the backend servers' readiness and of the member
 #: table.
@@ -82,9 +80,6 @@
         self._wall_clock = environment.wall_clock
         self._rng = environment.rng
         self._tasks: list[asyncio.Task[None]] = []
-        #: Servers for callers and the backend server.
-        self._servers: list[HttpServer] = []
-        self._peer_server: HttpServer | None = None
         self._started_at = self._clock()
         #: Start of this process in milliseconds since the epoch. Identifies
         #: the run to other nodes.
@@ -132,11 +127,11 @@
         host, port = split_host_port(
             self.settings.peer_listen_address or self.settings.peer_address
         )
-        self._peer_server = await start_server(
-            self.peer_service.handle, host, port
+        self._servers.peers.append(
+            await start_server(self.peer_service.handle, host, port)
         )
         host, port = split_host_port(self.settings.call_address)
-        self._servers.append(
+        self._servers.callers.append(
             await start_server(
                 self.local_service.handle,
                 host,
@@ -178,9 +173,7 @@
                     'tasks did not end in time',
                     extra={'tasks': len(unfinished)},
                 )
-        for server in (*self._servers, self._peer_server):
-            if server is not None:
-                server.close()
+        self._servers.close()
         self._pool.close()
         self._peer_pool.close()
         _LOG.info('node stopped', extra={'instance': self.settings.instance})
@@ -228,8 +221,7 @@
         if platform is None:
             self.lifecycle.start_drain(reason)
             return
-        for server in self._servers:
-            server.is_closing = True
+        self._servers.close_after_answers()
         self.lifecycle.start_shutdown(reason, platform.stop_grace_s)
 
     def build_health(self) -> Mapping[str, Any]:
@@ -354,6 +346,7 @@
 
     def _create_services(self) -> None:
         settings = self.settings
+        self._servers = NodeServers(self.ingress.build_last_answer)
         self.lifecycle = Lifecycle(
             LifecycleDependencies(
                 settings.instance,
@@ -363,6 +356,8 @@
                 self.heartbeats,
                 self.gateway,
                 self.ingress,
+                self._servers,
+                self._clock,
                 self._wall_clock,
             )
         )
--- a/merlintrail/node/tests/test_lifecycle.py
+++ b/merlintrail/node/tests/test_lifecycle.py
@@ -3,17 +3,24 @@
 import asyncio
 import unittest
 
-from merlintrail.node._lifecycle import EXIT_RESERVE_SHARE
+from merlintrail.node import Node
+from merlintrail.node._connections import NodeServers
+from merlintrail.node._lifecycle import EXIT_RESERVE_SHARE, Lifecycle
 from merlintrail.node.tests.session import (
+    BackendHandler,
     Session,
     answer_after,
     build_document,
     build_kind,
 )
 from merlintrail.testing import run_virtually
+from merlintrail.transport import HttpRequest, HttpResponse
 
 _DOCUMENT = build_document({'svc': [build_kind('read', deadline_ms=5000)]})
 _GRACE_S = 6.0
+_WRITE_DOCUMENT = build_document(
+    {'svc': [build_kind('write', idempotent=False, deadline_ms=6000)]}
+)
 
 
 def _create_session(service_s: float) -> Session:
@@ -94,3 +101,119 @@
             calls.cancel()
 
         run_virtually(scenario())
+
+    def test_request_taken_late_is_cut_at_the_end(self) -> None:
+        """One that may not be repeated is refused as not run instead."""
+
+        async def scenario() -> None:
+            session = _create_write_session(answer_after(3.5))
+            node = session.nodes['one']
+            node.lifecycle.start_shutdown('SIGTERM', _GRACE_S)
+            await asyncio.sleep(2.3)
+            answer = await session.call('one', '/svc/write')
+            self.assertEqual(answer.status, 503)
+            self.assertEqual(session.executions.total(), 0)
+
+        run_virtually(scenario())
+
+    def test_request_taken_late_that_is_known_to_be_short_is_refused(
+        self,
+    ) -> None:
+        """It is served: others of its kind took far less than is left."""
+
+        async def scenario() -> None:
+            session = _create_write_session(answer_after(0.5))
+            node = session.nodes['one']
+            await session.call('one', '/svc/write')
+            node.lifecycle.start_shutdown('SIGTERM', _GRACE_S)
+            await asyncio.sleep(2.3)
+            answer = await session.call('one', '/svc/write')
+            self.assertEqual(answer.status, 200)
+
+        run_virtually(scenario())
+
+    def test_call_of_another_node_outlasts_the_process(self) -> None:
+        """It is refused as not run, and the other server runs it."""
+
+        async def scenario() -> None:
+            session = Session(_WRITE_DOCUMENT, ('ingress', 'one', 'two'))
+            runs = {'one': 0, 'two': 0}
+            for name in runs:
+                session.add_backend(name, 'svc', _count(runs, name))
+            session.nodes['one'].lifecycle.start_shutdown('SIGTERM', _GRACE_S)
+            for _ in range(20):
+                answer = await session.call('ingress', '/svc/write')
+                self.assertEqual(answer.status, 200)
+            self.assertEqual(runs, {'one': 0, 'two': 20})
+
+        run_virtually(scenario())
+
+    def test_process_ends_before_its_answers_are_sent(self) -> None:
+        """It waits for connections that still have something to send."""
+
+        async def scenario() -> None:
+            session = _create_session(0.05)
+            node = session.nodes['one']
+            servers = _SlowServers(asyncio.get_running_loop().time() + 4.0)
+            lifecycle = _create_lifecycle(node, servers)
+            lifecycle.start_shutdown('SIGTERM', _GRACE_S)
+            await asyncio.sleep(3.9)
+            self.assertFalse(lifecycle.stopped.is_set())
+            async with asyncio.timeout(1):
+                await lifecycle.stopped.wait()
+            self.assertFalse(servers.has_answered)
+
+        run_virtually(scenario())
+
+    def test_callers_that_wait_at_the_end_get_no_answer(self) -> None:
+        """They get the last answer before the process ends."""
+
+        async def scenario() -> None:
+            session = _create_session(60.0)
+            node = session.nodes['one']
+            servers = _SlowServers(asyncio.get_running_loop().time() + 60.0)
+            lifecycle = _create_lifecycle(node, servers)
+            lifecycle.start_shutdown('SIGTERM', _GRACE_S)
+            async with asyncio.timeout(_GRACE_S - 0.5):
+                await lifecycle.stopped.wait()
+            self.assertTrue(servers.has_answered)
+
+        run_virtually(scenario())
+
+
+class _SlowServers(NodeServers):
+    """Servers with one connection that is busy until a time."""
+
+    def __init__(self, busy_until: float) -> None:
+        super().__init__(lambda _: HttpResponse(504, (), b''))
+        self._busy_until = busy_until
+        self.has_answered = False
+
+    def count_busy(self) -> int:
+        """Count the busy connections."""
+        return int(asyncio.get_running_loop().time() < self._busy_until)
+
+    def answer_unfinished(self) -> None:
+        """Record that callers get the last answer."""
+        self.has_answered = True
+
+
+def _create_lifecycle(node: Node, servers: NodeServers) -> Lifecycle:
+    return Lifecycle(node.lifecycle._deps._replace(servers=servers))
+
+
+def _create_write_session(handler: BackendHandler) -> Session:
+    session = Session(_WRITE_DOCUMENT, ('one', 'two'))
+    session.add_backend('two', 'svc', handler)
+    return session
+
+
+def _count(runs: dict[str, int], name: str) -> BackendHandler:
+    """Create a handler that counts the calls it runs."""
+
+    async def handle(request: HttpRequest) -> HttpResponse:
+        runs[name] += 1
+        await asyncio.sleep(0.05)
+        return HttpResponse(200, (), request.body)
+
+    return handle
--- a/merlintrail/protocol/_outcome.py
+++ b/merlintrail/protocol/_outcome.py
@@ -33,6 +33,8 @@
     DEADLINE_UNREACHABLE = 'deadline-unreachable'
     DEADLINE_PASSED = 'deadline-passed'
     DRAINING = 'draining'
+    #: The process ended before the call did.
+    NODE_STOPPED = 'node-stopped'
     PLANNED_STOP = 'planned-stop'
     NO_BACKEND_SERVER = 'no-backend-server'
     NO_CONFIGURATION = 'no-configuration'
@@ -80,6 +82,7 @@
     Reason.QUARANTINED: 422,
     Reason.BACKEND_LOST: 502,
     Reason.PEER_LOST: 504,
+    Reason.NODE_STOPPED: 504,
     Reason.KEY_TOO_OLD: 422,
     Reason.KEY_FROM_FUTURE: 422,
     Reason.KEY_IN_USE: 409,
--- a/merlintrail/state/__init__.py
+++ b/merlintrail/state/__init__.py
@@ -62,7 +62,11 @@
     MAX_UNCONFIGURED_S,
     compute_startup_wait,
 )
-from merlintrail.state._stops import find_planned_stop, overlaps_planned_stop
+from merlintrail.state._stops import (
+    LongestDurations,
+    find_planned_stop,
+    overlaps_planned_stop,
+)
 from merlintrail.state._suspicion import (
     Suspicion,
     merge_suspicions,
@@ -129,6 +133,7 @@
     'LedgerSettings',
     'LevelReportFilter',
     'LinkAllowance',
+    'LongestDurations',
     'Member',
     'MemberStatus',
     'MemberTable',
--- a/merlintrail/transport/_server.py
+++ b/merlintrail/transport/_server.py
@@ -34,6 +34,11 @@
     return HttpResponse(bad_request.status, headers, body.encode())
 
 
+def _close_after(response: HttpResponse) -> HttpResponse:
+    """Return an answer that announces the end of its connection."""
+    return response._replace(headers=(*response.headers, *_CLOSE_HEADERS))
+
+
 class _PendingRequest(NamedTuple):
     """A received request that has not been answered yet."""
 
@@ -68,6 +73,8 @@
         self._idle_since = 0.0
         self._has_bad_request = False
         self._is_serving = False
+        #: Request that the handler serves, ``None`` once it has answered.
+        self._handled: HttpRequest | None = None
 
     # asyncio.Protocol callbacks
 
@@ -127,6 +134,31 @@
         """Whether no request is being received or served."""
         return self._waiter is not None and not self._parser.is_receiving
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being served or an answer is not yet sent."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        has_unsent = self._transport.get_write_buffer_size() > 0
+        return self._is_serving or bool(self._pending) or has_unsent
+
+    def answer_unfinished(
+        self, build_answer: Callable[[HttpRequest], HttpResponse]
+    ) -> None:
+        """Answer the requests that are still being served, and close.
+
+        Connections with an answer that is not yet sent are left alone.
+        """
+        if self._handled is None or self._drained is not None:
+            return
+        waiting = [_PendingRequest(self._handled), *self._pending]
+        for pending in waiting:
+            answer = _find_answer(pending, build_answer)
+            if pending is waiting[-1]:
+                answer = _close_after(answer)
+            self._write(encode_response(answer, with_body=_has_body(pending)))
+        self.close()
+
     async def _serve(self) -> None:
         try:
             await self._serve_requests()
@@ -145,9 +177,7 @@
             response = await self._respond(pending)
             keeps_alive = pending.keeps_alive and not self._server.is_closing
             if not keeps_alive:
-                response = response._replace(
-                    headers=(*response.headers, *_CLOSE_HEADERS)
-                )
+                response = _close_after(response)
             if self._drained is not None:
                 await self._drained
             self._write(encode_response(response, with_body=_has_body(pending)))
@@ -160,9 +190,13 @@
         if isinstance(request, BadRequest):
             self._server.report_bad_request(request)
             return _build_refusal(request)
-        if pending.task is not None:
-            return await pending.task
-        return await self._server.handler(request)
+        self._handled = request
+        try:
+            if pending.task is not None:
+                return await pending.task
+            return await self._server.handler(request)
+        finally:
+            self._handled = None
 
     async def _receive(self) -> _PendingRequest | None:
         if not self._pending:
@@ -240,6 +274,19 @@
             self._transport.write(payload)
 
 
+def _find_answer(
+    pending: _PendingRequest,
+    build_answer: Callable[[HttpRequest], HttpResponse],
+) -> HttpResponse:
+    """Return the answer to a waiting request, or build it if not known."""
+    if isinstance(pending.request, BadRequest):
+        return _build_refusal(pending.request)
+    task = pending.task
+    if task is None or not task.done() or task.cancelled() or task.exception():
+        return build_answer(pending.request)
+    return task.result()
+
+
 def _has_body(pending: _PendingRequest) -> bool:
     request = pending.request
     return isinstance(request, BadRequest) or request.method != 'HEAD'
@@ -277,6 +324,20 @@
             lambda: ServerConnection(self), sock=listener, backlog=BACKLOG
         )
 
+    def count_busy(self) -> int:
+        """Count the connections with an unfinished request or answer."""
+        return sum(1 for connection in self.connections if connection.is_busy)
+
+    def answer_unfinished(
+        self, build_answer: Callable[[HttpRequest], HttpResponse]
+    ) -> None:
+        """Answer all requests that are still being served, and close.
+
+        :param build_answer: builds the answer to a request.
+        """
+        for connection in tuple(self.connections):
+            connection.answer_unfinished(build_answer)
+
     @property
     def port(self) -> int:
         """Port on which the server listens."""
