Claim relay slots without waiting for their dead holders

After all relays of a data centre had died, its slots stayed empty for up to 12 s although the leases end after 6 s, so that changes rested on the nodes' own reads for longer than needed. Cause: a node that found all slots held joined one of the holders, a dead one, and waited 5 s for its answer before it looked again. It joins only holders that are no members of its table now; dead ones are probed anyway.

--- a/merlintrail/coordination/_relay.py
+++ b/merlintrail/coordination/_relay.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import partial
 from typing import Final, NamedTuple
 
@@ -38,7 +38,7 @@
 from merlintrail.coordination._unreadable_entries import log_unreadable_entry
 from merlintrail.observability import create_logger
 from merlintrail.protocol import DecodeFailure
-from merlintrail.state import MemberStatus
+from merlintrail.state import Member, MemberStatus
 from merlintrail.state.repeats import SlotRight
 
 #: Probability that a node which is not preferred tries for a free slot at a
@@ -217,7 +217,8 @@
             return None
         if slots.free_versions:
             return await self._slots.claim(slots, first)
-        await self._heartbeats.join(self._rng.choice(slots.relay_addresses))
+        # A dead member's lease may still run; waiting for it gains nothing.
+        await self._join_one(slots.relay_addresses, self._membership.table)
         return None
 
     async def _serve(self, claim: SlotClaim) -> None:
@@ -304,13 +305,15 @@
     async def _join_unknown_relay(self) -> None:
         """Join one relay that the store lists and this node does not know."""
         relays = await find_relays(self._store, may_be_stale=True)
-        known_addresses = {
-            member.peer_address
-            for member in self._membership.table.list_active()
-        }
-        unknown_addresses = sorted(
-            {relay.address for relay in relays} - known_addresses
-        )
+        addresses = [relay.address for relay in relays]
+        await self._join_one(addresses, self._membership.table.list_active())
+
+    async def _join_one(
+        self, addresses: Iterable[str], known: Iterable[Member]
+    ) -> None:
+        """Join one of some relays that is not among known members, if any."""
+        known_addresses = {member.peer_address for member in known}
+        unknown_addresses = sorted(set(addresses) - known_addresses)
         if unknown_addresses:
             await self._heartbeats.join(self._rng.choice(unknown_addresses))
 
--- a/merlintrail/coordination/tests/test_lost_paths.py
+++ b/merlintrail/coordination/tests/test_lost_paths.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Final, NamedTuple
 
+from merlintrail.coordination._relay_slots import LEASE_DURATION_S
 from merlintrail.coordination.tests.configuration_fleet import (
     ConfigurationFleet,
 )
@@ -164,6 +165,25 @@
         """The ring of one of 14 data centres of 1,800 nodes has 32 hops."""
         self._check(_lose_nodes, [_Draw(1, 129, 0.5, seed) for seed in (1, 2)])
 
+    def test_nodes_wait_for_dead_relays_before_they_claim_their_slots(
+        self,
+    ) -> None:
+        """The slots are held again 4 s after the leases have ended."""
+
+        async def scenario(seed: int) -> None:
+            fleet = ConfigurationFleet(6, 4, seed)
+            await fleet.start()
+            await asyncio.sleep(random.Random(seed).uniform(0, 2))
+            for node in fleet.list_relays():
+                fleet.kill(node)
+            await asyncio.sleep(LEASE_DURATION_S + 4.0)
+            self.assertEqual(len(fleet.list_relays()), 12)
+            await fleet.stop()
+
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                run_virtually(scenario(seed))
+
     def test_calm_nodes_do_not_read_the_store(self) -> None:
         """Heartbeats confirm the configuration to all of them."""
         for draw in (_Draw(6, 4, 0, 1), _Draw(1, 129, 0, 1)):
