Remember that a call finished for as long as an inquiry may ask

Callers of non-idempotent requests had them run twice after connections between nodes fell silent. Cause: the table of finished calls dropped a call together with its answer when the kept answers exceeded 4 MiB (and after 15 s whatever its deadline), and an inquiry then took it for one that had never arrived, which permits to send it again. Tombstones too were removed to make room for others, so that a late call could run after it had been proved not to.

Two states that were never left are mended beside it: a call after an unexpected error, and a keyed call for another run of the node, stayed running.

--- a/merlintrail/node/_backend_gateway.py
+++ b/merlintrail/node/_backend_gateway.py
@@ -115,7 +115,9 @@
         self, header: CallHeader, call: OutgoingCall
     ) -> GatewayResult:
         """Run a call at most once and keep its answer for inquiries."""
-        state = self._deps.calls.begin(header.call_id)
+        state = self._deps.calls.begin(
+            header.call_id, header.deadline_ms / _MS_PER_S
+        )
         if state is not None:
             return self._refuse_seen_call(header, state)
         notice = read_run_notice(header.notice)
@@ -123,13 +125,15 @@
             self.registry.adopt_notice(header.service, notice)
         deadline = self._clock() + header.deadline_ms / _MS_PER_S
         parent = self._deps.contexts.open(header, deadline, call.headers)
+        answer: HttpResponse | Refusal | None = None
         try:
             answer = await self._run(header, call, parent)
         except asyncio.CancelledError:
-            self._deps.calls.abandon(header.call_id)
             self._log_cancellation(header, deadline)
             raise
         finally:
+            if answer is None:
+                self._deps.calls.abandon(header.call_id)
             self._deps.contexts.close(parent)
         report = self._build_report(header, parent, answer)
         if report.reason == Reason.BACKEND_LOST:
--- a/merlintrail/node/_exchange.py
+++ b/merlintrail/node/_exchange.py
@@ -43,6 +43,9 @@
 INQUIRY_BACKOFF_FACTOR: Final = 1.5
 #: Longest interval between inquiries in seconds.
 MAX_INQUIRY_INTERVAL_S: Final = 2.0
+#: Seconds beyond the deadline of a call after which an answer no longer proves
+#: that it never arrived: the other node may have forgotten it by then.
+PROOF_MARGIN_S: Final = 2.0
 #: Subject of inquiry messages between nodes.
 INQUIRY_SUBJECT: Final = 'inquiry'
 
@@ -166,6 +169,8 @@
             result = self._classify_inquiry_answer(
                 member, header, inquiry_answer
             )
+            if self._clock() > deadline + PROOF_MARGIN_S and result is not None:
+                result = _distrust_late_proof(result)
             if result is not None:
                 return result
             remaining_s = deadline - self._clock()
@@ -228,3 +233,12 @@
         return Refusal(
             Outcome.MAY_HAVE_RUN, Reason.PEER_LOST, inquiry_answer.state
         )
+
+
+def _distrust_late_proof(
+    result: HttpResponse | Refusal,
+) -> HttpResponse | Refusal:
+    """Return a result in which nothing is proved not to have run."""
+    if isinstance(result, Refusal) and result.outcome == Outcome.NOT_RUN:
+        return Refusal(Outcome.MAY_HAVE_RUN, Reason.DEADLINE_PASSED)
+    return result
--- a/merlintrail/node/_gauges.py
+++ b/merlintrail/node/_gauges.py
@@ -8,7 +8,12 @@
 from merlintrail.node._gate import AdmissionGate
 from merlintrail.node._repeat_limits import RepeatLimits
 from merlintrail.observability import GaugePoint, NodeMetrics
-from merlintrail.state import ConfigurationHolder, MemberTable, Quarantine
+from merlintrail.state import (
+    CallTable,
+    ConfigurationHolder,
+    MemberTable,
+    Quarantine,
+)
 
 
 class _GateGauge(NamedTuple):
@@ -109,6 +114,7 @@
     watch: ConfigurationWatch,
     confirmations: ConfirmationRecord,
     repeats: RepeatLimits,
+    calls: CallTable,
 ) -> None:
     """Register the gauges of what a node shares with the others."""
     metrics.register_gauge(
@@ -123,6 +129,12 @@
         'Time since the generation in force was confirmed as the newest.',
         lambda: [GaugePoint(confirmations.read_age())],
     )
+    metrics.register_gauge(
+        'merlintrail.unknown_inquiries',
+        '{inquiry}',
+        'Inquiries about calls that may have been forgotten, since the start.',
+        lambda: [GaugePoint(calls.unknown_inquiries)],
+    )
     metrics.register_gauge(
         'merlintrail.repeat_room',
         '{call}',
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -106,6 +106,7 @@
             self._relay.watch,
             self.membership.confirmations,
             self._repeats,
+            self.calls,
         )
         self.holder.add_listener(self._apply_configuration)
         self.table.add_listener(self.routing.update_member)
--- a/merlintrail/node/_peer_service.py
+++ b/merlintrail/node/_peer_service.py
@@ -122,11 +122,14 @@
     async def _handle_keyed(
         self, header: CallHeader, call: OutgoingCall
     ) -> HttpResponse:
+        if header.incarnation != self._deps.incarnation:
+            refusal = Refusal(Outcome.NOT_RUN, Reason.STALE_INCARNATION)
+            return build_refusal_response(refusal, header.request_id)
         calls = self._deps.calls
-        state = calls.begin(header.call_id)
-        if state is not None or header.incarnation != self._deps.incarnation:
+        state = calls.begin(header.call_id, header.deadline_ms / _MS_PER_S)
+        if state is not None:
             refusal = Refusal(Outcome.MAY_HAVE_RUN, Reason.DUPLICATE_CALL)
-            if state in {None, InquiryState.TOMBSTONE}:
+            if state == InquiryState.TOMBSTONE:
                 refusal = Refusal(Outcome.NOT_RUN, Reason.TOMBSTONE)
             return build_refusal_response(refusal, header.request_id)
         gateway_result: GatewayResult | None = None
@@ -194,6 +197,10 @@
         if inquiry.incarnation != self._deps.incarnation:
             return InquiryAnswer(InquiryState.OTHER_INCARNATION.value)
         record = self._deps.calls.find_or_tombstone(inquiry.call_id)
+        if record.state == InquiryState.UNKNOWN:
+            log_decision(
+                'inquiry', call_id=inquiry.call_id, state=record.state.value
+            )
         if record.answer is None:
             return InquiryAnswer(record.state.value)
         return InquiryAnswer(
--- a/merlintrail/node/tests/test_inquiries.py
+++ b/merlintrail/node/tests/test_inquiries.py
@@ -116,20 +116,20 @@
         async def scenario() -> None:
             session = create_read_write_session('one')
             calls = session.nodes['one'].calls
-            self.assertIsNone(calls.begin('early'))
+            self.assertIsNone(calls.begin('early', 5.0))
             self.assertEqual(
                 calls.find_or_tombstone('early').state, InquiryState.RUNNING
             )
-            self.assertEqual(calls.begin('early'), InquiryState.RUNNING)
+            self.assertEqual(calls.begin('early', 5.0), InquiryState.RUNNING)
             calls.finish('early', HttpResponse(200, (), b'x'))
             self.assertEqual(
                 calls.find_or_tombstone('early').state, InquiryState.FINISHED
             )
-            self.assertEqual(calls.begin('early'), InquiryState.FINISHED)
+            self.assertEqual(calls.begin('early', 5.0), InquiryState.FINISHED)
             self.assertEqual(
                 calls.find_or_tombstone('late').state, InquiryState.TOMBSTONE
             )
-            self.assertEqual(calls.begin('late'), InquiryState.TOMBSTONE)
+            self.assertEqual(calls.begin('late', 5.0), InquiryState.TOMBSTONE)
 
         run_virtually(scenario())
 
--- a/merlintrail/protocol/_inquiry.py
+++ b/merlintrail/protocol/_inquiry.py
@@ -11,6 +11,8 @@
     RUNNING = 'running'
     #: The call has not arrived, and is refused if it arrives later.
     TOMBSTONE = 'tombstone'
+    #: The call may have arrived and been forgotten, or not.
+    UNKNOWN = 'unknown'
     #: The process that answers is not the one that the call was sent to.
     OTHER_INCARNATION = 'other-incarnation'
 
