Answer every pipelined request that was passed on

Callers that send several requests at once lost answers: (1) where the last one said Connection: close, all behind the first were dropped after they had been passed on, since each was queued with the keep-alive of the last one parsed; (2) a node that was told to stop closed the connection behind the first answer, with the others running; (3) closing with unread bytes resets the connection, and answers that are under way are lost. And a caller that had sent 17 requests or more and left was not noticed, since the connection had stopped reading: its requests went on.

Each request carries its own keep-alive now, a closing node answers all that it has taken, a closed connection waits up to 0.5 s for the caller's end and ignores what comes, and a connection with many requests goes on reading (256 KiB at most) without parsing. These faults share the few lines that decide when a connection ends and when it reads, so that they are mended in one change.

--- a/merlintrail/transport/_message.py
+++ b/merlintrail/transport/_message.py
@@ -26,6 +26,8 @@
     body: bytes
     #: IP address of the sender.
     remote_host: str = ''
+    #: Whether the sender keeps the connection open after the answer.
+    keeps_alive: bool = True
 
 
 class HttpResponse(NamedTuple):
--- a/merlintrail/transport/_request_parser.py
+++ b/merlintrail/transport/_request_parser.py
@@ -56,8 +56,6 @@
         self.is_receiving = False
         #: Whether the sender awaits ``100 Continue`` before it sends the body.
         self.is_expecting_continue = False
-        #: Whether the connection stays open after the last request.
-        self.keeps_alive = True
         self._reset_message()
 
     def feed(self, chunk: bytes) -> list[HttpRequest | BadRequest]:
@@ -140,7 +138,6 @@
         self._fed_bytes = 0
         if self._fault is not None:
             return
-        self.keeps_alive = self._parser.should_keep_alive()
         method = self._parser.get_method().decode('latin-1')
         target = parse_target(self._target.decode('latin-1'), method)
         if isinstance(target, BadRequest):
@@ -157,6 +154,7 @@
                 self._headers,
                 b''.join(self._body),
                 self.remote_host,
+                self._parser.should_keep_alive(),
             )
         )
 
--- a/merlintrail/transport/_server.py
+++ b/merlintrail/transport/_server.py
@@ -18,8 +18,14 @@
 
 #: Connections that wait to be accepted.
 BACKLOG: Final = 1024
-#: Number of waiting requests at which a connection stops reading.
+#: Number of waiting requests at which a connection stops parsing.
 MAX_PIPELINED: Final = 16
+#: Bytes that a connection reads beyond those, so that it notices the end of
+#: the caller.
+MAX_BACKLOG_BYTES: Final = 262144
+#: Longest wait in seconds for a caller to close a connection that the server
+#: has closed.
+LINGER_S: Final = 0.5
 _CONTINUE_RESPONSE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _CLOSE_HEADERS: Final = (('connection', 'close'),)
 
@@ -39,15 +45,24 @@
     return response._replace(headers=(*response.headers, *_CLOSE_HEADERS))
 
 
+async def _await_answer(answer: Awaitable[HttpResponse]) -> HttpResponse:
+    return await answer
+
+
 class _PendingRequest(NamedTuple):
     """A received request that has not been answered yet."""
 
     request: HttpRequest | BadRequest
-    #: Whether the connection stays open after the answer.
-    keeps_alive: bool = True
     #: Task of a request that arrived while another was being served.
     task: 'asyncio.Task[HttpResponse] | None' = None
 
+    @property
+    def keeps_alive(self) -> bool:
+        """Whether the connection stays open after the answer."""
+        return isinstance(self.request, HttpRequest) and (
+            self.request.keeps_alive
+        )
+
 
 class ServerConnection(asyncio.Protocol):
     """One accepted connection: parses requests and answers them in order.
@@ -67,11 +82,15 @@
         #: Resolved when writing resumes, ``None`` while it is not paused.
         self._drained: asyncio.Future[None] | None = None
         self._pending: deque[_PendingRequest] = deque()
+        #: Bytes received while too many requests were waiting.
+        self._backlog = bytearray()
         self._receive_timer: asyncio.TimerHandle | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
         #: Event loop time since which the connection has been idle.
         self._idle_since = 0.0
         self._has_bad_request = False
+        #: Whether a request was received that ends the connection.
+        self._has_last_request = False
         self._is_serving = False
         #: Request that the handler serves, ``None`` once it has answered.
         self._handled: HttpRequest | None = None
@@ -97,20 +116,20 @@
             self._task.cancel()
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
-        """Parse received bytes; a malformed request ends the connection."""
-        if self._has_bad_request:
+        """Parse received bytes; a malformed request ends the connection.
+
+        Bytes are kept while too many requests wait, and ignored behind one
+        that ends the connection.
+        """
+        if self._has_last_request:
             return
-        for request in self._parser.feed(data):
-            self._enqueue(request)
-        if self._parser.is_expecting_continue:
-            self._parser.is_expecting_continue = False
-            self._write(_CONTINUE_RESPONSE)
-        if not self._parser.is_receiving:
-            self._stop_receive_timer()
-        elif self._receive_timer is None and not self._has_bad_request:
-            self._receive_timer = self._loop.call_later(
-                self._server.limits.receive_timeout_s, self._time_out_request
-            )
+        if len(self._pending) < MAX_PIPELINED:
+            self._parse(data)
+            return
+        self._backlog += data
+        is_full = len(self._backlog) > MAX_BACKLOG_BYTES
+        if is_full and self._transport is not None:
+            self._transport.pause_reading()
 
     def pause_writing(self) -> None:
         """Hold back answers while the caller does not read."""
@@ -162,12 +181,28 @@
     async def _serve(self) -> None:
         try:
             await self._serve_requests()
+            await self._linger()
         except ConnectionAbortedError:
             return
         finally:
-            self._cancel_pending()
+            for pending in self._pending:
+                if pending.task is not None:
+                    pending.task.cancel()
             self.close()
 
+    async def _linger(self) -> None:
+        """Wait until the caller has closed its end, and ignore what it sends.
+
+        Closing with unread bytes resets the connection, and answers that are
+        still under way are lost.
+        """
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        self._has_last_request = True
+        transport.write_eof()
+        await asyncio.sleep(LINGER_S)
+
     async def _serve_requests(self) -> None:
         while True:
             pending = await self._receive()
@@ -175,7 +210,9 @@
                 break
             self._is_serving = True
             response = await self._respond(pending)
-            keeps_alive = pending.keeps_alive and not self._server.is_closing
+            # Those behind it were passed on already.
+            is_closing = self._server.is_closing and not self._pending
+            keeps_alive = pending.keeps_alive and not is_closing
             if not keeps_alive:
                 response = _close_after(response)
             if self._drained is not None:
@@ -210,34 +247,56 @@
                 self._waiter = None
         if not self._pending:
             return None
-        if len(self._pending) == MAX_PIPELINED and self._transport is not None:
-            self._transport.resume_reading()
-        return self._pending.popleft()
+        pending = self._pending.popleft()
+        self._parse_backlog()
+        return pending
 
     def _enqueue(self, request: HttpRequest | BadRequest) -> None:
-        """Queue a request; start serving a pipelined one at once."""
+        """Queue a request; start serving a pipelined one at once.
+
+        What follows a request that ends the connection is ignored.
+        """
+        if self._has_last_request:
+            return
         if isinstance(request, BadRequest):
             self._has_bad_request = True
             self._stop_receive_timer()
-            self._pending.append(_PendingRequest(request, keeps_alive=False))
+            self._pending.append(_PendingRequest(request))
             self._wake()
             return
         task: asyncio.Task[HttpResponse] | None = None
         if self._is_serving or self._pending:
-            task = self._loop.create_task(self._serve_pipelined(request))
-        keeps_alive = self._parser.keeps_alive
-        self._pending.append(_PendingRequest(request, keeps_alive, task))
-        if len(self._pending) == MAX_PIPELINED and self._transport is not None:
-            self._transport.pause_reading()
+            task = self._loop.create_task(
+                _await_answer(self._server.handler(request))
+            )
+        self._has_last_request = not request.keeps_alive
+        self._pending.append(_PendingRequest(request, task))
         self._wake()
 
-    async def _serve_pipelined(self, request: HttpRequest) -> HttpResponse:
-        return await self._server.handler(request)
+    def _parse_backlog(self) -> None:
+        """Parse the bytes that were kept back."""
+        if not self._backlog or len(self._pending) >= MAX_PIPELINED:
+            return
+        received = bytes(self._backlog)
+        self._backlog.clear()
+        if self._transport is not None:
+            self._transport.resume_reading()
+        self._parse(received)
 
-    def _cancel_pending(self) -> None:
-        for pending in self._pending:
-            if pending.task is not None:
-                pending.task.cancel()
+    def _parse(self, received: bytes) -> None:
+        if self._has_bad_request:
+            return
+        for request in self._parser.feed(received):
+            self._enqueue(request)
+        if self._parser.is_expecting_continue:
+            self._parser.is_expecting_continue = False
+            self._write(_CONTINUE_RESPONSE)
+        if not self._parser.is_receiving:
+            self._stop_receive_timer()
+        elif self._receive_timer is None and not self._has_bad_request:
+            self._receive_timer = self._loop.call_later(
+                self._server.limits.receive_timeout_s, self._time_out_request
+            )
 
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
