Free bodies as soon as they were handed over

Nodes grew by 0.7 MB with each upload of 360 KB on a new connection, and by 110 MB with each answer without an end in chunks of two bytes, until they were killed at 300 MB and cut the requests of others. Causes: a closed connection and its parser refer to each other, so that the last body waited for the collector of cycles, whose threshold counts objects and not bytes; an idle connection kept its last messages in the frame of its task; and a body was kept as a list with one object for each part.

Connections release their parsers when they end, an idle one holds no message, and a body is one buffer whatever the size of its parts.

--- a/merlintrail/transport/_client.py
+++ b/merlintrail/transport/_client.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from merlintrail.transport._body import BodyBuffer
 from merlintrail.transport._failure import FailureStage, TransportFailure
 from merlintrail.transport._framing import FramingAllowance
 from merlintrail.transport._message import HttpResponse
@@ -143,6 +144,10 @@
         self.is_reusable = False
         end = 'closed' if exc is None else f'lost: {exc}'
         self._fail(f'connection {end} before the whole answer')
+        # The parser refers to this object and would keep what it holds.
+        self._reset_message()
+        del self._parser
+        self._transport = None
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
         """Parse received bytes; unsolicited ones close the connection."""
@@ -193,9 +198,8 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         self._body.append(body)
-        self._body_bytes += len(body)
         self._parsed_body_bytes += len(body)
-        if self._body_bytes > self._max_body_bytes:
+        if len(self._body) > self._max_body_bytes:
             self._fail('answer too large')
             self.close()
 
@@ -244,7 +248,7 @@
     def _finish(self, status: int) -> None:
         if self._answer is not None and not self._answer.done():
             self._answer.set_result(
-                HttpResponse(status, self._headers, b''.join(self._body))
+                HttpResponse(status, self._headers, self._body.take())
             )
 
     def _fail(self, reason: str) -> None:
@@ -257,6 +261,5 @@
     def _reset_message(self) -> None:
         self._headers: list[tuple[str, str]] = []
         self._has_headers = False
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = BodyBuffer()
         self._is_close_delimited = False
--- a/merlintrail/transport/_request_parser.py
+++ b/merlintrail/transport/_request_parser.py
@@ -6,6 +6,7 @@
 import httptools
 
 from merlintrail.transport._bad_request import BadRequest
+from merlintrail.transport._body import BodyBuffer
 from merlintrail.transport._framing import FramingAllowance
 from merlintrail.transport._message import HttpRequest
 from merlintrail.transport._request_target import parse_target
@@ -64,7 +65,6 @@
         :returns: the requests that are complete, followed by the fault if
             there is one.
         """
-        self._parsed = []
         self._fed_bytes += len(chunk)
         self._parsed_body_bytes = 0
         self._has_begun_message = False
@@ -78,10 +78,20 @@
         self._check_partial_headers()
         if was_in_body and not self._has_begun_message:
             self._check_framing(len(chunk))
+        parsed = self._parsed
+        self._parsed = []
         if self._fault is not None:
             self.is_receiving = False
-            return [*self._parsed, self._fault]
-        return self._parsed
+            parsed.append(self._fault)
+        return parsed
+
+    def close(self) -> None:
+        """Free the parser, which refers to this object, and what it holds.
+
+        Nothing may be fed any more.
+        """
+        self._reset_message()
+        del self._parser
 
     # httptools callbacks
 
@@ -126,9 +136,8 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, and check its size."""
         self._body.append(body)
-        self._body_bytes += len(body)
         self._parsed_body_bytes += len(body)
-        if self._body_bytes > self._limits.max_body_bytes:
+        if len(self._body) > self._limits.max_body_bytes:
             self._record_fault(413, 'body-too-large')
 
     def on_message_complete(self) -> None:
@@ -152,7 +161,7 @@
                 method,
                 target.path,
                 self._headers,
-                b''.join(self._body),
+                self._body.take(),
                 self.remote_host,
                 self._parser.should_keep_alive(),
             )
@@ -195,6 +204,5 @@
         self._target = b''
         self._headers: dict[str, str] = {}
         self._header_bytes = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = BodyBuffer()
         self._in_headers = True
--- a/merlintrail/transport/_server.py
+++ b/merlintrail/transport/_server.py
@@ -114,6 +114,8 @@
             self._idle_timer.cancel()
         if self._task is not None:
             self._task.cancel()
+        self._parser.close()
+        self._transport = None
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
         """Parse received bytes; a malformed request ends the connection.
@@ -208,19 +210,25 @@
             pending = await self._receive()
             if pending is None:
                 break
-            self._is_serving = True
-            response = await self._respond(pending)
-            # Those behind it were passed on already.
-            is_closing = self._server.is_closing and not self._pending
-            keeps_alive = pending.keeps_alive and not is_closing
-            if not keeps_alive:
-                response = _close_after(response)
-            if self._drained is not None:
-                await self._drained
-            self._write(encode_response(response, with_body=_has_body(pending)))
-            self._is_serving = False
-            if not keeps_alive:
+            if not await self._serve_request(pending):
                 break
+            # An idle connection does not keep the last messages.
+            del pending
+
+    async def _serve_request(self, pending: _PendingRequest) -> bool:
+        """Serve a request; return whether the connection stays open."""
+        self._is_serving = True
+        response = await self._respond(pending)
+        # Those behind it were passed on already.
+        is_closing = self._server.is_closing and not self._pending
+        keeps_alive = pending.keeps_alive and not is_closing
+        if not keeps_alive:
+            response = _close_after(response)
+        if self._drained is not None:
+            await self._drained
+        self._write(encode_response(response, with_body=_has_body(pending)))
+        self._is_serving = False
+        return keeps_alive
 
     async def _respond(self, pending: _PendingRequest) -> HttpResponse:
         request = pending.request
@@ -275,12 +283,12 @@
 
     def _parse_backlog(self) -> None:
         """Parse the bytes that were kept back."""
-        if not self._backlog or len(self._pending) >= MAX_PIPELINED:
+        is_full = len(self._pending) >= MAX_PIPELINED
+        if is_full or not self._backlog or self._transport is None:
             return
         received = bytes(self._backlog)
         self._backlog.clear()
-        if self._transport is not None:
-            self._transport.resume_reading()
+        self._transport.resume_reading()
         self._parse(received)
 
     def _parse(self, received: bytes) -> None:
