Let no incomplete or late heartbeat undo a draining

Requests reached a backend server up to 6 s after its draining had been acknowledged. Causes: a heartbeat without zone, version or remaining cold time, which names no server, was taken as one; and a sequence number of 0 meant that none was used, so that the first heartbeat of a server, arriving late, was taken for the newest.

--- a/merlintrail/node/_backend.py
+++ b/merlintrail/node/_backend.py
@@ -64,8 +64,8 @@
     identity: str | None = None
     #: Start of this run in milliseconds since the epoch, 0 if unknown.
     started_at_ms: int = 0
-    #: Increases with each announcement of one run; 0 if not used.
-    sequence: int = 0
+    #: Increases with each announcement of one run; ``None`` if not used.
+    sequence: int | None = None
 
 
 class InvalidAnnouncement(NamedTuple):
@@ -131,7 +131,11 @@
         return (
             AnnouncementOrder.STALE if is_older else AnnouncementOrder.NEW_RUN
         )
-    is_overtaken = received.sequence and received.sequence <= current.sequence
+    is_overtaken = (
+        received.sequence is not None
+        and current.sequence is not None
+        and received.sequence <= current.sequence
+    )
     return (
         AnnouncementOrder.STALE if is_overtaken else AnnouncementOrder.RENEWAL
     )
--- a/merlintrail/node/_local_service.py
+++ b/merlintrail/node/_local_service.py
@@ -90,7 +90,9 @@
             return _build_answer(
                 404, {'error': f'{service!r} is not announced; known: {names}'}
             )
-        announcement = gate.backend.announcement._replace(is_ready=False)
+        current = gate.backend.announcement
+        sequence = None if current.sequence is None else current.sequence + 1
+        announcement = current._replace(is_ready=False, sequence=sequence)
         self._gateway.registry.announce(announcement)
         log_decision('drain', service=announcement.service)
         return _build_answer(200, {'running': gate.admission.running})
--- a/merlintrail/platform/_heartbeats.py
+++ b/merlintrail/platform/_heartbeats.py
@@ -106,39 +106,51 @@
     """
     if not isinstance(document, dict):
         return InvalidAnnouncement(('not a JSON object',))
+    findings = _check_own_fields(document)
+    announcement = read_announcement(
+        {
+            'service': document.get('Service'),
+            'address': document.get('Address'),
+            'slots': document.get('Slots'),
+            'is_ready': bool(
+                _READINESS_BY_STATE.get(str(document.get('State')))
+            ),
+            'identity': identity,
+            'started_at_ms': document.get('born', 0),
+            'sequence': document.get('Sequence', 0),
+        }
+    )
+    if isinstance(announcement, InvalidAnnouncement):
+        findings.extend(announcement.findings)
+    if findings:
+        return InvalidAnnouncement(tuple(findings))
+    return announcement
+
+
+def _check_own_fields(document: Mapping[str, Any]) -> list[str]:
+    """Return the faults of the fields that announcements do not have."""
     findings = []
     state = document.get('State')
     if not isinstance(state, str) or state not in _READINESS_BY_STATE:
         findings.append(f'State: unknown {state!r}')
     # ``ColdRemaining`` is validated but not used; ``warmup_s`` of the service
     # applies instead.
-    cold_remaining = document.get('ColdRemaining', '0ms')
+    cold_remaining = document.get('ColdRemaining')
     if (
         not isinstance(cold_remaining, str)
         or parse_duration(cold_remaining) is None
     ):
         findings.append('ColdRemaining: not a duration')
+    for name in ('Zone', 'Version'):
+        text = document.get(name)
+        if not isinstance(text, str) or not text:
+            findings.append(f'{name}: needs a name')
     # ``born`` is the start of the run in milliseconds since the epoch.
     for name in ('Sequence', 'born'):
         number = document.get(name)
         if isinstance(number, bool) or not isinstance(number, int):
             findings.append(f'{name}: needs a whole number')
-    announcement = read_announcement(
-        {
-            'service': document.get('Service'),
-            'address': document.get('Address'),
-            'slots': document.get('Slots'),
-            'is_ready': bool(_READINESS_BY_STATE.get(str(state))),
-            'identity': identity,
-            'started_at_ms': document.get('born', 0),
-            'sequence': document.get('Sequence', 0),
-        }
-    )
-    if isinstance(announcement, InvalidAnnouncement):
-        findings.extend(announcement.findings)
-    if findings:
-        return InvalidAnnouncement(tuple(findings))
-    return announcement
+    return findings
 
 
 def _read_started_at_ms(body: bytes) -> int | None:
--- a/merlintrail/platform/tests/test_adapter.py
+++ b/merlintrail/platform/tests/test_adapter.py
@@ -100,7 +100,7 @@
     'Sequence': 4,
     'born': 1000,
 }
-_INVALID_HEARTBEATS: Final = (
+_INVALID_HEARTBEATS: Final[tuple[tuple[str, Any], ...]] = (
     ('state a list', {**_HEARTBEAT, 'State': ['ready']}),
     ('not an object', [1]),
     ('no service', {**_HEARTBEAT, 'Service': None}),
@@ -118,6 +118,12 @@
     ('fractional start', {**_HEARTBEAT, 'born': 1000.5}),
     ('no start', {key: _HEARTBEAT[key] for key in _HEARTBEAT if key != 'born'}),
     ('cold remaining', {**_HEARTBEAT, 'ColdRemaining': 'long'}),
+    ('zone of another type', {**_HEARTBEAT, 'Zone': 3}),
+    ('version of another type', {**_HEARTBEAT, 'Version': ['v1']}),
+    *(
+        (f'no {left_out}', {**_HEARTBEAT, left_out: None})
+        for left_out in _HEARTBEAT
+    ),
 )
 #: Names of the platform's wire format, which only the adapter may use.
 _PLATFORM_WIRE_NAMES: Final = re.compile(
