Count addresses that cannot be encoded as failures

A host with a label over 63 characters, in a table, an entry or a message, raised UnicodeError from the connect: the call, or the background work that met it, ended with an unexpected error. Connecting to it fails like to any other that cannot be reached, in the pool and in the client of the store.

Evidence: test_odd_addresses, random text as address; it raised before.

--- a/merlintrail/coordination/_store_exchange.py
+++ b/merlintrail/coordination/_store_exchange.py
@@ -48,6 +48,9 @@
 _CONNECT_ERRORS: Final = (
     urllib3.exceptions.NewConnectionError,
     urllib3.exceptions.ConnectTimeoutError,
+    urllib3.exceptions.LocationValueError,
+    # A host with a label over 63 characters cannot be encoded.
+    UnicodeError,
 )
 
 
@@ -116,7 +119,7 @@
         )
         try:
             connection.connect()
-        except urllib3.exceptions.HTTPError as error:
+        except (urllib3.exceptions.HTTPError, UnicodeError) as error:
             return StoreFailure(StoreFault.UNAVAILABLE, str(error))
         try:
             return _wait_for_answer(connection, call, interruption)
--- a/merlintrail/transport/_pool.py
+++ b/merlintrail/transport/_pool.py
@@ -132,7 +132,8 @@
                     parsed.host,
                     parsed.port,
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, UnicodeError) as error:
+            # A host with a label over 63 characters cannot be encoded.
             return TransportFailure(
                 FailureStage.CONNECT, f'cannot connect: {error}'
             )
