Ignore upgrades that requests ask for, and answer CONNECT once

Clients that offer h2c with a request got 400, where RFC 9110 lets a server ignore the offer, and a CONNECT got two answers. Cause: the parser stops behind such a request, which was recorded as a fault besides the request. Parsing goes on behind it now; CONNECT ends the connection with its one answer. An offer beside a body is still refused, as not run: the parser takes that body for the other protocol's.

--- a/merlintrail/transport/_request_parser.py
+++ b/merlintrail/transport/_request_parser.py
@@ -69,12 +69,7 @@
         self._parsed_body_bytes = 0
         self._has_begun_message = False
         was_in_body = self.is_receiving and not self._in_headers
-        try:
-            self._parser.feed_data(chunk)
-        except httptools.HttpParserUpgrade:
-            self._record_fault(400, 'upgrade-not-supported')
-        except httptools.HttpParserError:
-            self._record_fault(400, 'malformed-http')
+        self._feed_parser(chunk)
         self._check_partial_headers()
         if was_in_body and not self._has_begun_message:
             self._check_framing(len(chunk))
@@ -163,10 +158,37 @@
                 self._headers,
                 self._body.take(),
                 self.remote_host,
-                self._parser.should_keep_alive(),
+                # What follows CONNECT is no request.
+                self._parser.should_keep_alive() and method != 'CONNECT',
             )
         )
 
+    def _feed_parser(self, chunk: bytes) -> None:
+        """Parse bytes; an upgrade that a request asks for is ignored.
+
+        One with a body is refused when its headers are complete.
+        """
+        remaining: bytes | None = chunk
+        while remaining is not None:
+            try:
+                self._parser.feed_data(remaining)
+            except httptools.HttpParserUpgrade as upgrade:
+                remaining = self._ignore_upgrade(remaining, upgrade.args[0])
+                continue
+            except httptools.HttpParserError:
+                self._record_fault(400, 'malformed-http')
+            remaining = None
+
+    def _ignore_upgrade(self, chunk: bytes, end: int) -> bytes | None:
+        """Return the bytes behind a request that asks for an upgrade.
+
+        :param end: number of bytes up to the end of the request.
+        :returns: ``None`` if no request may follow.
+        """
+        method = self._parser.get_method()
+        self._parser = httptools.HttpRequestParser(self)
+        return None if method == b'CONNECT' else chunk[end:] or None
+
     def _check_partial_headers(self) -> None:
         """Reject headers that are too large before they are complete."""
         is_partial = self.is_receiving and self._in_headers
@@ -186,7 +208,8 @@
         version = self._parser.get_http_version()
         if version not in _VERSIONS:
             yield BadRequest(400, 'version-not-supported')
-        if 'upgrade' in self._headers:
+        if 'upgrade' in self._headers and self._has_body():
+            # The parser takes such a body for the other protocol.
             yield BadRequest(400, 'upgrade-not-supported')
         if self._header_bytes > limits.max_header_bytes:
             yield BadRequest(431, 'headers-too-large')
@@ -196,6 +219,10 @@
         if 'host' not in self._headers and version == '1.1':
             yield BadRequest(400, 'host-missing')
 
+    def _has_body(self) -> bool:
+        length = self._headers.get('content-length', '0')
+        return length != '0' or 'transfer-encoding' in self._headers
+
     def _record_fault(self, status: int, reason: str) -> None:
         if self._fault is None:
             self._fault = BadRequest(status, reason)
--- a/merlintrail/transport/tests/test_server.py
+++ b/merlintrail/transport/tests/test_server.py
@@ -59,6 +59,13 @@
         b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nab',
         b'408',
     ),
+    (
+        'upgrade with a body',
+        _VALID_REQUEST.replace(
+            b'host: a', b'host: a\r\nconnection: upgrade\r\nupgrade: h2c'
+        ),
+        b'400',
+    ),
     ('no host', b'GET / HTTP/1.1\r\n\r\n', b'400'),
     ('two hosts', b'GET / HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n', b'400'),
     ('version 0.9', b'GET /\r\n\r\n', b'400'),
@@ -124,6 +131,25 @@
         self.assertTrue(answers[-1].startswith(b'HTTP/1.1 200'))
         self.assertTrue(answers[-1].endswith(b'\r\n\r\nhi(open)'))
 
+    async def test_request_that_asks_for_an_upgrade_is_refused(self) -> None:
+        """The upgrade is ignored, as RFC 9110 has it, and all are served."""
+        upgrade = b'connection: upgrade\r\nupgrade: h2c\r\n'
+        asking = b'GET /x HTTP/1.1\r\nhost: a\r\n' + upgrade + b'\r\n'
+        for payload in (asking, asking + _VALID_REQUEST, 2 * asking):
+            answer = await _exchange(self.server.port, payload)
+            count = payload.count(b'HTTP/1.1')
+            self.assertEqual(answer.count(b'HTTP/1.1 200'), count, answer)
+            self.assertTrue(answer.endswith(b'(open)'))
+
+    async def test_connect_is_answered_twice(self) -> None:
+        """It gets one answer, and what follows it is no request."""
+        answer = await _exchange(
+            self.server.port,
+            b'CONNECT a:1 HTTP/1.1\r\nhost: a:1\r\n\r\n' + _VALID_REQUEST,
+        )
+        self.assertEqual(answer.count(b'HTTP/1.1'), 1, answer)
+        self.assertNotIn(b'(open)', answer)
+
     async def test_pipelined_requests_keep_their_order(self) -> None:
         """Answers are sent in the order of the requests."""
         other = _VALID_REQUEST.replace(b'hi', b'ho')
