Let headers that callers may send reach the other node

Requests with headers of some 16,200 bytes, within the limit, got 504: with the call header that the first node adds they exceeded the same limit at the second. The server for other nodes takes 48 KiB more.

Evidence: test_large_headers; with the limits before the parser reports a fault.

--- a/merlintrail/node/_connections.py
+++ b/merlintrail/node/_connections.py
@@ -1,8 +1,22 @@
 """The servers of a node and what their connections still have to send."""
 
 from collections.abc import Callable
-
-from merlintrail.transport import HttpRequest, HttpResponse, HttpServer
+from typing import Final
+
+from merlintrail.transport import (
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    ServerLimits,
+)
+
+#: Bytes that nodes may add to the headers of a call.
+_MAX_ADDED_HEADER_BYTES: Final = 49152
+#: Limits of the server for other nodes: headers of any size that callers may
+#: send get through with those that nodes add.
+PEER_LIMITS: Final = ServerLimits(
+    max_header_bytes=ServerLimits().max_header_bytes + _MAX_ADDED_HEADER_BYTES
+)
 
 
 class NodeServers:
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -20,7 +20,7 @@
 )
 from merlintrail.node._backend import HINT_INTERVAL_S
 from merlintrail.node._call_path import CallPathDependencies, create_call_path
-from merlintrail.node._connections import NodeServers
+from merlintrail.node._connections import PEER_LIMITS, NodeServers
 from merlintrail.node._environment import Environment, split_host_port
 from merlintrail.node._gauges import (
     register_coordination_gauges,
@@ -129,7 +129,9 @@
             self.settings.peer_listen_address or self.settings.peer_address
         )
         self._servers.peers.append(
-            await start_server(self.peer_service.handle, host, port)
+            await start_server(
+                self.peer_service.handle, host, port, limits=PEER_LIMITS
+            )
         )
         host, port = split_host_port(self.settings.call_address)
         self._servers.callers.append(
