Hold that a new node outruns a neighbour that is behind

A node that starts beside one that is cut off from all others, and from the store, has the newest configuration within the bound.

--- a/merlintrail/coordination/tests/configuration_fleet.py
+++ b/merlintrail/coordination/tests/configuration_fleet.py
@@ -217,13 +217,11 @@
         #: Times at which each generation was confirmed to the operator.
         self.confirmed_at: dict[int, float] = {}
         self.change()
+        self._seed = seed
         for number in range(data_centres):
             for index in range(size):
                 # The name is the address too.
-                name = f'dc{number}-{index}:1'
-                self.network.nodes[name] = FleetNode(
-                    self.network, name, f'dc{number}', self.state, seed
-                )
+                self._add(f'dc{number}-{index}:1', f'dc{number}')
 
     @property
     def nodes(self) -> list[FleetNode]:
@@ -251,6 +249,12 @@
             node.start()
         await asyncio.sleep(SETTLING_S)
 
+    def join(self, contact: FleetNode) -> FleetNode:
+        """Start a node that knows one other node."""
+        node = self._add('new:1', contact.membership.own.data_centre)
+        node.start((contact.name,))
+        return node
+
     def change(self) -> int:
         """Put the next generation in the store and return it."""
         generation = len(self.confirmed_at) + 1
@@ -287,3 +291,10 @@
         for node in self.nodes:
             self.kill(node)
         await asyncio.sleep(_ANSWER_S)
+
+    def _add(self, name: str, data_centre: str) -> FleetNode:
+        node = FleetNode(
+            self.network, name, data_centre, self.state, self._seed
+        )
+        self.network.nodes[name] = node
+        return node
--- a/merlintrail/coordination/tests/test_lost_paths.py
+++ b/merlintrail/coordination/tests/test_lost_paths.py
@@ -184,6 +184,27 @@
             with self.subTest(seed=seed):
                 run_virtually(scenario(seed))
 
+    def test_new_node_keeps_the_old_configuration_of_its_neighbour(
+        self,
+    ) -> None:
+        """The neighbour is cut off from the others and from the store."""
+
+        async def scenario() -> None:
+            fleet = ConfigurationFleet(1, 4, 1)
+            await fleet.start()
+            stale = fleet.nodes[0]
+            fleet.network.partitions[stale.name] = 1
+            stale.link.is_cut = True
+            generation = fleet.change()
+            await asyncio.sleep(1)
+            fleet.network.partitions['new:1'] = 1
+            node = fleet.join(stale)
+            await asyncio.sleep(_BOUND_S)
+            self.assertEqual(node.holder.generation, generation)
+            await fleet.stop()
+
+        run_virtually(scenario())
+
     def test_calm_nodes_do_not_read_the_store(self) -> None:
         """Heartbeats confirm the configuration to all of them."""
         for draw in (_Draw(6, 4, 0, 1), _Draw(1, 129, 0, 1)):
