Give the reading of the configuration an object of its own

The relay read the configuration for three others that need it: the start, the check of its age and its own watch. ConfigurationSource reads, offers and records the confirmation; the relay is left with its slot and lease.

--- a/merlintrail/coordination/__init__.py
+++ b/merlintrail/coordination/__init__.py
@@ -12,6 +12,8 @@
     read_history,
     read_stored_document,
 )
+from merlintrail.coordination._configuration_check import ConfigurationCheck
+from merlintrail.coordination._configuration_source import ConfigurationSource
 from merlintrail.coordination._configuration_watch import ConfigurationWatch
 from merlintrail.coordination._confirmation import ConfirmationRecord
 from merlintrail.coordination._heartbeat import Heartbeats
@@ -78,6 +80,8 @@
     'ChangeConflict',
     'ChangeInvalid',
     'ConfigurationChange',
+    'ConfigurationCheck',
+    'ConfigurationSource',
     'ConfigurationWatch',
     'ConfirmationRecord',
     'Gossip',
--- a/merlintrail/coordination/_configuration_check.py
+++ b/merlintrail/coordination/_configuration_check.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Final
 
 from merlintrail.coordination._backoff import Backoff
+from merlintrail.coordination._configuration_source import ConfigurationSource
 from merlintrail.coordination._confirmation import ConfirmationRecord
-from merlintrail.coordination._store import StoreFailure, StoreValue
+from merlintrail.coordination._store import StoreFailure
 from merlintrail.observability import create_logger
 
 #: Age in seconds of the latest confirmation above which a node reads the
@@ -32,18 +33,16 @@
     def __init__(
         self,
         confirmations: ConfirmationRecord,
-        fetch: Callable[[], Awaitable[StoreValue | StoreFailure]],
+        source: ConfigurationSource,
         count_nodes: Callable[[], int],
         rng: random.Random,
     ) -> None:
         """Initialize the check.
 
-        :param fetch: reads the configuration from the store, offers it to the
-            node and records the confirmation.
         :param count_nodes: returns the number of nodes of the fleet.
         """
         self._confirmations = confirmations
-        self._fetch = fetch
+        self._source = source
         self._count_nodes = count_nodes
         self._rng = rng
         self._pause_s = _BACKOFF.first_s
@@ -84,7 +83,7 @@
         """Read the configuration; return whether the store answered."""
         latest = self._confirmations.latest
         age_s = self._confirmations.read_age()
-        stored = await self._fetch()
+        stored = await self._source.fetch(is_fresh=True)
         failure = stored if isinstance(stored, StoreFailure) else None
         _LOG.warning(
             'configuration checked',
--- a/merlintrail/coordination/_relay.py
+++ b/merlintrail/coordination/_relay.py
@@ -8,14 +8,9 @@
 import asyncio
 import random
 from collections.abc import Callable, Iterable
-from functools import partial
 from typing import Final, NamedTuple
 
-from merlintrail.coordination._changes import (
-    CONFIGURATION_KEY,
-    read_envelope,
-)
-from merlintrail.coordination._configuration_check import ConfigurationCheck
+from merlintrail.coordination._configuration_source import ConfigurationSource
 from merlintrail.coordination._configuration_watch import ConfigurationWatch
 from merlintrail.coordination._heartbeat import Heartbeats
 from merlintrail.coordination._membership import Membership
@@ -27,17 +22,10 @@
     SlotClaim,
     find_relays,
 )
-from merlintrail.coordination._store import (
-    Store,
-    StoreFailure,
-    StoreFault,
-    StoreValue,
-)
+from merlintrail.coordination._store import Store, StoreFailure, StoreFault
 from merlintrail.coordination._supervision import run_supervised
 from merlintrail.coordination._topology import compute_hash
-from merlintrail.coordination._unreadable_entries import log_unreadable_entry
 from merlintrail.observability import create_logger
-from merlintrail.protocol import DecodeFailure
 from merlintrail.state import Member, MemberStatus
 from merlintrail.state.repeats import SlotRight
 
@@ -76,6 +64,7 @@
     membership: Membership
     heartbeats: Heartbeats
     store: Store
+    source: ConfigurationSource
     archive: QuarantineArchive
     #: Clock in seconds that also counts while the machine is suspended.
     clock: Callable[[], float]
@@ -102,7 +91,7 @@
         #: Watch of the configuration, which begins anew with each slot.
         self.watch = ConfigurationWatch(
             store,
-            self._offer_configuration,
+            deps.source.offer,
             deps.membership.confirmations.record_store,
             rng,
         )
@@ -115,31 +104,6 @@
             await self._check_slots()
             await asyncio.sleep(CHECK_INTERVAL_S * self._rng.uniform(0.7, 1.3))
 
-    async def check_configuration(self) -> None:
-        """Read the configuration whenever nobody has confirmed it for long."""
-        check = ConfigurationCheck(
-            self._membership.confirmations,
-            partial(self.fetch_configuration, is_fresh=True),
-            lambda: len(self._membership.table.list_active()),
-            self._rng,
-        )
-        await check.run()
-
-    async def fetch_configuration(
-        self, *, is_fresh: bool = False
-    ) -> StoreValue | StoreFailure:
-        """Read the configuration from the store and offer it to the node.
-
-        :param is_fresh: whether to use a new connection.
-        """
-        loop = asyncio.get_running_loop()
-        asked_at = loop.time()
-        stored = await self._store.read(CONFIGURATION_KEY, is_fresh=is_fresh)
-        if isinstance(stored, StoreValue):
-            self._offer_configuration(stored)
-            self._membership.confirmations.record_store(loop.time() - asked_at)
-        return stored
-
     async def _check_slots(self) -> None:
         """Serve as a relay if this node should and can claim a slot."""
         slot = self._choose_slot()
@@ -317,16 +281,6 @@
         if unknown_addresses:
             await self._heartbeats.join(self._rng.choice(unknown_addresses))
 
-    def _offer_configuration(self, stored: StoreValue) -> None:
-        envelope = read_envelope(stored.document)
-        if isinstance(envelope, DecodeFailure):
-            log_unreadable_entry(
-                CONFIGURATION_KEY, stored.version, envelope.reason
-            )
-            return
-        if self._membership.holder.apply_if_newer(envelope):
-            self._heartbeats.notify_neighbours()
-
     async def _back_off(self) -> None:
         await asyncio.sleep(self._backoff_s * self._rng.uniform(0.5, 1.5))
         self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2)
--- a/merlintrail/coordination/tests/configuration_fleet.py
+++ b/merlintrail/coordination/tests/configuration_fleet.py
@@ -7,6 +7,8 @@
 
 from merlintrail.coordination import (
     CONFIGURATION_KEY,
+    ConfigurationCheck,
+    ConfigurationSource,
     QuarantineArchive,
     Relay,
     RelayDependencies,
@@ -182,11 +184,21 @@
         #: Times at which each generation was put in force.
         self.applied_at: dict[int, float] = {}
         self.holder.add_listener(self._record)
-        self.relay = Relay(
+        source = ConfigurationSource(
+            self.membership, self.link, self.heartbeats.notify_neighbours
+        )
+        self._check = ConfigurationCheck(
+            self.membership.confirmations,
+            source,
+            lambda: len(self.table.list_active()),
+            rng,
+        )
+        self._relay = Relay(
             RelayDependencies(
                 self.membership,
                 self.heartbeats,
                 self.link,
+                source,
                 QuarantineArchive(self.membership, self.link, clock, rng),
                 clock,
             ),
@@ -196,7 +208,7 @@
     def start(self, contacts: Any = ()) -> None:
         """Exchange heartbeats and claim a relay slot if one is free."""
         super().start(contacts)
-        for work in (self.relay.run, self.relay.check_configuration):
+        for work in (self._relay.run, self._check.run):
             self._tasks.append(asyncio.create_task(work()))
 
     def _record(self, configuration: Configuration) -> None:
--- a/merlintrail/node/_joiner.py
+++ b/merlintrail/node/_joiner.py
@@ -7,9 +7,9 @@
 
 from merlintrail.coordination import (
     Backoff,
+    ConfigurationSource,
     Heartbeats,
     Membership,
-    Relay,
     RelayAnnouncement,
     Store,
     find_relays,
@@ -39,7 +39,7 @@
     settings: Settings
     membership: Membership
     heartbeats: Heartbeats
-    relay: Relay
+    source: ConfigurationSource
     store: Store
 
 
@@ -124,7 +124,7 @@
     async def _try_fetch(self) -> bool:
         holder = self._deps.membership.holder
         if holder.current is None:
-            await self._deps.relay.fetch_configuration()
+            await self._deps.source.fetch()
         return holder.current is not None
 
     async def _try_join(self) -> bool:
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -8,6 +8,8 @@
 from typing import Any, Final
 
 from merlintrail.coordination import (
+    ConfigurationCheck,
+    ConfigurationSource,
     Heartbeats,
     HttpPeerClient,
     Membership,
@@ -148,7 +150,7 @@
         self.start_task('join', self.join)
         self.start_task('heartbeats', self.heartbeats.run)
         self.start_task('relay', self.run_relay)
-        self.start_task('check', self._relay.check_configuration)
+        self.start_task('check', self._check.run)
         self.start_task('archive', self.run_archive)
         self.start_task('usage', self._usage.run)
         self.start_task('readiness', self._poll_readiness)
@@ -300,11 +302,21 @@
         self._archive = QuarantineArchive(
             self.membership, store, self._wall_clock, self._rng
         )
+        source = ConfigurationSource(
+            self.membership, store, self.heartbeats.notify_neighbours
+        )
+        self._check = ConfigurationCheck(
+            self.membership.confirmations,
+            source,
+            lambda: len(self.table.list_active()),
+            self._rng,
+        )
         self._relay = Relay(
             RelayDependencies(
                 self.membership,
                 self.heartbeats,
                 store,
+                source,
                 self._archive,
                 self._environment.read_boot_time,
             ),
@@ -312,7 +324,7 @@
         )
         self._joiner = Joiner(
             JoinerDependencies(
-                settings, self.membership, self.heartbeats, self._relay, store
+                settings, self.membership, self.heartbeats, source, store
             ),
             self._rng,
         )
