State no age of a configuration before it was confirmed

A node that had just started counts its knowledge from its start, and its heartbeats stated that as the age of a confirmation. A neighbour that was behind and cut off from the others took it for one and put off its own read of the store, again with each node that started beside it, so that it could stay behind for longer than the bound.

A node states an age only once it has had a confirmation itself, from the store or a neighbour.

Evidence: test_start_of_a_node_confirms_an_old_configuration failed before: five nodes started in 2.5 s, and the one that was behind still was.

--- a/merlintrail/coordination/_confirmation.py
+++ b/merlintrail/coordination/_confirmation.py
@@ -24,7 +24,8 @@
 class ConfirmationRecord:
     """Keeps the latest confirmation of the generation in force.
 
-    Knowledge of a node that starts counts from its start.
+    Knowledge of a node that starts counts from its start, but confirms nothing
+    to others.
     """
 
     def __init__(
@@ -51,6 +52,11 @@
             self._latest = pending
         return self._latest
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether there was a confirmation since the start."""
+        return self.latest.source != _START_SOURCE
+
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Add a function to call after each later confirmation."""
         self._listeners.append(listener)
--- a/merlintrail/coordination/_heartbeat.py
+++ b/merlintrail/coordination/_heartbeat.py
@@ -288,8 +288,11 @@
 
         Those in other data centres get it with the regular heartbeats.
         """
+        confirmations = self._membership.confirmations
+        if not confirmations.is_confirmed:
+            return
         now = self._clock()
-        confirmed_at = self._membership.confirmations.latest.confirmed_at
+        confirmed_at = confirmations.latest.confirmed_at
         for node_id, outbox in self._membership.outboxes.items():
             is_old = now - outbox.confirmed_at > CONFIRMATION_REFRESH_AGE_S
             gain_s = confirmed_at - outbox.confirmed_at
--- a/merlintrail/coordination/_membership.py
+++ b/merlintrail/coordination/_membership.py
@@ -102,7 +102,8 @@
         members, suspicions = (
             ([], []) if outbox is None else outbox.take_batch()
         )
-        if outbox is not None:
+        is_confirmed = self.confirmations.is_confirmed
+        if outbox is not None and is_confirmed:
             outbox.note_confirmation(self.confirmations.latest.confirmed_at)
         return Gossip(
             self._own.node_id,
@@ -117,7 +118,7 @@
             ],
             suspicions,
             self.compute_suspicion_digest(),
-            encode_age(self.confirmations.read_age()),
+            encode_age(self.confirmations.read_age()) if is_confirmed else None,
         )
 
     def compute_suspicion_digest(self) -> int:
--- a/merlintrail/coordination/tests/configuration_fleet.py
+++ b/merlintrail/coordination/tests/configuration_fleet.py
@@ -261,9 +261,12 @@
             node.start()
         await asyncio.sleep(SETTLING_S)
 
-    def join(self, contact: FleetNode) -> FleetNode:
-        """Start a node that knows one other node."""
-        node = self._add('new:1', contact.membership.own.data_centre)
+    def join(self, name: str, contact: FleetNode) -> FleetNode:
+        """Start a node that knows one other node, in its partition."""
+        partitions = self.network.partitions
+        if contact.name in partitions:
+            partitions[name] = partitions[contact.name]
+        node = self._add(name, contact.membership.own.data_centre)
         node.start((contact.name,))
         return node
 
--- a/merlintrail/coordination/tests/test_lost_paths.py
+++ b/merlintrail/coordination/tests/test_lost_paths.py
@@ -202,14 +202,30 @@
             stale.link.is_cut = True
             generation = fleet.change()
             await asyncio.sleep(1)
-            fleet.network.partitions['new:1'] = 1
-            node = fleet.join(stale)
+            node = fleet.join('new:1', stale)
             await asyncio.sleep(_BOUND_S)
             self.assertEqual(node.holder.generation, generation)
             await fleet.stop()
 
         run_virtually(scenario())
 
+    def test_start_of_a_node_confirms_an_old_configuration(self) -> None:
+        """Nodes that start one after the other know no more than others."""
+
+        async def scenario() -> None:
+            fleet = ConfigurationFleet(1, 4, 1)
+            await fleet.start()
+            stale = fleet.nodes[0]
+            fleet.network.partitions[stale.name] = 1
+            generation = fleet.change()
+            for number in range(5):
+                await asyncio.sleep(_BOUND_S / 5)
+                fleet.join(f'new-{number}:1', stale).link.is_cut = True
+            self.assertEqual(stale.holder.generation, generation)
+            await fleet.stop()
+
+        run_virtually(scenario())
+
     def test_calm_nodes_do_not_read_the_store(self) -> None:
         """Heartbeats confirm the configuration to all of them."""
         for draw in (_Draw(6, 4, 0, 1), _Draw(1, 129, 0, 1)):
