Ignore a reload signal while the program is loading

Callers saw a node go away: SIGHUP, which says that the settings have changed, ended a process that had just been started (eight of eight, 0 to 0.6 s after the start). Cause: the handler is installed with the event loop, after everything is imported; until then the default action ends the process. Now the first thing the daemon does is to ignore the signal. Before the daemon's first line lies the start of the interpreter (some 0.05 s), which no program covers. The test failed before ("the process ended", -1).

--- a/merlintrail/daemon/_startup.py
+++ b/merlintrail/daemon/_startup.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import signal
 import socket
 import sys
 from collections.abc import Sequence
@@ -20,6 +21,7 @@
 
 def run_daemon() -> None:
     """Run the daemon; the console script ``merlintraild`` calls this."""
+    ignore_reload_requests()
     listener = open_call_listener(sys.argv[1:])
     # The rest of the program is loaded while the socket listens.
     from merlintrail.daemon._main import run_node  # noqa: WPS433
@@ -27,6 +29,15 @@
     run_node(listener)
 
 
+def ignore_reload_requests() -> None:
+    """Ignore requests to reload the settings until the program serves them.
+
+    By default the signal ends a process. The settings have not been read yet,
+    and a change after that is noticed without the signal.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def open_call_listener(arguments: Sequence[str]) -> socket.socket | None:
     """Listen on the call address of the settings file.
 
--- /dev/null
+++ b/merlintrail/lab/tests/test_disturbed_starts.py
@@ -0,0 +1,81 @@
+"""Starts of a node beside signals, changing settings and an earlier process."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from pathlib import Path
+from typing import Any, Final
+
+from merlintrail.lab._ports import HOST, find_free_ports
+from merlintrail.lab.processes import FLEET_KEY, OPERATOR_KEY
+
+#: Limit in seconds on each wait for a condition.
+WAIT_LIMIT_S: Final = 30.0
+_POLL_S: Final = 0.02
+
+
+class DisturbedStartTest(unittest.TestCase):
+    """The process of a node runs on whatever happens while it starts."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / 'node.json'
+        self.ports = find_free_ports(4)
+        call, peer, admin, store = (f'{HOST}:{port}' for port in self.ports)
+        self.settings: dict[str, Any] = {
+            'instance': 'one',
+            'data_centre': 'dc-0',
+            'call_address': call,
+            'peer_address': peer,
+            'admin_address': admin,
+            'store_addresses': [store],
+            'fleet_key': FLEET_KEY,
+            'operator_keys': [{'name': 'lab', 'key': OPERATOR_KEY}],
+            'log': {'path': str(Path(folder.name) / 'node.log')},
+        }
+        self.path.write_text(json.dumps(self.settings))
+
+    def test_reload_signal_while_loading(self) -> None:
+        """SIGHUP to a process that is still loading does not end it."""
+        process = self._start()
+        self._wait_for_port(process, self.ports[0])
+        process.send_signal(signal.SIGHUP)
+        self._wait_for_port(process, self.ports[2])
+
+    def _start(self) -> 'subprocess.Popen[bytes]':
+        process = subprocess.Popen(
+            [
+                sys.executable,
+                '-m',
+                'merlintrail.daemon',
+                f'--settings={self.path}',
+            ],
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.PIPE,
+        )
+        self.addCleanup(_end, process)
+        return process
+
+    def _wait_for_port(
+        self, process: 'subprocess.Popen[bytes]', port: int
+    ) -> None:
+        """Wait until the process listens on a port."""
+        deadline = time.monotonic() + WAIT_LIMIT_S
+        while time.monotonic() < deadline:
+            self.assertIsNone(process.poll(), 'the process ended')
+            with socket.socket() as probe:
+                if probe.connect_ex((HOST, port)) == 0:
+                    return
+            time.sleep(_POLL_S)
+        self.fail(f'nobody listens on port {port}')
+
+
+def _end(process: 'subprocess.Popen[bytes]') -> None:
+    process.kill()
+    process.communicate()
