Wait for a settings file that is being replaced at the start

Callers saw a machine without its node: a process that started while its settings file was empty or half written ended at once with status 2. Cause: the file was read once. The test failed before (status 2, for an empty and for a cut file).

--- a/merlintrail/daemon/_main.py
+++ b/merlintrail/daemon/_main.py
@@ -7,7 +7,6 @@
 import socket
 import sys
 from collections.abc import Sequence
-from pathlib import Path
 from typing import Final
 
 import uvloop
@@ -16,6 +15,10 @@
 from merlintrail.console import start_console
 from merlintrail.daemon._reload import SettingsReloader
 from merlintrail.daemon._runtime import create_runtime
+from merlintrail.daemon._settings_file import (
+    SETTINGS_WAIT_S,
+    read_settings_file,
+)
 from merlintrail.node import (
     InvalidSettings,
     Node,
@@ -61,7 +64,8 @@
             'usage: merlintraild --settings FILE [--check_settings]\n'
         )
         return EXIT_INVALID_SETTINGS
-    text = _read_settings(_SETTINGS_FLAG.value)
+    wait_s = 0 if _CHECK_FLAG.value else SETTINGS_WAIT_S
+    text = read_settings_file(_SETTINGS_FLAG.value, wait_s)
     settings = None if text is None else _parse_settings(text)
     if text is None or settings is None:
         return EXIT_INVALID_SETTINGS
@@ -84,14 +88,6 @@
     os._exit(status)
 
 
-def _read_settings(path: str) -> str | None:
-    try:
-        return Path(path).read_text(encoding='utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        sys.stderr.write(f'{path}: {error}\n')
-        return None
-
-
 def _parse_settings(text: str) -> Settings | None:
     settings = parse_settings(text)
     if isinstance(settings, InvalidSettings):
--- a/merlintrail/lab/tests/test_disturbed_starts.py
+++ b/merlintrail/lab/tests/test_disturbed_starts.py
@@ -48,6 +48,19 @@
         process.send_signal(signal.SIGHUP)
         self._wait_for_port(process, self.ports[2])
 
+    def test_settings_that_are_being_replaced(self) -> None:
+        """A settings file that is incomplete at the start is read again."""
+        text = self.path.read_text()
+        for incomplete in ('', text[:100]):
+            with self.subTest(length=len(incomplete)):
+                self.path.write_text(incomplete)
+                process = self._start()
+                assert process.stderr is not None
+                self.assertIn(b'not JSON', process.stderr.readline())
+                self.path.write_text(text)
+                self._wait_for_port(process, self.ports[2])
+                _end(process)
+
     def _start(self) -> 'subprocess.Popen[bytes]':
         process = subprocess.Popen(
             [
@@ -78,4 +91,6 @@
 
 def _end(process: 'subprocess.Popen[bytes]') -> None:
     process.kill()
-    process.communicate()
+    process.wait()
+    if process.stderr is not None:
+        process.stderr.close()
