Wait for addresses that the process before still has

Callers saw a machine without its node: a process that is started while the one before still answers its last requests (up to the grace time, 6 s) could not bind and ended at once with status 3. Now it waits up to 10 s for its addresses, says so once for each in its log, and gives up as before after that. A stop meanwhile ends it. The test failed before for each of the three addresses (status 3).

--- a/merlintrail/daemon/_main.py
+++ b/merlintrail/daemon/_main.py
@@ -13,6 +13,7 @@
 from absl import app, flags
 
 from merlintrail.console import start_console
+from merlintrail.daemon._addresses import list_addresses, wait_for_addresses
 from merlintrail.daemon._reload import SettingsReloader
 from merlintrail.daemon._runtime import create_runtime
 from merlintrail.daemon._settings_file import (
@@ -112,6 +113,13 @@
     loop.add_signal_handler(signal.SIGHUP, reloader.request_reload)
     loop.add_signal_handler(signal.SIGTERM, node.begin_shutdown, 'SIGTERM')
     loop.add_signal_handler(signal.SIGINT, node.lifecycle.stopped.set)
+    tasks = [loop.create_task(_flush_log(log))]
+    await wait_for_addresses(
+        list_addresses(settings, has_listener=listener is not None),
+        lambda: _is_stopping(node),
+    )
+    if _is_stopping(node):
+        return 0
     try:
         await node.start(listener)
         await runtime.start_adapter()
@@ -119,10 +127,7 @@
     except OSError as error:
         sys.stderr.write(f'cannot listen: {error}\n')
         return EXIT_CANNOT_LISTEN
-    tasks = [
-        loop.create_task(_flush_log(log)),
-        loop.create_task(reloader.run()),
-    ]
+    tasks.append(loop.create_task(reloader.run()))
     # Exclude the objects that the startup created from garbage collection.
     gc.freeze()
     await node.lifecycle.stopped.wait()
@@ -132,6 +137,10 @@
     return 0
 
 
+def _is_stopping(node: Node) -> bool:
+    return node.lifecycle.is_shutting_down or node.lifecycle.stopped.is_set()
+
+
 async def _flush_log(log: JsonLinesHandler) -> None:
     while True:
         await asyncio.sleep(LOG_FLUSH_INTERVAL_S)
--- a/merlintrail/lab/tests/test_disturbed_starts.py
+++ b/merlintrail/lab/tests/test_disturbed_starts.py
@@ -26,6 +26,7 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.path = Path(folder.name) / 'node.json'
+        self.log_path = Path(folder.name) / 'node.log'
         self.ports = find_free_ports(4)
         call, peer, admin, store = (f'{HOST}:{port}' for port in self.ports)
         self.settings: dict[str, Any] = {
@@ -37,7 +38,7 @@
             'store_addresses': [store],
             'fleet_key': FLEET_KEY,
             'operator_keys': [{'name': 'lab', 'key': OPERATOR_KEY}],
-            'log': {'path': str(Path(folder.name) / 'node.log')},
+            'log': {'path': str(self.log_path)},
         }
         self.path.write_text(json.dumps(self.settings))
 
@@ -61,6 +62,28 @@
                 self._wait_for_port(process, self.ports[2])
                 _end(process)
 
+    def test_address_of_the_process_before(self) -> None:
+        """An address that is still in use is waited for."""
+        for port in self.ports[:3]:
+            with self.subTest(address=self.ports.index(port)):
+                before = socket.create_server((HOST, port))
+                process = self._start()
+                self._wait_for_log('address in use')
+                before.close()
+                for other in self.ports[:3]:
+                    self._wait_for_port(process, other)
+                _end(process)
+                self.log_path.unlink()
+
+    def _wait_for_log(self, message: str) -> None:
+        """Wait until the process has logged a message."""
+        deadline = time.monotonic() + WAIT_LIMIT_S
+        while time.monotonic() < deadline:
+            if self.log_path.exists() and message in self.log_path.read_text():
+                return
+            time.sleep(_POLL_S)
+        self.fail(f'never logged: {message}')
+
     def _start(self) -> 'subprocess.Popen[bytes]':
         process = subprocess.Popen(
             [
