Let the store confirm the generation that it holds

Callers were served by an older version without anybody noticing: with generation 2 in the store and refused by a node, its next answer confirmed generation 1, at this node and, through its heartbeats, at all neighbours, those included that could have read 2. Cause: a confirmation took the generation in force, whatever became of the offer. Now it carries the generation that was seen, and one that was not put in force confirms nothing: the age grows, a gauge shows it, the node reads again with pauses of up to 5 s, and neighbours read the store themselves. The tests failed before: an age of 0.1 s after 20 s with a refused and with an unreadable version; beside relays that refuse a version the others had not got it after 2.5 s.

--- a/merlintrail/coordination/_configuration_check.py
+++ b/merlintrail/coordination/_configuration_check.py
@@ -23,6 +23,9 @@
 MIN_WAIT_S: Final = 0.01
 #: Pauses after failed reads.
 _BACKOFF: Final = Backoff(first_s=0.25, limit_s=1.0)
+#: Longest pause in seconds while the store holds a version that cannot be put
+#: in force. The relays' watches bring the next version.
+REFUSED_PAUSE_S: Final = 5.0
 
 _LOG: Final = create_logger('configuration')
 
@@ -45,7 +48,6 @@
         self._source = source
         self._count_nodes = count_nodes
         self._rng = rng
-        self._pause_s = _BACKOFF.first_s
 
     async def run(self) -> None:
         """Read whenever the latest confirmation is too old, until cancelled.
@@ -60,17 +62,26 @@
             if await self._read():
                 continue
             await asyncio.sleep(pause_s * self._rng.uniform(0.5, 1.5))
-            pause_s = min(_BACKOFF.limit_s, pause_s * 2)
+            pause_s = min(self._limit_pause(), pause_s * 2)
+
+    def _limit_pause(self) -> float:
+        """Return the longest pause in seconds between failed reads."""
+        if self._source.is_refused:
+            return REFUSED_PAUSE_S
+        return max(_BACKOFF.limit_s, self._compute_spread())
+
+    def _compute_spread(self) -> float:
+        """Return the seconds over which the reads of the fleet are spread."""
+        return max(MIN_SPREAD_S, self._count_nodes() / MAX_FLEET_READS_PER_S)
 
     async def _wait_until_due(self) -> bool:
         """Wait until the latest confirmation is older than limit and delay.
 
         :returns: whether it was not yet.
         """
-        spread_s = max(
-            MIN_SPREAD_S, self._count_nodes() / MAX_FLEET_READS_PER_S
+        limit_s = MAX_CONFIRMATION_AGE_S + self._rng.uniform(
+            0, self._compute_spread()
         )
-        limit_s = MAX_CONFIRMATION_AGE_S + self._rng.uniform(0, spread_s)
         has_waited = False
         while True:
             remaining_s = limit_s - self._confirmations.read_age()
@@ -80,7 +91,10 @@
             await asyncio.sleep(max(remaining_s, MIN_WAIT_S))
 
     async def _read(self) -> bool:
-        """Read the configuration; return whether the store answered."""
+        """Read the configuration.
+
+        :returns: whether that confirmed the generation in force.
+        """
         latest = self._confirmations.latest
         age_s = self._confirmations.read_age()
         stored = await self._source.fetch(is_fresh=True)
@@ -91,8 +105,9 @@
                 'age_s': round(age_s, 3),
                 'source': latest.source,
                 'generation': latest.generation,
+                'is_refused': self._source.is_refused,
                 'fault': failure and failure.fault.value,
                 'reason': failure and failure.reason,
             },
         )
-        return failure is None
+        return failure is None and not self._source.is_refused
--- a/merlintrail/coordination/_configuration_source.py
+++ b/merlintrail/coordination/_configuration_source.py
@@ -29,18 +29,42 @@
         self._membership = membership
         self._store = store
         self._notify = notify
+        #: Generation that the store held last, 0 if it held none, ``None`` if
+        #: it could not be read.
+        self._seen_generation: int | None = 0
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether the store holds a version that cannot be put in force."""
+        seen = self._seen_generation
+        return seen is None or seen > self._membership.holder.generation
 
     def offer(self, stored: StoreValue) -> None:
         """Put a stored configuration in force if it is newer and valid."""
         envelope = read_envelope(stored.document)
         if isinstance(envelope, DecodeFailure):
+            self._seen_generation = None
             log_unreadable_entry(
                 CONFIGURATION_KEY, stored.version, envelope.reason
             )
             return
+        self._seen_generation = envelope.generation
         if self._membership.holder.apply_if_newer(envelope):
             self._notify()
 
+    def confirm(self, age_s: float) -> None:
+        """Record that the store held no newer version than the last offered.
+
+        That confirms the generation which the store holds, not the one in
+        force: if it was refused, nothing is confirmed.
+
+        :param age_s: seconds since the store may have had a newer one.
+        """
+        if self._seen_generation is not None:
+            self._membership.confirmations.record_store(
+                self._seen_generation, age_s
+            )
+
     async def fetch(
         self, *, is_fresh: bool = False
     ) -> StoreValue | StoreFailure:
@@ -53,5 +77,5 @@
         stored = await self._store.read(CONFIGURATION_KEY, is_fresh=is_fresh)
         if isinstance(stored, StoreValue):
             self.offer(stored)
-            self._membership.confirmations.record_store(loop.time() - asked_at)
+            self.confirm(loop.time() - asked_at)
         return stored
--- a/merlintrail/coordination/_confirmation.py
+++ b/merlintrail/coordination/_confirmation.py
@@ -65,15 +65,13 @@
         """Return the seconds since the latest confirmation."""
         return max(0.0, self._clock() - self.latest.confirmed_at)
 
-    def record_store(self, age_s: float) -> None:
-        """Record that the store's newest configuration was offered.
+    def record_store(self, generation: int, age_s: float) -> None:
+        """Record which generation the store holds.
 
-        :param age_s: seconds since the store had no newer one.
+        :param age_s: seconds since it may have had a newer one.
         """
         self.record(
-            Confirmation(
-                self._holder.generation, self._clock() - age_s, STORE_SOURCE
-            )
+            Confirmation(generation, self._clock() - age_s, STORE_SOURCE)
         )
 
     def record(self, confirmation: Confirmation) -> None:
--- a/merlintrail/coordination/_relay.py
+++ b/merlintrail/coordination/_relay.py
@@ -92,7 +92,7 @@
         self.watch = ConfigurationWatch(
             store,
             deps.source.offer,
-            deps.membership.confirmations.record_store,
+            deps.source.confirm,
             rng,
         )
 
--- a/merlintrail/coordination/tests/configuration_fleet.py
+++ b/merlintrail/coordination/tests/configuration_fleet.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from typing import Any, Final
 
 from merlintrail.coordination import (
@@ -270,13 +270,16 @@
         node.start((contact.name,))
         return node
 
-    def change(self) -> int:
+    def change(self, document: Mapping[str, Any] = DOCUMENT) -> int:
         """Put the next generation in the store and return it."""
         generation = len(self.confirmed_at) + 1
-        envelope = Envelope(generation, f'c{generation}', 'op', 0.0, DOCUMENT)
-        self.state.transact(
-            {}, {CONFIGURATION_KEY: envelope._asdict()}, (), None
-        )
+        envelope = Envelope(generation, f'c{generation}', 'op', 0.0, document)
+        return self.store(envelope._asdict())
+
+    def store(self, document: Mapping[str, Any]) -> int:
+        """Put a document in the store as the next generation; return that."""
+        generation = len(self.confirmed_at) + 1
+        self.state.transact({}, {CONFIGURATION_KEY: document}, (), None)
         self.confirmed_at[generation] = asyncio.get_running_loop().time()
         return generation
 
--- a/merlintrail/node/_gauges.py
+++ b/merlintrail/node/_gauges.py
@@ -3,7 +3,11 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final, NamedTuple
 
-from merlintrail.coordination import ConfigurationWatch, ConfirmationRecord
+from merlintrail.coordination import (
+    ConfigurationSource,
+    ConfigurationWatch,
+    ConfirmationRecord,
+)
 from merlintrail.node._backend_gateway import BackendGateway
 from merlintrail.node._gate import AdmissionGate
 from merlintrail.node._repeat_limits import RepeatLimits
@@ -112,6 +116,7 @@
 def register_coordination_gauges(
     metrics: NodeMetrics,
     watch: ConfigurationWatch,
+    source: ConfigurationSource,
     confirmations: ConfirmationRecord,
     repeats: RepeatLimits,
     calls: CallTable,
@@ -129,6 +134,12 @@
         'Time since the generation in force was confirmed as the newest.',
         lambda: [GaugePoint(confirmations.read_age())],
     )
+    metrics.register_gauge(
+        'merlintrail.configuration_refused',
+        '1',
+        'Whether the store holds a version that cannot be put in force.',
+        lambda: [GaugePoint(float(source.is_refused))],
+    )
     metrics.register_gauge(
         'merlintrail.unknown_inquiries',
         '{inquiry}',
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -106,6 +106,7 @@
         register_coordination_gauges(
             self.metrics,
             self._relay.watch,
+            self._source,
             self.membership.confirmations,
             self._repeats,
             self.calls,
@@ -302,12 +303,12 @@
         self._archive = QuarantineArchive(
             self.membership, store, self._wall_clock, self._rng
         )
-        source = ConfigurationSource(
+        self._source = ConfigurationSource(
             self.membership, store, self.heartbeats.notify_neighbours
         )
         self._check = ConfigurationCheck(
             self.membership.confirmations,
-            source,
+            self._source,
             lambda: len(self.table.list_active()),
             self._rng,
         )
@@ -316,7 +317,7 @@
                 self.membership,
                 self.heartbeats,
                 store,
-                source,
+                self._source,
                 self._archive,
                 self._environment.read_boot_time,
             ),
@@ -324,7 +325,7 @@
         )
         self._joiner = Joiner(
             JoinerDependencies(
-                settings, self.membership, self.heartbeats, source, store
+                settings, self.membership, self.heartbeats, self._source, store
             ),
             self._rng,
         )
