Put in force whatever can be read of a stored version

Now a part costs itself alone: unknown and optional fields are left out, numbers limited, routes that lead nowhere closed (503, not run), services that only routes name exist; what was found is one log line a version and a gauge. Names, times and prefixes are bounded only where something speaks against more, and times such as 1m30s are read. A version is refused as a whole without format, services, regions, a number, or any usable customer (no key would be needed otherwise). An empty list of routes routes nothing. Operators' own changes are checked as strictly as before, apart from those names. The new tests had 24 failures and 29 errors before: each odd field, each odd member, and any part replaced by random JSON. Two tests of the adapter said that unusable keys and missing fields refuse everything; their replacements hold that the rest is in force, that unusable keys let nobody in, and that a document without any usable customer is refused. The golden transcript has 404 for the service UPPER in place of 400, as it is a possible name now.

--- a/merlintrail/node/_gauges.py
+++ b/merlintrail/node/_gauges.py
@@ -91,6 +91,12 @@
         'Generation of the configuration in force.',
         lambda: [GaugePoint(holder.generation)],
     )
+    metrics.register_gauge(
+        'merlintrail.configuration_faults',
+        '{finding}',
+        'Faults of the stored version that is in force without these parts.',
+        lambda: [GaugePoint(len(holder.findings))],
+    )
     metrics.register_gauge(
         'merlintrail.members',
         '{node}',
--- a/merlintrail/node/_resolution.py
+++ b/merlintrail/node/_resolution.py
@@ -8,7 +8,7 @@
 from merlintrail.state import Configuration, RequestKind, RouteSplitter
 from merlintrail.transport import HttpRequest
 
-_TARGET: Final = re.compile('/([a-z][a-z0-9-]{0,62})(/[^#]*|[?][^#]*)?$')
+_TARGET: Final = re.compile('/([^/?#]{1,200})(/[^#]*|[?][^#]*)?$')
 
 
 class Resolution(NamedTuple):
@@ -59,7 +59,7 @@
         self, request: HttpRequest, configuration: Configuration
     ) -> Resolution | Refusal:
         """Return the service, target and kind of a request, or a refusal."""
-        if configuration.routes:
+        if configuration.is_routed:
             return self._resolve_route(request, configuration)
         return _resolve_path(request.target, request.method, configuration)
 
@@ -76,6 +76,13 @@
                 f'no route for {path!r} at host {host!r} in generation '
                 f'{configuration.generation}',
             )
+        if route.is_closed:
+            return Refusal(
+                Outcome.NOT_RUN,
+                Reason.ROUTE_CLOSED,
+                f'route {route.kind.name!r} is closed in generation '
+                f'{configuration.generation}',
+            )
         service = self._splitter.choose(route, self._rng.random())
         return Resolution(
             service,
--- a/merlintrail/protocol/_outcome.py
+++ b/merlintrail/protocol/_outcome.py
@@ -39,6 +39,8 @@
     NO_BACKEND_SERVER = 'no-backend-server'
     NO_CONFIGURATION = 'no-configuration'
     UNKNOWN_SERVICE = 'unknown-service'
+    #: The route exists, but takes no requests for the time being.
+    ROUTE_CLOSED = 'route-closed'
     UNKNOWN_CONTEXT = 'unknown-context'
     UNKNOWN_API_KEY = 'unknown-api-key'
     #: A call without API key names a parent that does not run here.
--- a/merlintrail/state/__init__.py
+++ b/merlintrail/state/__init__.py
@@ -76,11 +76,13 @@
 from merlintrail.state._validation import (
     Finding,
     ParsedDocument,
+    RepairedDocument,
     create_validator,
     find_schema_faults,
     load_schema,
     parse_document,
     parse_json_object,
+    repair_document,
     validate_document,
 )
 from merlintrail.state.caller_retries import (
@@ -177,6 +179,7 @@
     'find_differences',
     'find_planned_stop',
     'create_validator',
+    'RepairedDocument',
     'find_schema_faults',
     'hash_api_key',
     'is_shed',
@@ -189,5 +192,6 @@
     'raise_priority',
     'read_member',
     'read_suspicion',
+    'repair_document',
     'validate_document',
 )
--- a/merlintrail/state/_document.py
+++ b/merlintrail/state/_document.py
@@ -1,6 +1,6 @@
 """The configuration document as typed values."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from datetime import datetime
 from typing import Any, Final, NamedTuple
 
@@ -126,13 +126,20 @@
     quarantine_expiry_s: float
     #: The document from which the configuration was built.
     document: Mapping[str, Any]
-    #: Routes by host and path. If there are none, the path of a request
-    #: names its service.
+    #: Routes by host and path.
     routes: RouteTable
     caller_limits: CallerLimits
     #: Customers whose keys requests must carry; empty if none is needed.
     customers: CustomerTable = CustomerTable()
 
+    @property
+    def is_routed(self) -> bool:
+        """Whether requests are matched to routes, even if there are none.
+
+        Otherwise the path of a request names its service.
+        """
+        return 'routes' in self.document
+
 
 def _build_kind(service: str, document: Mapping[str, Any]) -> RequestKind:
     return RequestKind(
@@ -162,15 +169,10 @@
 
 
 def _build_route(document: Mapping[str, Any]) -> Route:
-    split = document.get('split')
-    if split is None:
-        split = [{'service': document['service'], 'weight': 1}]
-    shares = tuple(
-        ServiceShare(entry['service'], entry['weight']) for entry in split
-    )
+    shares = tuple(_build_shares(document))
     attempts = document.get('attempts', 1)
     kind = RequestKind(
-        shares[0].service,
+        shares[0].service if shares else '',
         document['name'],
         frozenset(),
         document['prefix'],
@@ -187,9 +189,18 @@
         shares,
         kind,
         is_public=document.get('public', False),
+        is_closed=document.get('closed', False),
     )
 
 
+def _build_shares(document: Mapping[str, Any]) -> Iterator[ServiceShare]:
+    """Yield the services of a route, none if it is closed without any."""
+    if 'service' in document:
+        yield ServiceShare(document['service'], 1)
+    for entry in document.get('split', ()):
+        yield ServiceShare(entry['service'], entry['weight'])
+
+
 def _build_customer(document: Mapping[str, Any]) -> Customer:
     importance = document.get('importance')
     rate_per_s = document.get('rate_per_s')
--- a/merlintrail/state/_downstream_levels.py
+++ b/merlintrail/state/_downstream_levels.py
@@ -55,7 +55,7 @@
         :param levels: levels by key, see :func:`build_level_key`.
         """
         for key, level in levels.items():
-            service = key.partition('@')[0]
+            service = key.rpartition('@')[0]
             self._dependencies.setdefault(kind, {})[service] = now
             place = build_level_key(service, data_centre)
             self._met_keys.setdefault(place, {})[key] = now
--- a/merlintrail/state/_holder.py
+++ b/merlintrail/state/_holder.py
@@ -5,7 +5,12 @@
 
 from merlintrail.observability import create_logger
 from merlintrail.state._document import Configuration, build_configuration
-from merlintrail.state._validation import Finding, validate_document
+from merlintrail.state._validation import (
+    Finding,
+    RepairedDocument,
+    repair_document,
+    validate_document,
+)
 
 #: Findings of an invalid document that its log line shows.
 MAX_LOGGED_FINDINGS: Final = 20
@@ -37,6 +42,8 @@
         self._listeners: list[Callable[[Configuration], None]] = []
         #: Generation that was found invalid last, 0 for none.
         self._invalid_generation = 0
+        #: Findings of the document from which the one in force was made.
+        self.findings: tuple[Finding, ...] = ()
 
     @property
     def current(self) -> Configuration | None:
@@ -58,19 +65,24 @@
         self._listeners.append(listener)
 
     def apply_if_newer(self, envelope: Envelope) -> bool:
-        """Apply a document if its generation is higher and it is valid.
+        """Apply what is valid of a document if its generation is higher.
+
+        A part that cannot be served costs that part alone.
 
         :returns: whether the document was applied.
         """
         if envelope.generation <= self.generation:
             return False
-        findings = validate_document(envelope.document)
-        if findings:
-            self._log_invalid(envelope, findings)
+        repaired = repair_document(envelope.document)
+        if repaired is None:
+            self._log_invalid(envelope, validate_document(envelope.document))
             return False
-        self._envelope = envelope
+        if repaired.findings:
+            _log_repaired(envelope, repaired)
+        self.findings = repaired.findings
+        self._envelope = envelope._replace(document=repaired.document)
         self._current = build_configuration(
-            envelope.document, envelope.generation, envelope.change_id
+            repaired.document, envelope.generation, envelope.change_id
         )
         for listener in self._listeners:
             listener(self._current)
@@ -89,9 +101,27 @@
                 'generation': envelope.generation,
                 'change_id': envelope.change_id,
                 'generation_in_force': self.generation,
-                'findings': [
-                    str(finding) for finding in findings[:MAX_LOGGED_FINDINGS]
-                ],
-                'finding_count': len(findings),
+                **_describe_findings(findings),
             },
         )
+
+
+def _log_repaired(envelope: Envelope, repaired: RepairedDocument) -> None:
+    """Log which parts of a generation are not in force as they were written."""
+    _LOG.error(
+        'configuration repaired',
+        extra={
+            'generation': envelope.generation,
+            'change_id': envelope.change_id,
+            **_describe_findings(repaired.findings),
+        },
+    )
+
+
+def _describe_findings(findings: Sequence[Finding]) -> Mapping[str, Any]:
+    return {
+        'findings': [
+            str(finding) for finding in findings[:MAX_LOGGED_FINDINGS]
+        ],
+        'finding_count': len(findings),
+    }
--- a/merlintrail/state/_routes.py
+++ b/merlintrail/state/_routes.py
@@ -30,6 +30,8 @@
     kind: RequestKind
     #: Whether its requests need no API key where there are customers.
     is_public: bool = False
+    #: Whether its requests are refused for the time being.
+    is_closed: bool = False
 
 
 class RouteTable:
--- a/merlintrail/state/_validation.py
+++ b/merlintrail/state/_validation/_checks.py
@@ -1,28 +1,16 @@
 """Validation of configuration documents."""
 
-import functools
 import json
 from collections import Counter
 from collections.abc import Iterator, Mapping, Sequence, Set
 from datetime import datetime
-from importlib import resources
-from typing import Any, Final, NamedTuple
+from typing import Any, NamedTuple
 
-import jsonschema_rs
-
-_SCHEMA_NAME: Final = 'configuration.schema.json'
-
-
-class Finding(NamedTuple):
-    """One fault of a document."""
-
-    #: JSON pointer to the faulty value.
-    place: str
-    message: str
-
-    def __str__(self) -> str:
-        """Return a one-line description."""
-        return f'{self.place or "/"}: {self.message}'
+from merlintrail.state._validation._schema import (
+    Finding,
+    find_schema_faults,
+    get_validator,
+)
 
 
 class ParsedDocument(NamedTuple):
@@ -32,38 +20,6 @@
     findings: tuple[Finding, ...]
 
 
-@functools.cache
-def load_schema() -> dict[str, Any]:
-    """Load the JSON Schema of the configuration document."""
-    text = resources.files('merlintrail.state').joinpath(_SCHEMA_NAME)
-    schema: dict[str, Any] = json.loads(text.read_text())
-    return schema
-
-
-def create_validator(
-    schema: dict[str, Any],
-) -> jsonschema_rs.Draft202012Validator:
-    """Compile a JSON Schema."""
-    return jsonschema_rs.Draft202012Validator(schema)
-
-
-def find_schema_faults(
-    document: object, validator: jsonschema_rs.Draft202012Validator
-) -> list[Finding]:
-    """Return the faults of a document according to a schema."""
-    try:
-        errors = list(validator.iter_errors(document))
-    except ValueError as error:
-        # Such as text that has no UTF-8 form.
-        return [Finding('', str(error))]
-    return [
-        Finding(
-            ''.join(f'/{part}' for part in error.instance_path), error.message
-        )
-        for error in errors
-    ]
-
-
 def parse_json_object(text: str) -> ParsedDocument:
     """Parse a JSON object, with a finding for each duplicate name."""
     findings: list[Finding] = []
@@ -102,7 +58,7 @@
     The checks across values rely on the schema, so they are made only if the
     document conforms to it.
     """
-    findings = find_schema_faults(document, _get_validator())
+    findings = find_schema_faults(document, get_validator())
     if not findings:
         findings.extend(_check_names(document))
         findings.extend(_check_routes(document))
@@ -112,11 +68,6 @@
     return sorted(findings)
 
 
-@functools.cache
-def _get_validator() -> jsonschema_rs.Draft202012Validator:
-    return create_validator(load_schema())
-
-
 def _find_duplicates(
     names: Sequence[str], pointer: str, noun: str
 ) -> Iterator[Finding]:
@@ -175,7 +126,8 @@
 def _check_route(
     route: Mapping[str, Any], pointer: str, services: Set[str]
 ) -> Iterator[Finding]:
-    if ('service' in route) == ('split' in route):
+    is_closed = route.get('closed', False)
+    if ('service' in route) == ('split' in route) and not is_closed:
         yield Finding(pointer, 'give either service or split')
     split = route.get('split', ())
     names = [entry['service'] for entry in split]
