Build only the routes that a change touches

Each change built all routes of all nodes again, in one piece of the event loop. Equal entries of the version before now keep their routes, and the checks across routes skip what cannot have a finding.

--- a/merlintrail/state/_document.py
+++ b/merlintrail/state/_document.py
@@ -234,10 +234,33 @@
     }
 
 
+def _build_routes(
+    entries: Sequence[Mapping[str, Any]], previous: Configuration | None
+) -> Iterator[Route]:
+    """Yield the routes of a document; equal ones of the previous are reused."""
+    known_entries: Mapping[str, Any] = {}
+    if previous is not None:
+        known_entries = {
+            entry['name']: entry
+            for entry in previous.document.get('routes', ())
+        }
+    for entry in entries:
+        route: Route | None = None
+        if previous is not None and known_entries.get(entry['name']) == entry:
+            route = previous.routes.find_by_name(entry['name'])
+        yield _build_route(entry) if route is None else route
+
+
 def build_configuration(
-    document: Mapping[str, Any], generation: int, change_id: str
+    document: Mapping[str, Any],
+    generation: int,
+    change_id: str,
+    previous: Configuration | None = None,
 ) -> Configuration:
-    """Build the typed configuration from a validated document."""
+    """Build the typed configuration from a validated document.
+
+    :param previous: configuration whose unchanged routes are reused.
+    """
     services = [_build_service(entry) for entry in document['services']]
     return Configuration(
         generation,
@@ -256,7 +279,7 @@
         LedgerSettings(**document.get('ledger', {})),
         document.get('quarantine', {}).get('expiry_s', _DEFAULT_EXPIRY_S),
         document,
-        RouteTable(_build_route(entry) for entry in document.get('routes', ())),
+        RouteTable(_build_routes(document.get('routes', ()), previous)),
         CallerLimits(**document.get('limits', {})),
         CustomerTable(
             _build_customer(entry) for entry in document.get('customers', ())
--- a/merlintrail/state/_holder.py
+++ b/merlintrail/state/_holder.py
@@ -82,7 +82,10 @@
         self.findings = repaired.findings
         self._envelope = envelope._replace(document=repaired.document)
         self._current = build_configuration(
-            repaired.document, envelope.generation, envelope.change_id
+            repaired.document,
+            envelope.generation,
+            envelope.change_id,
+            self._current,
         )
         for listener in self._listeners:
             listener(self._current)
--- a/merlintrail/state/_routes.py
+++ b/merlintrail/state/_routes.py
@@ -39,7 +39,9 @@
 
     def __init__(self, routes: Iterable[Route]) -> None:
         self._by_host: dict[str, dict[str, Route]] = {}
+        self._by_name: dict[str, Route] = {}
         for route in routes:
+            self._by_name[route.kind.name] = route
             prefixes = self._by_host.setdefault(route.host.lower(), {})
             prefixes[route.prefix] = route
 
@@ -53,6 +55,10 @@
             for _, route in sorted(prefixes.items()):
                 yield route
 
+    def find_by_name(self, name: str) -> Route | None:
+        """Return the route of a name, or ``None`` if there is none."""
+        return self._by_name.get(name)
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a request, or ``None`` if there is none.
 
--- a/merlintrail/state/_validation/_checks.py
+++ b/merlintrail/state/_validation/_checks.py
@@ -71,6 +71,8 @@
 def _find_duplicates(
     names: Sequence[str], pointer: str, noun: str
 ) -> Iterator[Finding]:
+    if len(set(names)) == len(names):
+        return
     seen: set[str] = set()
     for index, name in enumerate(names):
         if name in seen:
@@ -114,13 +116,14 @@
         [route['name'] for route in routes], '/routes', 'route'
     )
     yield from _find_duplicates(
-        [f'{route["host"].lower()}{route["prefix"]}' for route in routes],
+        [route['host'].lower() + route['prefix'] for route in routes],
         '/routes',
         'host and prefix',
     )
     services = {service['name'] for service in document['services']}
     for index, route in enumerate(routes):
-        yield from _check_route(route, f'/routes/{index}', services)
+        if 'split' in route or route.get('service') not in services:
+            yield from _check_route(route, f'/routes/{index}', services)
 
 
 def _check_route(
