Judge changes of the configuration by the servers that ran the requests

The new soak starts real nodes, each with a backend server, and moves, splits, drops and adds routes in series beside kills, pauses, rolling stops, reload signals (to nodes that just started too), links that fall silent one way, a store that is down, slow, busy or loses answers, and servers replaced by those of another service at the same address. Callers use kept and new connections, slow bodies, pipelines and keys. Rules: run by a service that no version in force allows 2.5 s after the store's answer, or refused with 404; a node that goes back; an added route hardly served; a request that runs twice; a process that ends by itself. Every seed of the older soak gets reload signals as well.

--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,10 @@
 SOAK_DURATION ?= 600
 SEEDS ?= 1
 FAULT_DURATION ?= 8
+CHANGE_NODES ?= 24
+CHANGE_DURATION ?= 15
 
-.PHONY: run test bench soak fault-soak format golden
+.PHONY: run test bench soak fault-soak change-soak format golden
 
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -42,3 +44,6 @@
 
 fault-soak: $(STAMP)
 	$(PY) -m merlintrail.bench.fault_soak --seed=$(SEED) --seeds=$(SEEDS) --duration=$(FAULT_DURATION)
+
+change-soak: $(STAMP)
+	$(PY) -m merlintrail.bench.change_soak --seed=$(SEED) --seeds=$(SEEDS) --nodes=$(CHANGE_NODES) --duration=$(CHANGE_DURATION)
--- a/merlintrail/bench/_soak_faults.py
+++ b/merlintrail/bench/_soak_faults.py
@@ -1,6 +1,7 @@
 """Fault injection into the processes, links and store of a fault soak."""
 
 import asyncio
+import math
 import random
 import signal
 from collections import Counter
@@ -30,6 +31,8 @@
 RESTORE_DOWN_S: Final = 0.3
 #: Mean seconds between two statements of backend servers.
 MEAN_STATEMENT_INTERVAL_S: Final = 1.5
+#: Mean seconds between two requests to reload the settings.
+MEAN_RELOAD_INTERVAL_S: Final = 0.5
 #: Bounds of the time in seconds for which a statement holds.
 MIN_STATEMENT_S: Final = 4.0
 MAX_STATEMENT_S: Final = 9.0
@@ -55,6 +58,16 @@
 )
 
 
+class Disturbance(NamedTuple):
+    """Time for which a fault disturbed a target."""
+
+    #: Instance, ``store`` or ``relay`` with its number.
+    target: str
+    #: Event loop times; the end is infinite while the fault lasts.
+    begun_at: float
+    ended_at: float
+
+
 class FaultTargets(NamedTuple):
     """The processes and links into which faults are injected."""
 
@@ -70,29 +83,65 @@
     identified: Sequence[str]
 
 
+class FaultIntensity(NamedTuple):
+    """How often faults are injected, and which."""
+
+    mean_interval_s: float = MEAN_FAULT_INTERVAL_S
+    #: Maximum number of faults in progress at the same time.
+    concurrent: int = MAX_CONCURRENT_FAULTS
+    #: Whether the store is restored from copies for even seeds. It is not for
+    #: odd ones, whose keys are all served, which a restored store prevents.
+    has_restores: bool = True
+
+
 class FaultInjector:
     """Injects overlapping random faults, at most one per target at a time.
 
     A node and its backend server count as one target.
     """
 
-    def __init__(self, targets: FaultTargets, seed: int) -> None:
+    def __init__(
+        self,
+        targets: FaultTargets,
+        seed: int,
+        intensity: FaultIntensity | None = None,
+    ) -> None:
         self._targets = targets
+        self._intensity = intensity or FaultIntensity()
         self._rng = random.Random(seed)
         #: Separate, so that the other faults of a seed stay the same.
         self._restore_rng = random.Random(f'restores {seed}')
         self._statement_rng = random.Random(f'statements {seed}')
-        #: Whether the store is restored from copies. It is not for odd seeds,
-        #: whose keys are all served, which a restored store prevents.
-        self._restores = seed % 2 == 0
-        self._faulted_targets: set[str] = set()
+        self._reload_rng = random.Random(f'reloads {seed}')
+        self._restores = self._intensity.has_restores and seed % 2 == 0
+        #: Targets of the faults in progress.
+        self.faulted_targets: set[str] = set()
         #: Instances whose backend server is being started again.
         self._restarting: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        #: Faults so far, the ones in progress included.
+        self.disturbances: list[Disturbance] = []
         #: Number of injected faults by name. The summary of a run prints these
         #: names, which are those of the methods without the leading ``_``.
         self.counts: Counter[str] = Counter()
 
+    async def replace_backend(
+        self, instance: str, change: Mapping[str, Any], down_s: float
+    ) -> None:
+        """Start another backend server at the address of one that is killed.
+
+        :param change: fields of its plan that differ.
+        :param down_s: seconds for which the address is not used.
+        """
+        if instance in self._restarting:
+            return
+        name = f'backend {instance}'
+        self._restarting.add(instance)
+        self.counts['replace_backend'] += 1
+        self._targets.deployment.send_signal(name, signal.SIGKILL)
+        self._targets.deployment.change_plan(instance, change)
+        await self._restart_backend(instance, down_s)
+
     async def restart_crashed_backends(self) -> None:
         """Start backend servers again that crashed, until cancelled."""
         while True:
@@ -109,6 +158,7 @@
         work = [
             self._inject_repeatedly(duration_s),
             self._make_statements(duration_s),
+            self._reload_repeatedly(duration_s),
         ]
         if self._restores:
             work.append(self._restore_repeatedly(duration_s))
@@ -119,9 +169,9 @@
         end = loop.time() + duration_s
         while loop.time() < end:
             await asyncio.sleep(
-                self._rng.expovariate(1 / MEAN_FAULT_INTERVAL_S)
+                self._rng.expovariate(1 / self._intensity.mean_interval_s)
             )
-            if len(self._tasks) < MAX_CONCURRENT_FAULTS:
+            if len(self._tasks) < self._intensity.concurrent:
                 self._inject()
         await asyncio.gather(*self._tasks)
 
@@ -171,6 +221,22 @@
             return False
         return True
 
+    async def _reload_repeatedly(self, duration_s: float) -> None:
+        """Ask nodes to reload their settings, those that just started too."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + duration_s
+        workers = self._targets.deployment.workers
+        while loop.time() < end:
+            await asyncio.sleep(
+                self._reload_rng.expovariate(1 / MEAN_RELOAD_INTERVAL_S)
+            )
+            instance = self._reload_rng.choice(sorted(workers))
+            if await _is_listening(workers[instance].call_address):
+                self.counts['reload_node'] += 1
+                self._targets.deployment.send_signal(
+                    f'node {instance}', signal.SIGHUP
+                )
+
     async def _restore_repeatedly(self, duration_s: float) -> None:
         """Restore the store from copies, whatever other faults there are."""
         loop = asyncio.get_running_loop()
@@ -209,9 +275,9 @@
             MIN_FAULT_DURATION_S, MAX_FAULT_DURATION_S
         )
         target = self._choose_target(fault)
-        if target in self._faulted_targets:
+        if target in self.faulted_targets:
             return
-        self._faulted_targets.add(target)
+        self.faulted_targets.add(target)
         self.counts[fault.__name__.strip('_')] += 1
         task = asyncio.create_task(
             self._run_fault(fault, target, fault_duration_s)
@@ -234,10 +300,16 @@
     async def _run_fault(
         self, fault: FaultAction, target: str, fault_duration_s: float
     ) -> None:
+        begun_at = asyncio.get_running_loop().time()
+        number = len(self.disturbances)
+        self.disturbances.append(Disturbance(target, begun_at, math.inf))
         try:
             await fault(target, fault_duration_s)
         finally:
-            self._faulted_targets.discard(target)
+            self.faulted_targets.discard(target)
+            self.disturbances[number] = Disturbance(
+                target, begun_at, asyncio.get_running_loop().time()
+            )
 
     async def _kill_node(self, instance: str, fault_duration_s: float) -> None:
         await self._kill(f'node {instance}', fault_duration_s)
@@ -304,3 +376,17 @@
     async def _wait_for_exit(self, name: str) -> None:
         while not self._targets.deployment.has_exited(name):
             await asyncio.sleep(_POLL_INTERVAL_S)
+
+
+async def _is_listening(address: str) -> bool:
+    """Return whether a process accepts connections on an address.
+
+    The interpreter of a node that does not yet is still starting.
+    """
+    host, _, port = address.rpartition(':')
+    try:
+        _, writer = await asyncio.open_connection(host, int(port))
+    except OSError:
+        return False
+    writer.close()
+    return True
--- a/merlintrail/lab/processes.py
+++ b/merlintrail/lab/processes.py
@@ -90,6 +90,13 @@
             if plan.backend is not None:
                 self.start_backend(plan.instance)
 
+    def change_plan(self, instance: str, change: Mapping[str, Any]) -> None:
+        """Change fields of the plan by which a backend server is started."""
+        plan = self._plans[instance]
+        self._plans[instance] = plan._replace(
+            backend={**(plan.backend or {}), **change}
+        )
+
     def override_peer_address(self, instance: str, address: str) -> str:
         """Advertise another peer address of a node, such as that of a relay.
 
--- a/merlintrail/node/tests/test_closed_routes.py
+++ b/merlintrail/node/tests/test_closed_routes.py
@@ -5,8 +5,12 @@
 from typing import Any, Final
 
 from merlintrail.node._resolution import Resolution, Resolver
-from merlintrail.platform import PlatformDialect
-from merlintrail.protocol import Outcome, Reason, Refusal
+from merlintrail.protocol import (
+    Outcome,
+    Reason,
+    Refusal,
+    build_refusal_response,
+)
 from merlintrail.state import build_configuration, validate_document
 from merlintrail.transport import HttpRequest
 
@@ -54,6 +58,6 @@
             if isinstance(answer, Refusal):
                 self.assertEqual(answer.outcome, Outcome.NOT_RUN)
                 self.assertEqual(answer.reason, Reason.ROUTE_CLOSED)
-                response = PlatformDialect().build_refusal(answer, '1')
+                response = build_refusal_response(answer, '1')
                 self.assertEqual(response.status, 503)
                 self.assertIsNotNone(response.find_header('retry-after'))
