Prepare large configurations on another thread

Calls of all nodes stood still at the moment of each change: 35 ms at 5,000 routes and 14 ms at 2,000 were left in one piece after the cheaper checks.

--- a/merlintrail/coordination/_configuration_pull.py
+++ b/merlintrail/coordination/_configuration_pull.py
@@ -4,6 +4,9 @@
 from collections.abc import Callable
 from typing import Any, Final
 
+from merlintrail.coordination._configuration_application import (
+    apply_configuration,
+)
 from merlintrail.coordination._peers import PeerClient
 from merlintrail.coordination._sections import (
     SectionedEnvelope,
@@ -85,7 +88,7 @@
             timeout_s=PULL_TIMEOUT_S,
             is_fresh=is_fresh,
         )
-        is_accepted = self._accept(answer, base)
+        is_accepted = await self._accept(answer, base)
         _LOG.info(
             'configuration pulled',
             extra={
@@ -176,14 +179,16 @@
         self._pulls = []
         self._begun_at.clear()
 
-    def _accept(self, answer: Any, base: Envelope | None) -> bool:
+    async def _accept(self, answer: Any, base: Envelope | None) -> bool:
         if isinstance(answer, TransportFailure):
             return False
         difference = decode_record(SectionedEnvelope, answer)
         if isinstance(difference, DecodeFailure):
             return False
         merged = merge_difference(difference, base)
-        return merged is not None and self._holder.apply_if_newer(merged)
+        if merged is None:
+            return False
+        return await apply_configuration(self._holder, merged)
 
 
 def _has_succeeded(pull: asyncio.Task[bool]) -> bool:
--- a/merlintrail/coordination/_configuration_source.py
+++ b/merlintrail/coordination/_configuration_source.py
@@ -7,6 +7,9 @@
     CONFIGURATION_KEY,
     read_envelope,
 )
+from merlintrail.coordination._configuration_application import (
+    apply_configuration,
+)
 from merlintrail.coordination._membership import Membership
 from merlintrail.coordination._store import Store, StoreFailure, StoreValue
 from merlintrail.coordination._unreadable_entries import log_unreadable_entry
@@ -39,7 +42,7 @@
         seen = self._seen_generation
         return seen is None or seen > self._membership.holder.generation
 
-    def offer(self, stored: StoreValue) -> None:
+    async def offer(self, stored: StoreValue) -> None:
         """Put a stored configuration in force if it is newer and valid."""
         envelope = read_envelope(stored.document)
         if isinstance(envelope, DecodeFailure):
@@ -49,7 +52,7 @@
             )
             return
         self._seen_generation = envelope.generation
-        if self._membership.holder.apply_if_newer(envelope):
+        if await apply_configuration(self._membership.holder, envelope):
             self._notify()
 
     def confirm(self, age_s: float) -> None:
@@ -76,6 +79,6 @@
         asked_at = loop.time()
         stored = await self._store.read(CONFIGURATION_KEY, is_fresh=is_fresh)
         if isinstance(stored, StoreValue):
-            self.offer(stored)
+            await self.offer(stored)
             self.confirm(loop.time() - asked_at)
         return stored
--- a/merlintrail/coordination/_configuration_watch.py
+++ b/merlintrail/coordination/_configuration_watch.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 from merlintrail.coordination._backoff import Backoff
@@ -34,7 +34,7 @@
     def __init__(
         self,
         store: Store,
-        offer: Callable[[StoreValue], None],
+        offer: Callable[[StoreValue], Awaitable[None]],
         confirm: Callable[[float], None],
         rng: random.Random,
     ) -> None:
@@ -79,7 +79,7 @@
                     await self._back_off()
                 continue
             self._record_answer()
-            self._accept(changes)
+            await self._accept(changes)
             # The store holds an answer without changes back for the wait.
             self._confirm(max(0.0, _now() - asked_at - wait_s))
 
@@ -98,7 +98,7 @@
             CONFIGURATION_KEY, self._position, wait_s
         )
 
-    def _accept(self, changes: StoreItems) -> None:
+    async def _accept(self, changes: StoreItems) -> None:
         """Offer the documents, and continue after them.
 
         An answer without changes leaves the position: a change that the store
@@ -108,7 +108,7 @@
             self._position = changes.position
         for entry in changes.entries:
             if entry.key == CONFIGURATION_KEY:
-                self._offer(StoreValue(entry.document, entry.version))
+                await self._offer(StoreValue(entry.document, entry.version))
 
     def _record_failure(self, failure: StoreFailure, asked_at: float) -> None:
         now = _now()
--- a/merlintrail/coordination/tests/test_configuration_watch.py
+++ b/merlintrail/coordination/tests/test_configuration_watch.py
@@ -80,7 +80,7 @@
         version = 0 if current is None else current.version
         self.store.swap(CONFIGURATION_KEY, document, version)
 
-    def _accept(self, stored: StoreValue) -> None:
+    async def _accept(self, stored: StoreValue) -> None:
         self.offered.append(stored.document)
 
 
--- a/merlintrail/state/_holder.py
+++ b/merlintrail/state/_holder.py
@@ -7,7 +7,6 @@
 from merlintrail.state._document import Configuration, build_configuration
 from merlintrail.state._validation import (
     Finding,
-    RepairedDocument,
     repair_document,
     validate_document,
 )
@@ -33,6 +32,17 @@
     document: Mapping[str, Any]
 
 
+class PreparedConfiguration(NamedTuple):
+    """A configuration that was checked and built, but is not in force."""
+
+    #: With the document as it will be in force.
+    envelope: Envelope
+    #: ``None`` if the document is refused as a whole.
+    configuration: Configuration | None
+    #: Faults of the document as it was written.
+    findings: tuple[Finding, ...]
+
+
 class ConfigurationHolder:
     """Holds the valid configuration with the highest generation received."""
 
@@ -73,22 +83,47 @@
         """
         if envelope.generation <= self.generation:
             return False
+        return self.apply_prepared(self.prepare(envelope))
+
+    def prepare(self, envelope: Envelope) -> PreparedConfiguration:
+        """Check and build a configuration without applying it.
+
+        Any thread may call it.
+        """
         repaired = repair_document(envelope.document)
         if repaired is None:
-            self._log_invalid(envelope, validate_document(envelope.document))
-            return False
-        if repaired.findings:
-            _log_repaired(envelope, repaired)
-        self.findings = repaired.findings
-        self._envelope = envelope._replace(document=repaired.document)
-        self._current = build_configuration(
+            findings = tuple(validate_document(envelope.document))
+            return PreparedConfiguration(envelope, None, findings)
+        configuration = build_configuration(
             repaired.document,
             envelope.generation,
             envelope.change_id,
             self._current,
         )
+        return PreparedConfiguration(
+            envelope._replace(document=repaired.document),
+            configuration,
+            repaired.findings,
+        )
+
+    def apply_prepared(self, prepared: PreparedConfiguration) -> bool:
+        """Apply a prepared configuration if its generation is still higher.
+
+        :returns: whether it was applied.
+        """
+        envelope, configuration, findings = prepared
+        if envelope.generation <= self.generation:
+            return False
+        if configuration is None:
+            self._log_invalid(envelope, findings)
+            return False
+        if findings:
+            _log_repaired(envelope, findings)
+        self.findings = findings
+        self._envelope = envelope
+        self._current = configuration
         for listener in self._listeners:
-            listener(self._current)
+            listener(configuration)
         return True
 
     def _log_invalid(
@@ -109,14 +144,14 @@
         )
 
 
-def _log_repaired(envelope: Envelope, repaired: RepairedDocument) -> None:
+def _log_repaired(envelope: Envelope, findings: Sequence[Finding]) -> None:
     """Log which parts of a generation are not in force as they were written."""
     _LOG.error(
         'configuration repaired',
         extra={
             'generation': envelope.generation,
             'change_id': envelope.change_id,
-            **_describe_findings(repaired.findings),
+            **_describe_findings(findings),
         },
     )
 
