--- a/merlintrail/bench/__main__.py
+++ b/merlintrail/bench/__main__.py
@@ -8,6 +8,7 @@
 
 from merlintrail.bench import (
     _capacity,
+    _change_latency,
     _fleet,
     _latency,
     _libraries,
@@ -26,6 +27,7 @@
     **_libraries.list_benches(),
     **_fleet.list_benches(),
     **_capacity.list_benches(),
+    **_change_latency.list_benches(),
     **_outcomes.list_benches(),
     **_overload.list_benches(),
 }
--- a/merlintrail/bench/_latency.py
+++ b/merlintrail/bench/_latency.py
@@ -163,19 +163,22 @@
 _ECHO_BACKEND: Final = {'service': 'echo', 'slots': 64, 'service_ms': 0}
 
 
-def _start_node_pair() -> Deployment:
-    return start_deployment(
-        [
-            WorkerPlan('front', 'dc-0', None),
-            WorkerPlan('back', 'dc-1', _ECHO_BACKEND),
-        ],
-        2,
-    )
+def start_node_pair(first: str = 'front') -> Deployment:
+    """Start a node for callers and one with a backend server.
+
+    :param first: the node that serves the administration API.
+    """
+    plans = {
+        'front': WorkerPlan('front', 'dc-0', None),
+        'back': WorkerPlan('back', 'dc-1', _ECHO_BACKEND),
+    }
+    others = [plan for name, plan in plans.items() if name != first]
+    return start_deployment([plans[first], *others], 2)
 
 
 def bench_added_latency(_: int) -> None:
     """Compare calls through two nodes with interleaved direct calls."""
-    deployment = _start_node_pair()
+    deployment = start_node_pair()
     try:
         prober = CallProber(create_pool())
         addresses = {
@@ -201,7 +204,7 @@
 
 def bench_call_cpu(_: int) -> None:
     """Measure the processor time per call at each of two nodes."""
-    deployment = _start_node_pair()
+    deployment = start_node_pair()
     try:
         process_ids = {
             name: deployment.read_process_id(f'node {name}')
