Apply the configured limits on what callers send, within a bound on memory

Callers got 413 for uploads above 1 MiB although MaxBodyBytes is 64 MiB, and do not try again after it (DENIED). Cause: the limits of the configuration were read and applied nowhere; the servers kept their defaults. Sizes of headers and bodies, the time for the headers and the idle time now follow the configuration, at open connections too; the servers for other nodes take whatever the callers' do. A body that goes on arriving has 10 s for each 64 KiB. So that large bodies do not end a node, those above 64 KiB share 64 MiB: one without room gets 503 with Retry-After before it is read, also if it comes in chunks; room is given back with the answer, or when the caller leaves.

--- a/merlintrail/node/_connections.py
+++ b/merlintrail/node/_connections.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 from typing import Final
 
+from merlintrail.state import CallerLimits
 from merlintrail.transport import (
+    BodyBudget,
     HttpRequest,
     HttpResponse,
     HttpServer,
@@ -12,11 +14,24 @@
 
 #: Bytes that nodes may add to the headers of a call.
 _MAX_ADDED_HEADER_BYTES: Final = 49152
-#: Limits of the server for other nodes: headers of any size that callers may
-#: send get through with those that nodes add.
-PEER_LIMITS: Final = ServerLimits(
-    max_header_bytes=ServerLimits().max_header_bytes + _MAX_ADDED_HEADER_BYTES
-)
+_MS_PER_S: Final = 1000
+
+
+def build_peer_limits(limits: ServerLimits) -> ServerLimits:
+    """Build the limits of the server for other nodes.
+
+    Whatever callers may send gets through with the headers that nodes add.
+
+    :param limits: those of the server for callers.
+    """
+    return ServerLimits(
+        max_header_bytes=limits.max_header_bytes + _MAX_ADDED_HEADER_BYTES,
+        max_body_bytes=limits.max_body_bytes,
+    )
+
+
+#: Limits of the server for other nodes before there is a configuration.
+PEER_LIMITS: Final = build_peer_limits(ServerLimits())
 
 
 class NodeServers:
@@ -35,6 +50,21 @@
         self.callers: list[HttpServer] = []
         #: Servers for other nodes.
         self.peers: list[HttpServer] = []
+        #: Room for the bodies of all requests.
+        self.budget = BodyBudget()
+
+    def apply_limits(self, limits: CallerLimits) -> None:
+        """Apply the limits of a configuration to all connections."""
+        caller_limits = ServerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.receive_timeout_ms / _MS_PER_S,
+            limits.idle_timeout_ms / _MS_PER_S,
+        )
+        for server in self.callers:
+            server.limits = caller_limits
+        for server in self.peers:
+            server.limits = build_peer_limits(caller_limits)
 
     def count_busy(self) -> int:
         """Count the connections with an unfinished request or answer."""
--- a/merlintrail/node/_gauges.py
+++ b/merlintrail/node/_gauges.py
@@ -18,6 +18,7 @@
     MemberTable,
     Quarantine,
 )
+from merlintrail.transport import BodyBudget
 
 
 class _GateGauge(NamedTuple):
@@ -126,6 +127,7 @@
     confirmations: ConfirmationRecord,
     repeats: RepeatLimits,
     calls: CallTable,
+    bodies: BodyBudget,
 ) -> None:
     """Register the gauges of what a node shares with the others."""
     metrics.register_gauge(
@@ -152,6 +154,18 @@
         'Inquiries about calls that may have been forgotten, since the start.',
         lambda: [GaugePoint(calls.unknown_inquiries)],
     )
+    metrics.register_gauge(
+        'merlintrail.body_bytes',
+        'By',
+        'Memory of request bodies above 64 KiB that are in progress.',
+        lambda: [GaugePoint(bodies.taken_bytes)],
+    )
+    metrics.register_gauge(
+        'merlintrail.body_refusals',
+        '{request}',
+        'Requests refused for want of room for their bodies, since the start.',
+        lambda: [GaugePoint(bodies.refusals)],
+    )
     metrics.register_gauge(
         'merlintrail.repeat_room',
         '{call}',
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -110,6 +110,7 @@
             self.membership.confirmations,
             self._repeats,
             self.calls,
+            self._servers.budget,
         )
         self.holder.add_listener(self._apply_configuration)
         self.table.add_listener(self.routing.update_member)
@@ -133,7 +134,11 @@
         )
         self._servers.peers.append(
             await start_server(
-                self.peer_service.handle, host, port, limits=PEER_LIMITS
+                self.peer_service.handle,
+                host,
+                port,
+                limits=PEER_LIMITS,
+                budget=self._servers.budget,
             )
         )
         host, port = split_host_port(self.settings.call_address)
@@ -143,6 +148,7 @@
                 host,
                 port,
                 listener=call_listener,
+                budget=self._servers.budget,
                 report_bad_request=lambda bad_request: log_decision(
                     'refuse', reason=bad_request.reason
                 ),
@@ -414,6 +420,7 @@
         self.keyed.ledger.update_settings(configuration.ledger)
         self._update_links(configuration)
         self._usage.configure(configuration.customers)
+        self._servers.apply_limits(configuration.caller_limits)
         _LOG.info(
             'configuration in force',
             extra={
--- a/merlintrail/transport/__init__.py
+++ b/merlintrail/transport/__init__.py
@@ -2,6 +2,7 @@
 
 from merlintrail.transport._address import Address, parse_address
 from merlintrail.transport._bad_request import BadRequest
+from merlintrail.transport._body_budget import BodyBudget
 from merlintrail.transport._client import (
     TIMEOUT,
     ClientConnection,
@@ -27,6 +28,7 @@
     'TIMEOUT',
     'Address',
     'BadRequest',
+    'BodyBudget',
     'ClientConnection',
     'ConnectionPool',
     'ExchangeTimeouts',
--- a/merlintrail/transport/_message.py
+++ b/merlintrail/transport/_message.py
@@ -28,6 +28,8 @@
     remote_host: str = ''
     #: Whether the sender keeps the connection open after the answer.
     keeps_alive: bool = True
+    #: Bytes that the body has taken of the server's room for bodies.
+    taken_bytes: int = 0
 
 
 class HttpResponse(NamedTuple):
--- a/merlintrail/transport/_request_parser.py
+++ b/merlintrail/transport/_request_parser.py
@@ -1,5 +1,6 @@
 """Parsing of requests, with the checks of RFC 9112 and size limits."""
 
+import sys
 from collections.abc import Iterator
 from typing import Final, NamedTuple
 
@@ -7,6 +8,11 @@
 
 from merlintrail.transport._bad_request import BadRequest
 from merlintrail.transport._body import BodyBuffer
+from merlintrail.transport._body_budget import (
+    BODY_STEP_BYTES,
+    SMALL_BODY_BYTES,
+    BodyBudget,
+)
 from merlintrail.transport._framing import FramingAllowance
 from merlintrail.transport._message import HttpRequest
 from merlintrail.transport._request_target import parse_target
@@ -23,10 +29,12 @@
     max_header_bytes: int = 16384
     #: Maximum size of a request body, in bytes.
     max_body_bytes: int = 1048576
-    #: Seconds to receive a request, from its first byte to its last.
+    #: Seconds to receive the headers of a request, from its first byte on.
     receive_timeout_s: float = 10.0
     #: Seconds for which an idle connection is kept open.
     idle_timeout_s: float = 75.0
+    #: Seconds to receive a body after that, or the next part of a large one.
+    body_timeout_s: float = 10.0
 
 
 class RequestParser:
@@ -36,8 +44,18 @@
     request after a malformed one begins.
     """
 
-    def __init__(self, limits: ServerLimits) -> None:
-        self._limits = limits
+    def __init__(
+        self, limits: ServerLimits, budget: BodyBudget | None = None
+    ) -> None:
+        """Initialize the parser.
+
+        :param budget: room for bodies; unlimited by default.
+        """
+        #: Limits of the request that is being received.
+        self.limits = limits
+        self._budget = budget or BodyBudget(sys.maxsize)
+        #: Bytes of the budget that the body being received has taken.
+        self._taken_bytes = 0
         self._parser = httptools.HttpRequestParser(self)
         self._parsed: list[HttpRequest | BadRequest] = []
         self._fault: BadRequest | None = None
@@ -125,15 +143,22 @@
         self._framing.reset()
         for fault in self._list_header_faults():
             self._record_fault(fault.status, fault.reason)
+        if self._fault is None:
+            self._take_room(self._read_length())
         if self._headers.get('expect', '').lower() == '100-continue':
             self.is_expecting_continue = self._fault is None
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, and check its size."""
+        if self._fault is not None:
+            return
         self._body.append(body)
         self._parsed_body_bytes += len(body)
-        if len(self._body) > self._limits.max_body_bytes:
+        size = len(self._body)
+        if size > self.limits.max_body_bytes:
             self._record_fault(413, 'body-too-large')
+        elif size > max(self._taken_bytes, SMALL_BODY_BYTES):
+            self._take_room(self._taken_bytes + BODY_STEP_BYTES)
 
     def on_message_complete(self) -> None:
         """Append the complete request to the parsed ones."""
@@ -160,8 +185,32 @@
                 self.remote_host,
                 # What follows CONNECT is no request.
                 self._parser.should_keep_alive() and method != 'CONNECT',
+                self._taken_bytes,
             )
         )
+        self._taken_bytes = 0
+
+    @property
+    def received_body_bytes(self) -> int:
+        """Bytes received of the body that is not complete yet."""
+        return len(self._body)
+
+    @property
+    def is_in_headers(self) -> bool:
+        """Whether the headers of a request are not complete yet."""
+        return self._in_headers
+
+    def _read_length(self) -> int:
+        return int(self._headers.get('content-length', '0'))
+
+    def _take_room(self, size: int) -> None:
+        """Take room for a body of some size, beyond what it has already."""
+        if size <= SMALL_BODY_BYTES:
+            return
+        if self._budget.take(size - self._taken_bytes):
+            self._taken_bytes = size
+        else:
+            self._record_fault(503, 'no-room-for-body')
 
     def _feed_parser(self, chunk: bytes) -> None:
         """Parse bytes; an upgrade that a request asks for is ignored.
@@ -192,7 +241,7 @@
     def _check_partial_headers(self) -> None:
         """Reject headers that are too large before they are complete."""
         is_partial = self.is_receiving and self._in_headers
-        if is_partial and self._fed_bytes > self._limits.max_header_bytes:
+        if is_partial and self._fed_bytes > self.limits.max_header_bytes:
             self._record_fault(431, 'headers-too-large')
 
     def _check_framing(self, received_bytes: int) -> None:
@@ -204,7 +253,7 @@
             self._record_fault(431, 'framing-too-large')
 
     def _list_header_faults(self) -> Iterator[BadRequest]:
-        limits = self._limits
+        limits = self.limits
         version = self._parser.get_http_version()
         if version not in _VERSIONS:
             yield BadRequest(400, 'version-not-supported')
@@ -213,8 +262,7 @@
             yield BadRequest(400, 'upgrade-not-supported')
         if self._header_bytes > limits.max_header_bytes:
             yield BadRequest(431, 'headers-too-large')
-        length = int(self._headers.get('content-length', '0'))
-        if length > limits.max_body_bytes:
+        if self._read_length() > limits.max_body_bytes:
             yield BadRequest(413, 'body-too-large')
         if 'host' not in self._headers and version == '1.1':
             yield BadRequest(400, 'host-missing')
@@ -228,6 +276,8 @@
             self._fault = BadRequest(status, reason)
 
     def _reset_message(self) -> None:
+        self._budget.give_back(self._taken_bytes)
+        self._taken_bytes = 0
         self._target = b''
         self._headers: dict[str, str] = {}
         self._header_bytes = 0
--- a/merlintrail/transport/_server.py
+++ b/merlintrail/transport/_server.py
@@ -7,6 +7,7 @@
 from typing import Final, NamedTuple, TypeAlias, cast
 
 from merlintrail.transport._bad_request import BadRequest
+from merlintrail.transport._body_budget import BodyBudget
 from merlintrail.transport._message import (
     HttpRequest,
     HttpResponse,
@@ -26,17 +27,25 @@
 #: Longest wait in seconds for a caller to close a connection that the server
 #: has closed.
 LINGER_S: Final = 0.5
+#: Seconds after which a request comes back for which there was no room.
+RETRY_AFTER_S: Final = 1
+#: Bytes of a body that have to arrive in the time for a body, so that it gets
+#: that time again.
+MIN_PROGRESS_BYTES: Final = 65536
+_UNAVAILABLE_STATUS: Final = 503
 _CONTINUE_RESPONSE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _CLOSE_HEADERS: Final = (('connection', 'close'),)
 
 
 def _build_refusal(bad_request: BadRequest) -> HttpResponse:
     body = f'{{"outcome":"not-run","reason":"{bad_request.reason}"}}'
-    headers = (
+    headers = [
         ('content-type', 'application/json'),
         ('merlintrail-outcome', 'not-run'),
         ('merlintrail-reason', bad_request.reason),
-    )
+    ]
+    if bad_request.status == _UNAVAILABLE_STATUS:
+        headers.append(('retry-after', str(RETRY_AFTER_S)))
     return HttpResponse(bad_request.status, headers, body.encode())
 
 
@@ -76,7 +85,7 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
-        self._parser = RequestParser(server.limits)
+        self._parser = RequestParser(server.limits, server.budget)
         #: Wakes the task that waits for a request, ``None`` while it serves.
         self._waiter: asyncio.Future[None] | None = None
         #: Resolved when writing resumes, ``None`` while it is not paused.
@@ -190,6 +199,7 @@
             for pending in self._pending:
                 if pending.task is not None:
                     pending.task.cancel()
+                _give_back(self._server.budget, pending)
             self.close()
 
     async def _linger(self) -> None:
@@ -210,7 +220,11 @@
             pending = await self._receive()
             if pending is None:
                 break
-            if not await self._serve_request(pending):
+            try:
+                is_open = await self._serve_request(pending)
+            finally:
+                _give_back(self._server.budget, pending)
+            if not is_open:
                 break
             # An idle connection does not keep the last messages.
             del pending
@@ -294,6 +308,7 @@
     def _parse(self, received: bytes) -> None:
         if self._has_bad_request:
             return
+        self._parser.limits = self._server.limits
         for request in self._parser.feed(received):
             self._enqueue(request)
         if self._parser.is_expecting_continue:
@@ -326,9 +341,27 @@
             return
         self._idle_timer = self._loop.call_later(remaining_s, self._check_idle)
 
-    def _time_out_request(self) -> None:
+    def _time_out_request(self, received_bytes: int | None = None) -> None:
+        """End a request that arrives too slowly.
+
+        :param received_bytes: bytes of the body that had arrived when its
+            time began, ``None`` while that of the headers runs.
+        """
         self._receive_timer = None
-        if not self._has_bad_request:
+        if self._has_bad_request:
+            return
+        arrived = self._parser.received_body_bytes
+        is_in_time = not self._parser.is_in_headers and (
+            received_bytes is None
+            or arrived >= received_bytes + MIN_PROGRESS_BYTES
+        )
+        if is_in_time:
+            self._receive_timer = self._loop.call_later(
+                self._server.limits.body_timeout_s,
+                self._time_out_request,
+                arrived,
+            )
+        else:
             self._enqueue(BadRequest(408, 'request-incomplete'))
 
     def _stop_receive_timer(self) -> None:
@@ -341,6 +374,12 @@
             self._transport.write(payload)
 
 
+def _give_back(budget: BodyBudget, pending: _PendingRequest) -> None:
+    """Give back the room that the body of a request has taken."""
+    if isinstance(pending.request, HttpRequest):
+        budget.give_back(pending.request.taken_bytes)
+
+
 def _find_answer(
     pending: _PendingRequest,
     build_answer: Callable[[HttpRequest], HttpResponse],
@@ -367,10 +406,13 @@
         handler: RequestHandler,
         limits: ServerLimits,
         report_bad_request: Callable[[BadRequest], None],
+        budget: BodyBudget,
     ) -> None:
         self.handler = handler
-        #: Limits; new size limits apply to connections accepted afterwards.
+        #: Limits on requests, which may be replaced.
         self.limits = limits
+        #: Room for the bodies of all requests.
+        self.budget = budget
         self.report_bad_request = report_bad_request
         self.connections: set[ServerConnection] = set()
         #: Whether each connection is closed after its next answer.
@@ -432,13 +474,20 @@
     limits: ServerLimits | None = None,
     report_bad_request: Callable[[BadRequest], None] = _ignore_bad_request,
     listener: socket.socket | None = None,
+    budget: BodyBudget | None = None,
 ) -> HttpServer:
     """Start a server.
 
+    :param budget: room for request bodies that other servers share.
     :param listener: socket that listens on the address already, if any.
     :raises OSError: if the address cannot be bound.
     """
-    server = HttpServer(handler, limits or ServerLimits(), report_bad_request)
+    server = HttpServer(
+        handler,
+        limits or ServerLimits(),
+        report_bad_request,
+        budget or BodyBudget(),
+    )
     if listener is None:
         await server.listen(host, port)
     else:
--- a/merlintrail/transport/tests/test_server.py
+++ b/merlintrail/transport/tests/test_server.py
@@ -12,7 +12,10 @@
 )
 
 _LIMITS = ServerLimits(
-    max_header_bytes=2000, max_body_bytes=1000, receive_timeout_s=0.2
+    max_header_bytes=2000,
+    max_body_bytes=1000,
+    receive_timeout_s=0.2,
+    body_timeout_s=0.2,
 )
 _VALID_REQUEST = b'POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nhi'
 _INVALID_INPUTS = (
