--- a/merlintrail/transport/_body.py
+++ b/merlintrail/transport/_body.py
@@ -7,28 +7,35 @@
     Its memory follows the bytes of the body, however small the parts are.
     """
 
+    __slots__ = ('_first', '_joined', 'size')
+
     def __init__(self) -> None:
         self._first = b''
         #: All parts, once there are several.
         self._joined: bytearray | None = None
-
-    def __len__(self) -> int:
-        """Return the number of bytes collected."""
-        return len(self._first if self._joined is None else self._joined)
+        #: Number of bytes collected.
+        self.size = 0
 
     def append(self, part: bytes) -> None:
         """Append a part."""
-        if self._joined is None and not self._first:
-            self._first = part
-            return
-        if self._joined is None:
+        self.size += len(part)
+        if self._joined is not None:
+            self._joined += part
+        elif self._first:
             self._joined = bytearray(self._first)
+            self._joined += part
             self._first = b''
-        self._joined += part
+        else:
+            self._first = part
 
     def take(self) -> bytes:
         """Return the body and begin anew."""
         body = self._first if self._joined is None else bytes(self._joined)
+        self.clear()
+        return body
+
+    def clear(self) -> None:
+        """Begin anew."""
         self._first = b''
         self._joined = None
-        return body
+        self.size = 0
--- a/merlintrail/transport/_client.py
+++ b/merlintrail/transport/_client.py
@@ -59,6 +59,7 @@
         self._loop = loop
         self._timers = timers
         self._max_body_bytes = max_body_bytes
+        self._body = BodyBuffer()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._framing = FramingAllowance(MAX_FRAMING_BYTES)
@@ -199,7 +200,7 @@
         """Append a part of the body."""
         self._body.append(body)
         self._parsed_body_bytes += len(body)
-        if len(self._body) > self._max_body_bytes:
+        if self._body.size > self._max_body_bytes:
             self._fail('answer too large')
             self.close()
 
@@ -261,5 +262,5 @@
     def _reset_message(self) -> None:
         self._headers: list[tuple[str, str]] = []
         self._has_headers = False
-        self._body = BodyBuffer()
+        self._body.clear()
         self._is_close_delimited = False
--- a/merlintrail/transport/_request_parser.py
+++ b/merlintrail/transport/_request_parser.py
@@ -60,6 +60,7 @@
         self._parsed: list[HttpRequest | BadRequest] = []
         self._fault: BadRequest | None = None
         self._in_headers = True
+        self._body = BodyBuffer()
         #: Allowance for what follows the headers: chunk framing and trailers.
         self._framing = FramingAllowance(limits.max_header_bytes)
         #: Body bytes parsed from the bytes received last.
@@ -143,8 +144,9 @@
         self._framing.reset()
         for fault in self._list_header_faults():
             self._record_fault(fault.status, fault.reason)
-        if self._fault is None:
-            self._take_room(self._read_length())
+        length = self._read_length()
+        if length > SMALL_BODY_BYTES and self._fault is None:
+            self._take_room(length)
         if self._headers.get('expect', '').lower() == '100-continue':
             self.is_expecting_continue = self._fault is None
 
@@ -154,7 +156,7 @@
             return
         self._body.append(body)
         self._parsed_body_bytes += len(body)
-        size = len(self._body)
+        size = self._body.size
         if size > self.limits.max_body_bytes:
             self._record_fault(413, 'body-too-large')
         elif size > max(self._taken_bytes, SMALL_BODY_BYTES):
@@ -193,7 +195,7 @@
     @property
     def received_body_bytes(self) -> int:
         """Bytes received of the body that is not complete yet."""
-        return len(self._body)
+        return self._body.size
 
     @property
     def is_in_headers(self) -> bool:
@@ -205,8 +207,6 @@
 
     def _take_room(self, size: int) -> None:
         """Take room for a body of some size, beyond what it has already."""
-        if size <= SMALL_BODY_BYTES:
-            return
         if self._budget.take(size - self._taken_bytes):
             self._taken_bytes = size
         else:
@@ -276,10 +276,11 @@
             self._fault = BadRequest(status, reason)
 
     def _reset_message(self) -> None:
-        self._budget.give_back(self._taken_bytes)
-        self._taken_bytes = 0
+        if self._taken_bytes:
+            self._budget.give_back(self._taken_bytes)
+            self._taken_bytes = 0
         self._target = b''
         self._headers: dict[str, str] = {}
         self._header_bytes = 0
-        self._body = BodyBuffer()
+        self._body.clear()
         self._in_headers = True
--- a/merlintrail/transport/_server.py
+++ b/merlintrail/transport/_server.py
@@ -376,8 +376,9 @@
 
 def _give_back(budget: BodyBudget, pending: _PendingRequest) -> None:
     """Give back the room that the body of a request has taken."""
-    if isinstance(pending.request, HttpRequest):
-        budget.give_back(pending.request.taken_bytes)
+    request = pending.request
+    if isinstance(request, HttpRequest) and request.taken_bytes:
+        budget.give_back(request.taken_bytes)
 
 
 def _find_answer(
