--- a/merlintrail/transport/_body.py
+++ b/merlintrail/transport/_body.py
@@ -19,14 +19,13 @@
     def append(self, part: bytes) -> None:
         """Append a part."""
         self.size += len(part)
-        if self._joined is not None:
-            self._joined += part
-        elif self._first:
+        if self._joined is None and not self._first:
+            self._first = part
+            return
+        if self._joined is None:
             self._joined = bytearray(self._first)
-            self._joined += part
             self._first = b''
-        else:
-            self._first = part
+        self._joined += part
 
     def take(self) -> bytes:
         """Return the body and begin anew."""
