--- a/merlintrail/transport/__init__.py
+++ b/merlintrail/transport/__init__.py
@@ -18,11 +18,8 @@
 )
 from merlintrail.transport._pool import ConnectionPool, create_pool
 from merlintrail.transport._request_parser import ServerLimits
-from merlintrail.transport._server import (
-    HttpServer,
-    RequestHandler,
-    start_server,
-)
+from merlintrail.transport._server import HttpServer, start_server
+from merlintrail.transport._server_connection import RequestHandler
 
 __all__ = (
     'TIMEOUT',
