Keep the limits beside one that cannot be read

Callers would get 413 again for uploads above 1 MiB: one odd limit cost all limits of a version, as a field of a member was left out with its member. Now its own default holds. Found by reading the change; the test failed before (no limits at all).

--- a/merlintrail/state/_validation/_repair.py
+++ b/merlintrail/state/_validation/_repair.py
@@ -96,15 +96,18 @@
     for fault in list_schema_faults(document):
         member = fault.path[0] if fault.path else ''
         if member in _PLAIN_LISTS:
-            _mark_entry(document, fault.path)
+            _mark_part(document[str(member)], fault.path[1:])
         elif member not in _ENTRY_DEFINITIONS:
-            _repair_value(document, fault.path, fault)
+            _repair_member(document, fault)
 
 
-def _mark_entry(document: Any, path: Sequence[str | int]) -> None:
-    """Replace an entry by ``None``, for :func:`_repair_relations` to remove."""
-    if len(path) > 1:
-        document[path[0]][path[1]] = None
+def _repair_member(document: dict[str, Any], fault: SchemaFault) -> None:
+    """Repair a field of a member, or leave the member out if it has none."""
+    member = document.get(str(fault.path[0])) if fault.path else None
+    if len(fault.path) > 1 and isinstance(member, dict):
+        _repair_value(member, fault.path[1:], fault)
+    else:
+        _repair_value(document, fault.path, fault)
 
 
 def _repair_value(
@@ -119,7 +122,7 @@
     elif fault.limit is not None:
         _limit_number(_find(container, path[:-1]), path[-1], fault.limit)
     elif len(path) > 1 and path[0] in _REPAIRED_LISTS:
-        _mark_part(container.get(str(path[0])), path[1])
+        _mark_part(container.get(str(path[0])), path[1:])
     elif path:
         container.pop(str(path[0]), None)
 
@@ -135,10 +138,13 @@
         parent[name] = limit
 
 
-def _mark_part(parts: Any, index: str | int) -> None:
-    """Replace a part of a list by ``None``, for its entry to remove."""
-    if isinstance(parts, list) and index in range(len(parts)):
-        parts[int(index)] = None
+def _mark_part(parts: Any, path: Sequence[str | int]) -> None:
+    """Replace a part of a list by ``None``, for a later step to remove.
+
+    :param path: place within the list; nothing is done for the list itself.
+    """
+    if isinstance(parts, list) and path and path[0] in range(len(parts)):
+        parts[int(path[0])] = None
 
 
 def _find(container: Any, path: Sequence[str | int]) -> Any:
--- a/merlintrail/state/tests/test_repair.py
+++ b/merlintrail/state/tests/test_repair.py
@@ -89,6 +89,13 @@
         self.assertIs(repaired.document, _DOCUMENT)
         self.assertEqual(repaired.findings, ())
 
+    def test_odd_limit_costs_the_other_limits(self) -> None:
+        """Only the field with the fault has its default."""
+        limits = {'max_body_bytes': 5, 'idle_timeout_ms': 'long', 'more': 1}
+        repaired = repair_document({**_DOCUMENT, 'limits': limits})
+        assert repaired is not None
+        self.assertEqual(repaired.document['limits'], {'max_body_bytes': 5})
+
     @settings(max_examples=500, deadline=None)
     @given(st.sampled_from(_PLACES), _JSON)
     def test_odd_part_costs_other_parts(
