Treat an envelope of odd types as unreadable, and forget it with the next version

A stored envelope whose generation is no number stopped the watch of every relay with an error, again and again until the next version; and after an unreadable version the gauge of refused versions stayed at 1 at nodes that got the next one from a neighbour. Found by reading the change. The tests failed before: TypeError, and a refused version that is still reported 2.5 s after the next one.

--- a/merlintrail/coordination/_changes.py
+++ b/merlintrail/coordination/_changes.py
@@ -43,7 +43,15 @@
 
 def read_envelope(document: object) -> Envelope | DecodeFailure:
     """Decode an envelope from a stored document."""
-    return decode_record(Envelope, document)
+    envelope = decode_record(Envelope, document)
+    if isinstance(envelope, DecodeFailure):
+        return envelope
+    fields: Mapping[str, Any] = envelope._asdict()
+    if not isinstance(fields['generation'], int):
+        return DecodeFailure('Envelope: the generation is not a whole number')
+    if not isinstance(fields['document'], dict):
+        return DecodeFailure('Envelope: the document is not an object')
+    return envelope
 
 
 def create_empty_envelope() -> Envelope:
--- a/merlintrail/coordination/_configuration_source.py
+++ b/merlintrail/coordination/_configuration_source.py
@@ -35,18 +35,23 @@
         #: Generation that the store held last, 0 if it held none, ``None`` if
         #: it could not be read.
         self._seen_generation: int | None = 0
+        #: Generation in force when it held one that could not be read.
+        self._unreadable_above = 0
 
     @property
     def is_refused(self) -> bool:
         """Whether the store holds a version that cannot be put in force."""
-        seen = self._seen_generation
-        return seen is None or seen > self._membership.holder.generation
+        in_force = self._membership.holder.generation
+        if self._seen_generation is None:
+            return in_force <= self._unreadable_above
+        return self._seen_generation > in_force
 
     async def offer(self, stored: StoreValue) -> None:
         """Put a stored configuration in force if it is newer and valid."""
         envelope = read_envelope(stored.document)
         if isinstance(envelope, DecodeFailure):
             self._seen_generation = None
+            self._unreadable_above = self._membership.holder.generation
             log_unreadable_entry(
                 CONFIGURATION_KEY, stored.version, envelope.reason
             )
--- a/merlintrail/coordination/tests/configuration_fleet.py
+++ b/merlintrail/coordination/tests/configuration_fleet.py
@@ -184,12 +184,12 @@
         #: Times at which each generation was put in force.
         self.applied_at: dict[int, float] = {}
         self.holder.add_listener(self._record)
-        source = ConfigurationSource(
+        self.source = ConfigurationSource(
             self.membership, self.link, self.heartbeats.notify_neighbours
         )
         self._check = ConfigurationCheck(
             self.membership.confirmations,
-            source,
+            self.source,
             lambda: len(self.table.list_active()),
             rng,
         )
@@ -198,7 +198,7 @@
                 self.membership,
                 self.heartbeats,
                 self.link,
-                source,
+                self.source,
                 QuarantineArchive(self.membership, self.link, clock, rng),
                 clock,
             ),
--- a/merlintrail/coordination/tests/test_refused_configuration.py
+++ b/merlintrail/coordination/tests/test_refused_configuration.py
@@ -17,12 +17,15 @@
 #: Seconds within which a confirmed change must be in force.
 _BOUND_S: Final = 2.5
 _REFUSED_S: Final = 20.0
+_SOUND: Final = Envelope(2, 'c2', 'op', 0.0, DOCUMENT)._asdict()
 #: Entries in the store that no node can put in force.
-_UNUSABLE: Final[Mapping[str, Mapping[str, Any]]] = {
+_UNUSABLE: Final[Mapping[str, Any]] = {
     'refused by the schema': Envelope(
         2, 'c2', 'op', 0.0, {**DOCUMENT, 'format': 2}
     )._asdict(),
     'unreadable': {'generation': 2},
+    'no object': {**_SOUND, 'document': [7]},
+    'no number': {**_SOUND, 'generation': 'two'},
 }
 
 
@@ -58,10 +61,14 @@
             self.assertGreater(min(_read_ages(fleet)), _REFUSED_S - _BOUND_S)
             reads = fleet.state.counts['read'] - reads
             self.assertLess(reads, len(fleet.nodes) * _REFUSED_S / 2)
+            self.assertTrue(any(node.source.is_refused for node in fleet.nodes))
             generation = fleet.change()
             await asyncio.sleep(_BOUND_S)
             self.assertLess(max(fleet.list_delays(generation))[0], _BOUND_S)
             self.assertLess(max(_read_ages(fleet)), _BOUND_S)
+            self.assertFalse(
+                any(node.source.is_refused for node in fleet.nodes)
+            )
             await fleet.stop()
 
         for name, stored in _UNUSABLE.items():
