Refuse no version for a number that is none, and none that messages cannot carry

A priority written as nan raised an error in the translation, which refused the whole version; a version above 64 bits would have been taken, and no heartbeat could have carried it. Found by reading the change; the tests failed before.

--- a/merlintrail/platform/_configuration.py
+++ b/merlintrail/platform/_configuration.py
@@ -1,5 +1,6 @@
 """Translation of the platform's configuration into a merlintrail document."""
 
+import math
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Final, NamedTuple
 
@@ -10,6 +11,8 @@
 _DOCUMENT_FORMAT: Final = 1
 #: ``Version`` is a hexadecimal number.
 _VERSION_RADIX: Final = 16
+#: Largest number that messages between nodes carry.
+_MAX_VERSION: Final = (1 << 63) - 1
 _MS_PER_S: Final = 1000
 #: ``Kind`` of idempotent routes; any other kind counts as not idempotent.
 _IDEMPOTENT_KINDS: Final = frozenset(('idempotent', 'download'))
@@ -24,6 +27,91 @@
 _WARMUP_S: Final = 3.0
 
 
+# Conversions of values, each of which returns an unreadable value as it is
+
+
+def _keep(source: Any) -> Any:
+    return source
+
+
+def _convert_number(source: Any) -> Any:
+    """Return a number that may be written as text."""
+    if not isinstance(source, str):
+        return source
+    try:
+        number = float(source)
+    except ValueError:
+        return source
+    return number if math.isfinite(number) else source
+
+
+def _convert_priority(source: Any) -> Any:
+    priority = _convert_number(source)
+    if not isinstance(priority, int | float):
+        return source
+    highest = len(_IMPORTANCE_BY_PRIORITY) - 1
+    return _IMPORTANCE_BY_PRIORITY[int(min(max(priority, 0), highest))]
+
+
+def _convert_attempts(source: Any) -> Any:
+    """Return the nearest number of attempts that a route may have."""
+    if not isinstance(source, int):
+        return source
+    return min(max(1, source), _MAX_ATTEMPTS)
+
+
+def _convert_duration(source: Any) -> Any:
+    """Return milliseconds."""
+    seconds = parse_duration(source) if isinstance(source, str) else None
+    if seconds is None:
+        return source
+    return seconds * _MS_PER_S
+
+
+def _convert_time_limit(source: Any) -> Any:
+    """Return milliseconds, for a duration of 0 the longest limit there is."""
+    limit_ms = _convert_duration(source)
+    return _LONGEST_LIMIT_MS if limit_ms == 0 else limit_ms
+
+
+class _Field(NamedTuple):
+    """Name and conversion of a translated field."""
+
+    name: str
+    convert: Callable[[Any], Any] = _keep
+
+
+_SERVICE_FIELDS: Final = {'Name': _Field('name')}
+_ROUTE_FIELDS: Final = {
+    'Name': _Field('name'),
+    'Host': _Field('host'),
+    'Prefix': _Field('prefix'),
+    'Priority': _Field('importance', _convert_priority),
+    'Timeout': _Field('timeout_ms', _convert_time_limit),
+    'MaxAttempts': _Field('attempts', _convert_attempts),
+    'TargetLatency': _Field('objective_ms', _convert_duration),
+}
+_SHARE_FIELDS: Final = {
+    'Service': _Field('service'),
+    'Weight': _Field('weight', _convert_number),
+}
+_CUSTOMER_FIELDS: Final = {
+    'Name': _Field('name'),
+    'Priority': _Field('importance', _convert_priority),
+    'RatePerS': _Field('rate_per_s', _convert_number),
+    'Burst': _Field('burst', _convert_number),
+}
+_LIMIT_FIELDS: Final = {
+    'MaxHeaderBytes': _Field('max_header_bytes'),
+    'MaxBodyBytes': _Field('max_body_bytes'),
+    'HeaderTimeout': _Field('receive_timeout_ms', _convert_time_limit),
+    'IdleTimeout': _Field('idle_timeout_ms', _convert_time_limit),
+}
+
+
+# Translation of a configuration and its parts
+
+
 def build_envelope(
     content: Mapping[str, Any], settings: PlatformSettings
 ) -> Mapping[str, Any]:
@@ -50,9 +138,11 @@
 
     :raises TypeError, ValueError: for anything else.
     """
-    if isinstance(version, int) and not isinstance(version, bool):
-        return version
-    return int(version, _VERSION_RADIX)
+    is_number = isinstance(version, int) and not isinstance(version, bool)
+    number: int = version if is_number else int(version, _VERSION_RADIX)
+    if not 0 <= number <= _MAX_VERSION:
+        raise ValueError(f'version out of range: {version!r}')
+    return number
 
 
 def _build_document(
@@ -99,7 +189,7 @@
 
 
 def _translate(
-    source: Mapping[str, Any], fields: 'Mapping[str, _Field]'
+    source: Mapping[str, Any], fields: Mapping[str, _Field]
 ) -> dict[str, Any]:
     """Translate the fields that an object has."""
     return {
@@ -168,84 +258,3 @@
         }
         for name in sorted(set(regions.values()))
     ]
-
-
-# Conversions of values, each of which returns an unreadable value as it is
-
-
-def _keep(source: Any) -> Any:
-    return source
-
-
-def _convert_number(source: Any) -> Any:
-    """Return a number that may be written as text."""
-    if not isinstance(source, str):
-        return source
-    try:
-        return float(source)
-    except ValueError:
-        return source
-
-
-def _convert_priority(source: Any) -> Any:
-    priority = _convert_number(source)
-    if not isinstance(priority, int | float):
-        return source
-    highest = len(_IMPORTANCE_BY_PRIORITY) - 1
-    return _IMPORTANCE_BY_PRIORITY[int(min(max(priority, 0), highest))]
-
-
-def _convert_attempts(source: Any) -> Any:
-    """Return the nearest number of attempts that a route may have."""
-    if not isinstance(source, int):
-        return source
-    return min(max(1, source), _MAX_ATTEMPTS)
-
-
-def _convert_duration(source: Any) -> Any:
-    """Return milliseconds."""
-    seconds = parse_duration(source) if isinstance(source, str) else None
-    if seconds is None:
-        return source
-    return seconds * _MS_PER_S
-
-
-def _convert_time_limit(source: Any) -> Any:
-    """Return milliseconds, for a duration of 0 the longest limit there is."""
-    limit_ms = _convert_duration(source)
-    return _LONGEST_LIMIT_MS if limit_ms == 0 else limit_ms
-
-
-class _Field(NamedTuple):
-    """Name and conversion of a translated field."""
-
-    name: str
-    convert: Callable[[Any], Any] = _keep
-
-
-_SERVICE_FIELDS: Final = {'Name': _Field('name')}
-_ROUTE_FIELDS: Final = {
-    'Name': _Field('name'),
-    'Host': _Field('host'),
-    'Prefix': _Field('prefix'),
-    'Priority': _Field('importance', _convert_priority),
-    'Timeout': _Field('timeout_ms', _convert_time_limit),
-    'MaxAttempts': _Field('attempts', _convert_attempts),
-    'TargetLatency': _Field('objective_ms', _convert_duration),
-}
-_SHARE_FIELDS: Final = {
-    'Service': _Field('service'),
-    'Weight': _Field('weight', _convert_number),
-}
-_CUSTOMER_FIELDS: Final = {
-    'Name': _Field('name'),
-    'Priority': _Field('importance', _convert_priority),
-    'RatePerS': _Field('rate_per_s', _convert_number),
-    'Burst': _Field('burst', _convert_number),
-}
-_LIMIT_FIELDS: Final = {
-    'MaxHeaderBytes': _Field('max_header_bytes'),
-    'MaxBodyBytes': _Field('max_body_bytes'),
-    'HeaderTimeout': _Field('receive_timeout_ms', _convert_time_limit),
-    'IdleTimeout': _Field('idle_timeout_ms', _convert_time_limit),
-}
--- a/merlintrail/platform/tests/samples.py
+++ b/merlintrail/platform/tests/samples.py
@@ -4,6 +4,8 @@
 from typing import Any, Final
 
 from merlintrail.node import PlatformSettings
+from merlintrail.platform._configuration import build_envelope
+from merlintrail.state import Configuration, ConfigurationHolder, Envelope
 
 SETTINGS: Final = PlatformSettings(
     ready_address='127.0.0.1:1',
@@ -60,3 +62,11 @@
     },
     'Unknown': 'ignored',
 }
+
+
+def put_in_force(content: Mapping[str, Any]) -> Configuration:
+    """Return the configuration that a node makes of a stored one."""
+    holder = ConfigurationHolder()
+    holder.apply_if_newer(Envelope(**build_envelope(content, SETTINGS)))
+    assert holder.current is not None, 'the whole version was refused'
+    return holder.current
--- a/merlintrail/platform/tests/test_adapter.py
+++ b/merlintrail/platform/tests/test_adapter.py
@@ -2,7 +2,6 @@
 
 import re
 import unittest
-from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, Final
 
@@ -19,7 +18,11 @@
     HeartbeatService,
     read_heartbeat,
 )
-from merlintrail.platform.tests.samples import CONFIGURATION, SETTINGS
+from merlintrail.platform.tests.samples import (
+    CONFIGURATION,
+    SETTINGS,
+    put_in_force,
+)
 from merlintrail.protocol import (
     AnswerClass,
     BackendNotice,
@@ -32,7 +35,6 @@
     encode_json,
 )
 from merlintrail.state import (
-    Configuration,
     ConfigurationHolder,
     Envelope,
     build_configuration,
@@ -283,14 +285,6 @@
     return _DIALECT.read_notice(answer)
 
 
-def _put_in_force(content: Mapping[str, Any]) -> Configuration:
-    """Return the configuration that a node makes of a stored one."""
-    holder = ConfigurationHolder()
-    holder.apply_if_newer(Envelope(**build_envelope(content, SETTINGS)))
-    assert holder.current is not None
-    return holder.current
-
-
 class ConfigurationTest(unittest.TestCase):
     """Translation of the operator's configuration into a document."""
 
@@ -334,7 +328,7 @@
             'x',
         ):
             with self.subTest(str(tenant)):
-                customers = _put_in_force(
+                customers = put_in_force(
                     {**CONFIGURATION, 'Tenants': [tenant, sound]}
                 ).customers
                 customer = customers.identify('good')
@@ -360,7 +354,7 @@
             [str(finding) for finding in findings],
             ["/customers/1/key_digests: a key of 'b' is also one of 'a'"],
         )
-        customers = _put_in_force(content).customers
+        customers = put_in_force(content).customers
         names = [customers.identify(key) for key in ('x', 'y')]
         self.assertEqual([one and one.name for one in names], ['a', 'b'])
 
@@ -400,7 +394,7 @@
 
     def test_unreadable_version_raises(self) -> None:
         """Without a version nothing can be put in force."""
-        versions: tuple[Any, ...] = ('x', '', None, [], True)
+        versions: tuple[Any, ...] = ('x', '', None, [], True, 'f' * 17, -1)
         for version in versions:
             with self.assertRaises((LookupError, TypeError, ValueError)):
                 build_envelope({**CONFIGURATION, 'Version': version}, SETTINGS)
--- a/merlintrail/platform/tests/test_odd_configurations.py
+++ b/merlintrail/platform/tests/test_odd_configurations.py
@@ -8,14 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from merlintrail.platform._configuration import build_envelope
-from merlintrail.platform.tests.samples import CONFIGURATION, SETTINGS
-from merlintrail.state import (
-    Configuration,
-    ConfigurationHolder,
-    Envelope,
-    Route,
-)
+from merlintrail.platform.tests.samples import CONFIGURATION, put_in_force
+from merlintrail.state import Configuration, Route
 
 #: Fields of the route under ``/odd/`` with which it is served.
 _SERVED: Final[tuple[Mapping[str, Any], ...]] = (
@@ -33,6 +27,9 @@
     {'Priority': None},
     {'Priority': '1'},
     {'Priority': 'first'},
+    {'Priority': 'nan'},
+    {'Priority': 'inf'},
+    {'Timeout': f'{"9" * 400}s'},
     {'Split': None},
     {'Split': []},
     {'Split': [{'Service': 'vault', 'Weight': '1'}]},
@@ -87,14 +84,6 @@
 )
 
 
-def _put_in_force(content: Mapping[str, Any]) -> Configuration:
-    """Return what a node makes of a stored configuration."""
-    holder = ConfigurationHolder()
-    holder.apply_if_newer(Envelope(**build_envelope(content, SETTINGS)))
-    assert holder.current is not None, 'the whole version was refused'
-    return holder.current
-
-
 def _add_route(changes: Mapping[str, Any]) -> dict[str, Any]:
     odd = {
         **CONFIGURATION['Routes'][0],
@@ -147,7 +136,7 @@
             *((changes, 'absent') for changes in _ABSENT),
         ):
             with self.subTest(str(fields)[:60]):
-                configuration = _put_in_force(_add_route(fields))
+                configuration = put_in_force(_add_route(fields))
                 self.assert_others_served(configuration)
                 route = configuration.routes.find('odd.example', '/odd/x')
                 self.assertEqual(_describe_outcome(route), outcome)
@@ -161,12 +150,12 @@
         for changes in _MEMBERS:
             with self.subTest(str(changes)):
                 self.assert_others_served(
-                    _put_in_force({**CONFIGURATION, **changes})
+                    put_in_force({**CONFIGURATION, **changes})
                 )
 
     def test_version_without_routes(self) -> None:
         """Its requests match no route, whatever services there are."""
-        configuration = _put_in_force({**CONFIGURATION, 'Routes': []})
+        configuration = put_in_force({**CONFIGURATION, 'Routes': []})
         self.assertTrue(configuration.is_routed)
         self.assertIsNone(configuration.routes.find('one.example', '/vault/'))
 
@@ -194,7 +183,7 @@
         ]
         place = choices.draw(st.sampled_from(places))
         _replace(content, place, choices.draw(_JSON))
-        configuration = _put_in_force(content)
+        configuration = put_in_force(content)
         self.assert_others_served(configuration)
         customer = configuration.customers.identify('good')
         self.assertEqual(customer and customer.name, 'sound')
