Repair documents with several odd parts without an error

A version with several odd parts could raise an error in the repair, which refuses it as a whole and stops the watch until the next version (TypeError for a split whose part is none). Cause: relations between entries were repaired while an entry could still be faulty: faults that others had hidden show only once those are gone. The repair of relations has a module of its own.

--- a/merlintrail/state/_validation/_repair.py
+++ b/merlintrail/state/_validation/_repair.py
@@ -6,10 +6,14 @@
 
 import copy
 from collections import defaultdict
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any, Final, NamedTuple
 
 from merlintrail.state._validation._checks import validate_document
+from merlintrail.state._validation._relations import (
+    MAX_NAME_LENGTH,
+    repair_relations,
+)
 from merlintrail.state._validation._schema import (
     Finding,
     SchemaFault,
@@ -38,7 +42,6 @@
 #: Upper limit on the passes over a document. Each leaves out what the one
 #: before has uncovered, such as a service that had an unreadable name.
 _MAX_PASSES: Final = 8
-_MAX_NAME_LENGTH: Final = 200
 #: Lists within an entry of which only the faulty parts are left out.
 _REPAIRED_LISTS: Final = ('kinds', 'key_digests')
 
@@ -61,9 +64,9 @@
         return RepairedDocument(document, ())
     repaired: dict[str, Any] = copy.deepcopy(dict(document))
     for _ in range(_MAX_PASSES):
-        _repair_members(repaired)
-        _repair_entries(repaired)
-        _repair_relations(repaired)
+        if not _conform(repaired):
+            return None
+        repair_relations(repaired)
         if _lacks_essentials(document, repaired):
             return None
         remaining = validate_document(repaired)
@@ -73,6 +76,32 @@
     return None
 
 
+def _conform(document: dict[str, Any]) -> bool:
+    """Repair members and entries until the document conforms to the schema.
+
+    Only the list of services may be empty; relations may add some to it.
+
+    :returns: whether it does.
+    """
+    for _ in range(_MAX_PASSES):
+        _repair_members(document)
+        _repair_entries(document)
+        _remove_marked(document)
+        faults = list_schema_faults(document)
+        if all(fault.path == ('services',) for fault in faults):
+            return True
+    return False
+
+
+def _remove_marked(document: dict[str, Any]) -> None:
+    """Remove the entries that were replaced by ``None``."""
+    for name in (*_ENTRY_DEFINITIONS, *_PLAIN_LISTS):
+        if name in document:
+            document[name] = [
+                entry for entry in document[name] if entry is not None
+            ]
+
+
 def _lacks_essentials(
     document: Mapping[str, Any], repaired: Mapping[str, Any]
 ) -> bool:
@@ -194,7 +223,7 @@
     """Complete a route with defaults; close it if it leads nowhere."""
     if 'host' not in entry or 'prefix' not in entry:
         return None
-    name = f'{entry["host"]}{entry["prefix"]}'[:_MAX_NAME_LENGTH]
+    name = f'{entry["host"]}{entry["prefix"]}'[:MAX_NAME_LENGTH]
     completed = {**_ROUTE_DEFAULTS, 'name': name, **entry}
     if 'service' in completed and 'split' in completed:
         del completed['service']
@@ -203,92 +232,13 @@
     return completed
 
 
-# Relations between entries
-
-
-def _repair_relations(document: dict[str, Any]) -> None:
-    for name in (*_ENTRY_DEFINITIONS, *_PLAIN_LISTS):
-        if name in document:
-            document[name] = [
-                entry for entry in document[name] if entry is not None
-            ]
-    routes = document.get('routes', ())
-    _name_routes(routes)
-    for route in routes:
-        if 'split' in route:
-            _repair_split(route)
-    _add_services(document)
-    _share_out_keys(document.get('customers', ()))
-
-
-def _name_routes(routes: Sequence[dict[str, Any]]) -> None:
-    """Give each route a name of its own."""
-    names: set[str] = set()
-    for route in routes:
-        number = 2
-        original = route['name']
-        while route['name'] in names:
-            suffix = f'#{number}'
-            kept = original[: _MAX_NAME_LENGTH - len(suffix)]
-            route['name'] = f'{kept}{suffix}'
-            number += 1
-        names.add(route['name'])
-
-
-def _repair_split(route: dict[str, Any]) -> None:
-    """Add up the weights of each service; close a route without any."""
-    weights: defaultdict[str, float] = defaultdict(float)
-    for share in route['split']:
-        weights[share['service']] += share['weight']
-    route['split'] = [
-        {'service': name, 'weight': weight} for name, weight in weights.items()
-    ]
-    if not any(weights.values()):
-        del route['split']
-        route['closed'] = True
-
-
-def _add_services(document: dict[str, Any]) -> None:
-    """Add the services that only routes name."""
-    services = document['services']
-    names = {service.get('name') for service in services}
-    for route in document.get('routes', ()):
-        for name in _list_services(route):
-            if name not in names:
-                names.add(name)
-                services.append({'name': name})
-
-
-def _list_services(route: Mapping[str, Any]) -> Iterator[str]:
-    if 'service' in route:
-        yield route['service']
-    for share in route.get('split', ()):
-        yield share['service']
-
-
-def _share_out_keys(customers: Sequence[dict[str, Any]]) -> None:
-    """Leave each key to the first customer that has it."""
-    holders: dict[str, str] = {}
-    for customer in customers:
-        customer['key_digests'] = [
-            digest
-            for digest in customer['key_digests']
-            if holders.setdefault(digest, customer['name']) == customer['name']
-        ]
-        if 'rate_per_s' not in customer:
-            customer.pop('burst', None)
-
-
 def _leave_out(document: dict[str, Any], findings: Sequence[Finding]) -> None:
     """Remove the entries, or else the fields, that still have findings."""
-    marked = False
     for finding in findings:
         _, name, *rest = f'{finding.place}/'.split('/')
         entries = document.get(name)
         if isinstance(entries, list) and rest and rest[0].isdigit():
             entries[int(rest[0])] = None
-            marked = True
         elif isinstance(entries, dict) and rest:
             entries.pop(rest[0], None)
-    if marked:
-        _repair_relations(document)
+    _remove_marked(document)
