Send no reload signal to a process that has just replaced another

While the soak asked whether a node listens, another process could take its place, whose interpreter the signal would end.

--- a/merlintrail/bench/_soak_faults.py
+++ b/merlintrail/bench/_soak_faults.py
@@ -231,11 +231,14 @@
                 self._reload_rng.expovariate(1 / MEAN_RELOAD_INTERVAL_S)
             )
             instance = self._reload_rng.choice(sorted(workers))
-            if await _is_listening(workers[instance].call_address):
+            name = f'node {instance}'
+            process_id = self._targets.deployment.read_process_id(name)
+            if not await _is_listening(workers[instance].call_address):
+                continue
+            # Another process may have replaced it meanwhile.
+            if process_id == self._targets.deployment.read_process_id(name):
                 self.counts['reload_node'] += 1
-                self._targets.deployment.send_signal(
-                    f'node {instance}', signal.SIGHUP
-                )
+                self._targets.deployment.send_signal(name, signal.SIGHUP)
 
     async def _restore_repeatedly(self, duration_s: float) -> None:
         """Restore the store from copies, whatever other faults there are."""
