Report what the end of a connection leaves undelivered

Now an end with unanswered requests, or with bytes that the caller's host has not acknowledged (the send queue of the kernel included), is logged with its cause and the request ids, and counted by who caused it. No decision changes. Reports of a server are one type, and the time limit on a request that arrives has a module.

--- a/merlintrail/node/_connections.py
+++ b/merlintrail/node/_connections.py
@@ -3,13 +3,22 @@
 from collections.abc import Callable
 from typing import Final
 
+from merlintrail.node._connection_ends import ConnectionEnds
+from merlintrail.observability import log_decision
+from merlintrail.protocol import (
+    CALL_HEADER,
+    DecodeFailure,
+    decode_call_header,
+)
 from merlintrail.state import CallerLimits
 from merlintrail.transport import (
+    BadRequest,
     BodyBudget,
     HttpRequest,
     HttpResponse,
     HttpServer,
     ServerLimits,
+    ServerReports,
 )
 
 #: Bytes that nodes may add to the headers of a call.
@@ -38,12 +47,15 @@
     """Servers for callers, the backend server and other nodes."""
 
     def __init__(
-        self, build_last_answer: Callable[[HttpRequest], HttpResponse]
+        self,
+        build_last_answer: Callable[[HttpRequest], HttpResponse],
+        read_request_id: Callable[[HttpRequest], str | None],
     ) -> None:
         """Initialize without servers.
 
         :param build_last_answer: builds the answer to a caller whose request
             has not ended when the node does.
+        :param read_request_id: reads the identifier of a caller's request.
         """
         self._build_last_answer = build_last_answer
         #: Servers for callers and the backend server.
@@ -52,6 +64,12 @@
         self.peers: list[HttpServer] = []
         #: Room for the bodies of all requests.
         self.budget = BodyBudget()
+        self.caller_ends = ConnectionEnds('caller', read_request_id)
+        self.peer_ends = ConnectionEnds('node', _read_call_request_id)
+
+    def build_caller_reports(self) -> ServerReports:
+        """Build what the server for callers reports."""
+        return ServerReports(_log_bad_request, self.caller_ends.record)
 
     def apply_limits(self, limits: CallerLimits) -> None:
         """Apply the limits of a configuration to all connections."""
@@ -87,3 +105,13 @@
 
     def _list_all(self) -> list[HttpServer]:
         return [*self.callers, *self.peers]
+
+
+def _log_bad_request(bad_request: BadRequest) -> None:
+    log_decision('refuse', reason=bad_request.reason)
+
+
+def _read_call_request_id(request: HttpRequest) -> str | None:
+    """Return the identifier of the request that a node's call belongs to."""
+    header = decode_call_header(request.headers.get(CALL_HEADER, ''))
+    return None if isinstance(header, DecodeFailure) else header.request_id
--- a/merlintrail/node/_gauges.py
+++ b/merlintrail/node/_gauges.py
@@ -9,6 +9,7 @@
     ConfirmationRecord,
 )
 from merlintrail.node._backend_gateway import BackendGateway
+from merlintrail.node._connections import NodeServers
 from merlintrail.node._gate import AdmissionGate
 from merlintrail.node._repeat_limits import RepeatLimits
 from merlintrail.observability import GaugePoint, NodeMetrics
@@ -174,6 +175,26 @@
     )
 
 
+def register_connection_gauges(
+    metrics: NodeMetrics, servers: NodeServers
+) -> None:
+    """Register the gauges of how accepted connections end."""
+    metrics.register_gauge(
+        'merlintrail.connections_cut',
+        '{connection}',
+        'Connections that this node ended before all was delivered, since the '
+        'start.',
+        lambda: [GaugePoint(servers.caller_ends.cut + servers.peer_ends.cut)],
+    )
+    metrics.register_gauge(
+        'merlintrail.connections_left',
+        '{connection}',
+        'Connections that the other end left before all was delivered, since '
+        'the start.',
+        lambda: [GaugePoint(servers.caller_ends.left + servers.peer_ends.left)],
+    )
+
+
 def _read_age(watch: ConfigurationWatch) -> Iterable[GaugePoint]:
     age_s = watch.read_age()
     if age_s is not None:
--- a/merlintrail/node/_ingress.py
+++ b/merlintrail/node/_ingress.py
@@ -132,6 +132,10 @@
         )
         return response
 
+    def read_request_id(self, request: HttpRequest) -> str | None:
+        """Return the identifier that the caller gave to a request."""
+        return self._deps.dialect.read_caller(request).request_id
+
     def build_last_answer(self, request: HttpRequest) -> HttpResponse:
         """Build the answer to a request that does not end before the process."""
         headers = self._deps.dialect.read_caller(request)
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -25,6 +25,7 @@
 from merlintrail.node._connections import PEER_LIMITS, NodeServers
 from merlintrail.node._environment import Environment, split_host_port
 from merlintrail.node._gauges import (
+    register_connection_gauges,
     register_coordination_gauges,
     register_gauges,
 )
@@ -42,7 +43,6 @@
     NodeMetrics,
     create_logger,
     create_metrics,
-    log_decision,
 )
 from merlintrail.state import (
     Configuration,
@@ -54,7 +54,7 @@
     ServiceOffer,
 )
 from merlintrail.state.repeats import SlotRight
-from merlintrail.transport import start_server
+from merlintrail.transport import ServerReports, start_server
 
 #: Seconds between checks of the backend servers' readiness and of the member
 #: table.
@@ -112,6 +112,7 @@
             self.calls,
             self._servers.budget,
         )
+        register_connection_gauges(self.metrics, self._servers)
         self.holder.add_listener(self._apply_configuration)
         self.table.add_listener(self.routing.update_member)
         self.table.add_listener(self.dispatcher.notices.record_member)
@@ -139,6 +140,7 @@
                 port,
                 limits=PEER_LIMITS,
                 budget=self._servers.budget,
+                reports=ServerReports(end=self._servers.peer_ends.record),
             )
         )
         host, port = split_host_port(self.settings.call_address)
@@ -149,9 +151,7 @@
                 port,
                 listener=call_listener,
                 budget=self._servers.budget,
-                report_bad_request=lambda bad_request: log_decision(
-                    'refuse', reason=bad_request.reason
-                ),
+                reports=self._servers.build_caller_reports(),
             )
         )
         self.start_task('join', self.join)
@@ -368,7 +368,9 @@
 
     def _create_services(self) -> None:
         settings = self.settings
-        self._servers = NodeServers(self.ingress.build_last_answer)
+        self._servers = NodeServers(
+            self.ingress.build_last_answer, self.ingress.read_request_id
+        )
         self.lifecycle = Lifecycle(
             LifecycleDependencies(
                 settings.instance,
--- a/merlintrail/node/tests/test_caller_limits.py
+++ b/merlintrail/node/tests/test_caller_limits.py
@@ -23,7 +23,9 @@
 
     async def test_upload_within_the_configured_limit_is_refused(self) -> None:
         """Servers for callers and nodes take it, on open connections too."""
-        servers = NodeServers(lambda _: HttpResponse(504, (), b''))
+        servers = NodeServers(
+            lambda _: HttpResponse(504, (), b''), lambda _: None
+        )
         for group, limits in (
             (servers.callers, None),
             (servers.peers, PEER_LIMITS),
--- a/merlintrail/node/tests/test_lifecycle.py
+++ b/merlintrail/node/tests/test_lifecycle.py
@@ -185,7 +185,7 @@
     """Servers with one connection that is busy until a time."""
 
     def __init__(self, busy_until: float) -> None:
-        super().__init__(lambda _: HttpResponse(504, (), b''))
+        super().__init__(lambda _: HttpResponse(504, (), b''), lambda _: None)
         self._busy_until = busy_until
         self.has_answered = False
 
--- a/merlintrail/transport/__init__.py
+++ b/merlintrail/transport/__init__.py
@@ -8,6 +8,7 @@
     ClientConnection,
     ExchangeTimeouts,
 )
+from merlintrail.transport._connection_end import ConnectionEnd, EndCause
 from merlintrail.transport._failure import FailureStage, TransportFailure
 from merlintrail.transport._message import (
     HeaderList,
@@ -19,7 +20,10 @@
 from merlintrail.transport._pool import ConnectionPool, create_pool
 from merlintrail.transport._request_parser import ServerLimits
 from merlintrail.transport._server import HttpServer, start_server
-from merlintrail.transport._server_connection import RequestHandler
+from merlintrail.transport._server_connection import (
+    RequestHandler,
+    ServerReports,
+)
 
 __all__ = (
     'TIMEOUT',
@@ -27,7 +31,9 @@
     'BadRequest',
     'BodyBudget',
     'ClientConnection',
+    'ConnectionEnd',
     'ConnectionPool',
+    'EndCause',
     'ExchangeTimeouts',
     'FailureStage',
     'HeaderList',
@@ -36,6 +42,7 @@
     'HttpServer',
     'RequestHandler',
     'ServerLimits',
+    'ServerReports',
     'TransportFailure',
     'create_pool',
     'encode_request',
--- a/merlintrail/transport/_server.py
+++ b/merlintrail/transport/_server.py
@@ -5,14 +5,15 @@
 from collections.abc import Callable
 from typing import Final
 
-from merlintrail.transport._bad_request import BadRequest
 from merlintrail.transport._body_budget import BodyBudget
+from merlintrail.transport._connection_end import EndCause
 from merlintrail.transport._message import HttpRequest, HttpResponse
 from merlintrail.transport._request_parser import ServerLimits
 from merlintrail.transport._server_connection import (
     ConnectionGroup,
     RequestHandler,
     ServerConnection,
+    ServerReports,
 )
 
 #: Connections that wait to be accepted.
@@ -26,10 +27,10 @@
         self,
         handler: RequestHandler,
         limits: ServerLimits,
-        report_bad_request: Callable[[BadRequest], None],
+        reports: ServerReports,
         budget: BodyBudget,
     ) -> None:
-        super().__init__(handler, limits, report_bad_request, budget)
+        super().__init__(handler, limits, reports, budget)
         self._listener: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
@@ -72,33 +73,31 @@
         if self._listener is not None:
             self._listener.close()
         for connection in tuple(self.connections):
+            connection.report_end(EndCause.PROCESS_END)
             connection.close()
 
 
-def _ignore_bad_request(bad_request: BadRequest) -> None:
-    """Do not report an invalid request."""
-
-
 async def start_server(
     handler: RequestHandler,
     host: str,
     port: int,
     *,
     limits: ServerLimits | None = None,
-    report_bad_request: Callable[[BadRequest], None] = _ignore_bad_request,
+    reports: ServerReports | None = None,
     listener: socket.socket | None = None,
     budget: BodyBudget | None = None,
 ) -> HttpServer:
     """Start a server.
 
     :param budget: room for request bodies that other servers share.
+    :param reports: what to report, nothing by default.
     :param listener: socket that listens on the address already, if any.
     :raises OSError: if the address cannot be bound.
     """
     server = HttpServer(
         handler,
         limits or ServerLimits(),
-        report_bad_request,
+        reports or ServerReports(),
         budget or BodyBudget(),
     )
     if listener is None:
--- a/merlintrail/transport/_server_connection.py
+++ b/merlintrail/transport/_server_connection.py
@@ -7,12 +7,15 @@
 
 from merlintrail.transport._bad_request import BadRequest
 from merlintrail.transport._body_budget import BodyBudget
+from merlintrail.transport._connection_end import ConnectionEnd, EndCause
 from merlintrail.transport._message import (
     HttpRequest,
     HttpResponse,
     encode_response,
 )
+from merlintrail.transport._receive_timer import ReceiveTimer
 from merlintrail.transport._request_parser import RequestParser, ServerLimits
+from merlintrail.transport._send_queue import count_untaken_bytes
 
 RequestHandler: TypeAlias = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
@@ -26,9 +29,6 @@
 LINGER_S: Final = 0.5
 #: Seconds after which a request comes back for which there was no room.
 RETRY_AFTER_S: Final = 1
-#: Bytes of a body that have to arrive in the time for a body, so that it gets
-#: that time again.
-MIN_PROGRESS_BYTES: Final = 65536
 _UNAVAILABLE_STATUS: Final = 503
 _CONTINUE_RESPONSE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _CLOSE_HEADERS: Final = (('connection', 'close'),)
@@ -70,6 +70,23 @@
         )
 
 
+def _ignore_bad_request(bad_request: BadRequest) -> None:
+    """Do not report an invalid request."""
+
+
+def _ignore_end(end: ConnectionEnd) -> None:
+    """Do not report the end of a connection."""
+
+
+class ServerReports(NamedTuple):
+    """What a server reports to its owner."""
+
+    #: Called for each invalid request.
+    bad_request: Callable[[BadRequest], None] = _ignore_bad_request
+    #: Called when a connection ends with something left undelivered.
+    end: Callable[[ConnectionEnd], None] = _ignore_end
+
+
 class ConnectionGroup:
     """What the connections of one server have in common."""
 
@@ -77,7 +94,7 @@
         self,
         handler: RequestHandler,
         limits: ServerLimits,
-        report_bad_request: Callable[[BadRequest], None],
+        reports: ServerReports,
         budget: BodyBudget,
     ) -> None:
         self.handler = handler
@@ -85,7 +102,7 @@
         self.limits = limits
         #: Room for the bodies of all requests.
         self.budget = budget
-        self.report_bad_request = report_bad_request
+        self.reports = reports
         #: The open connections.
         self.connections: set[ServerConnection] = set()
         #: Whether each connection is closed after its next answer.
@@ -112,7 +129,9 @@
         self._pending: deque[_PendingRequest] = deque()
         #: Bytes received while too many requests were waiting.
         self._backlog = bytearray()
-        self._receive_timer: asyncio.TimerHandle | None = None
+        self._receive_timer = ReceiveTimer(
+            self._loop, self._parser, self._enqueue
+        )
         self._idle_timer: asyncio.TimerHandle | None = None
         #: Event loop time since which the connection has been idle.
         self._idle_since = 0.0
@@ -122,6 +141,11 @@
         self._is_serving = False
         #: Request that the handler serves, ``None`` once it has answered.
         self._handled: HttpRequest | None = None
+        #: Request whose answer is not written yet.
+        self._unanswered: HttpRequest | BadRequest | None = None
+        #: Why the connection ends, ``None`` until something ends it.
+        self._end_cause: EndCause | None = None
+        self._has_reported_end = False
 
     # asyncio.Protocol callbacks
 
@@ -136,8 +160,11 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests of a caller that disconnected."""
+        if exc is not None:
+            self._end_cause = EndCause.RESET
+        self.report_end(self._end_cause or EndCause.NODE)
         self._server.connections.discard(self)
-        self._stop_receive_timer()
+        self._receive_timer.stop()
         if self._idle_timer is not None:
             self._idle_timer.cancel()
         if self._task is not None:
@@ -161,6 +188,10 @@
         if is_full and self._transport is not None:
             self._transport.pause_reading()
 
+    def eof_received(self) -> None:
+        """Close the connection of a caller that has closed its end."""
+        self._end_cause = self._end_cause or EndCause.CALLER
+
     def pause_writing(self) -> None:
         """Hold back answers while the caller does not read."""
         self._drained = self._loop.create_future()
@@ -178,11 +209,6 @@
         if self._transport is not None:
             self._transport.close()
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether no request is being received or served."""
-        return self._waiter is not None and not self._parser.is_receiving
-
     @property
     def is_busy(self) -> bool:
         """Whether a request is being served or an answer is not yet sent."""
@@ -191,6 +217,19 @@
         has_unsent = self._transport.get_write_buffer_size() > 0
         return self._is_serving or bool(self._pending) or has_unsent
 
+    def report_end(self, cause: EndCause) -> None:
+        """Report what the end of the connection leaves undelivered, if any."""
+        unsent = count_untaken_bytes(self._transport)
+        requests = [pending.request for pending in self._pending]
+        if self._unanswered is not None:
+            requests.insert(0, self._unanswered)
+        unanswered = tuple(
+            request for request in requests if isinstance(request, HttpRequest)
+        )
+        if (unanswered or unsent) and not self._has_reported_end:
+            self._has_reported_end = True
+            self._server.reports.end(ConnectionEnd(cause, unanswered, unsent))
+
     def answer_unfinished(
         self, build_answer: Callable[[HttpRequest], HttpResponse]
     ) -> None:
@@ -251,6 +290,7 @@
     async def _serve_request(self, pending: _PendingRequest) -> bool:
         """Serve a request; return whether the connection stays open."""
         self._is_serving = True
+        self._unanswered = pending.request
         response = await self._respond(pending)
         # Those behind it were passed on already.
         is_closing = self._server.is_closing and not self._pending
@@ -260,13 +300,14 @@
         if self._drained is not None:
             await self._drained
         self._write(encode_response(response, with_body=_has_body(pending)))
+        self._unanswered = None
         self._is_serving = False
         return keeps_alive
 
     async def _respond(self, pending: _PendingRequest) -> HttpResponse:
         request = pending.request
         if isinstance(request, BadRequest):
-            self._server.report_bad_request(request)
+            self._server.reports.bad_request(request)
             return _build_refusal(request)
         self._handled = request
         try:
@@ -301,7 +342,7 @@
             return
         if isinstance(request, BadRequest):
             self._has_bad_request = True
-            self._stop_receive_timer()
+            self._receive_timer.stop()
             self._pending.append(_PendingRequest(request))
             self._wake()
             return
@@ -333,12 +374,8 @@
         if self._parser.is_expecting_continue:
             self._parser.is_expecting_continue = False
             self._write(_CONTINUE_RESPONSE)
-        if not self._parser.is_receiving:
-            self._stop_receive_timer()
-        elif self._receive_timer is None and not self._has_bad_request:
-            self._receive_timer = self._loop.call_later(
-                self._server.limits.receive_timeout_s, self._time_out_request
-            )
+        if not self._has_bad_request:
+            self._receive_timer.update()
 
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
@@ -360,34 +397,6 @@
             return
         self._idle_timer = self._loop.call_later(remaining_s, self._check_idle)
 
-    def _time_out_request(self, received_bytes: int | None = None) -> None:
-        """End a request that arrives too slowly.
-
-        :param received_bytes: bytes of the body that had arrived when its
-            time began, ``None`` while that of the headers runs.
-        """
-        self._receive_timer = None
-        if self._has_bad_request:
-            return
-        arrived = self._parser.received_body_bytes
-        is_in_time = not self._parser.is_in_headers and (
-            received_bytes is None
-            or arrived >= received_bytes + MIN_PROGRESS_BYTES
-        )
-        if is_in_time:
-            self._receive_timer = self._loop.call_later(
-                self._server.limits.body_timeout_s,
-                self._time_out_request,
-                arrived,
-            )
-        else:
-            self._enqueue(BadRequest(408, 'request-incomplete'))
-
-    def _stop_receive_timer(self) -> None:
-        if self._receive_timer is not None:
-            self._receive_timer.cancel()
-            self._receive_timer = None
-
     def _write(self, payload: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(payload)
