Decide whether an answer is the last one when it is written

Cause: whether the connection ends was decided before the wait for room to write, and requests that arrived in that wait were passed on, then cancelled.

--- a/merlintrail/transport/_server_connection.py
+++ b/merlintrail/transport/_server_connection.py
@@ -292,13 +292,14 @@
         self._is_serving = True
         self._unanswered = pending.request
         response = await self._respond(pending)
+        while self._drained is not None:
+            await self._drained
         # Those behind it were passed on already.
         is_closing = self._server.is_closing and not self._pending
         keeps_alive = pending.keeps_alive and not is_closing
         if not keeps_alive:
+            self._has_last_request = True
             response = _close_after(response)
-        if self._drained is not None:
-            await self._drained
         self._write(encode_response(response, with_body=_has_body(pending)))
         self._unanswered = None
         self._is_serving = False
