--- a/merlintrail/transport/__init__.py
+++ b/merlintrail/transport/__init__.py
@@ -9,6 +9,10 @@
     ExchangeTimeouts,
 )
 from merlintrail.transport._connection_end import ConnectionEnd, EndCause
+from merlintrail.transport._connection_group import (
+    RequestHandler,
+    ServerReports,
+)
 from merlintrail.transport._failure import FailureStage, TransportFailure
 from merlintrail.transport._message import (
     HeaderList,
@@ -20,10 +24,6 @@
 from merlintrail.transport._pool import ConnectionPool, create_pool
 from merlintrail.transport._request_parser import ServerLimits
 from merlintrail.transport._server import HttpServer, start_server
-from merlintrail.transport._server_connection import (
-    RequestHandler,
-    ServerReports,
-)
 
 __all__ = (
     'TIMEOUT',
--- /dev/null
+++ b/merlintrail/transport/_pending_request.py
@@ -0,0 +1,65 @@
+"""Received requests of a connection that have no answer yet."""
+
+import asyncio
+from collections.abc import Awaitable
+from typing import NamedTuple
+
+from merlintrail.transport._bad_request import BadRequest
+from merlintrail.transport._body_budget import BodyBudget
+from merlintrail.transport._message import HttpRequest, HttpResponse
+from merlintrail.transport._own_answers import AnswerBuilder, build_refusal
+
+
+class PendingRequest(NamedTuple):
+    """A received request that has not been answered yet."""
+
+    request: HttpRequest | BadRequest
+    #: Task of a request that arrived while another was being served.
+    task: 'asyncio.Task[HttpResponse] | None' = None
+
+    @property
+    def keeps_alive(self) -> bool:
+        """Whether the connection stays open after the answer."""
+        return isinstance(self.request, HttpRequest) and (
+            self.request.keeps_alive
+        )
+
+    @property
+    def wants_body(self) -> bool:
+        """Whether the answer has a body."""
+        request = self.request
+        return isinstance(request, BadRequest) or request.method != 'HEAD'
+
+    def drop(self, budget: BodyBudget) -> None:
+        """Cancel its task, and give back the room that its body has taken.
+
+        :param budget: room for the bodies of all requests.
+        """
+        if self.task is not None:
+            self.task.cancel()
+        request = self.request
+        if isinstance(request, HttpRequest) and request.taken_bytes:
+            budget.give_back(request.taken_bytes)
+
+    def find_answer(self, build_answer: AnswerBuilder) -> HttpResponse:
+        """Return the answer if it is known, or build one.
+
+        :param build_answer: builds the answer to a request that has none.
+        """
+        if isinstance(self.request, BadRequest):
+            return build_refusal(self.request)
+        task = self.task
+        is_known = (
+            task is not None
+            and task.done()
+            and not task.cancelled()
+            and task.exception() is None
+        )
+        if task is None or not is_known:
+            return build_answer(self.request)
+        return task.result()
+
+
+async def await_answer(answer: Awaitable[HttpResponse]) -> HttpResponse:
+    """Await an answer, as the coroutine of a task."""
+    return await answer
--- a/merlintrail/transport/_server.py
+++ b/merlintrail/transport/_server.py
@@ -7,14 +7,14 @@
 
 from merlintrail.transport._body_budget import BodyBudget
 from merlintrail.transport._connection_end import EndCause
-from merlintrail.transport._message import HttpRequest, HttpResponse
-from merlintrail.transport._request_parser import ServerLimits
-from merlintrail.transport._server_connection import (
+from merlintrail.transport._connection_group import (
     ConnectionGroup,
     RequestHandler,
-    ServerConnection,
     ServerReports,
 )
+from merlintrail.transport._message import HttpRequest, HttpResponse
+from merlintrail.transport._request_parser import ServerLimits
+from merlintrail.transport._server_connection import ServerConnection
 
 #: Connections that wait to be accepted.
 BACKLOG: Final = 1024
