Answer requests behind an answer that is read slowly when a stop is over

Callers saw: a closed connection in place of an answer, for requests at work, or answered already, behind one that a far caller still reads when the time of a stop is over. Cause: such a connection was left alone, so as not to write into another answer, and closed with the process. The answer that waits for room is known to the connection now: it and those behind it are written in order behind what is unsent.

--- a/merlintrail/transport/_server_connection.py
+++ b/merlintrail/transport/_server_connection.py
@@ -155,16 +155,18 @@
     def answer_unfinished(self, build_answer: AnswerBuilder) -> None:
         """Answer the requests that are still being served, and close.
 
-        Connections with an answer that waits to be written are left alone.
+        Their answers are written behind what the caller has not taken yet.
         """
         unanswered = self._list_unanswered()
-        if not unanswered or self._task is None or self._drained is not None:
+        if not unanswered or self._task is None:
             return
+        held = self._answer
         self._task.cancel()
         self._current = None
         self._pending.clear()
         for pending in unanswered:
-            answer = pending.find_answer(build_answer)
+            answer = held or pending.find_answer(build_answer)
+            held = None
             self._write_answer(pending, answer, is_stopping=True)
             pending.drop(self._server.budget)
 
@@ -195,15 +197,14 @@
             self._answer = await self._respond(self._current)
             while self._drained is not None:
                 await self._drained
+            answer = self._answer
+            self._answer = None
             self._write_answer(
-                self._current,
-                self._answer,
-                is_stopping=self._server.is_closing,
+                self._current, answer, is_stopping=self._server.is_closing
             )
             self._current.drop(self._server.budget)
             # An idle connection does not keep the last messages.
             self._current = None
-            self._answer = None
 
     async def _respond(self, pending: PendingRequest) -> HttpResponse:
         request = pending.request
