Let a handler that fails cost its request alone

Callers saw: closed connections, for all requests that were on their way on a connection, when one of them met an unexpected error, or when something that it waited for was cancelled. Cause: the exception ended the task of the connection, which cancelled the others. Now the failing request is answered with 500 (internal-error, may have run), the error is logged with the request's id and counted, and the connection goes on.

--- a/merlintrail/node/_connections.py
+++ b/merlintrail/node/_connections.py
@@ -1,13 +1,14 @@
 """The servers of a node and what their connections still have to send."""
 
-from collections.abc import Callable
-from typing import Final
+from typing import Final, Protocol
 
 from merlintrail.node._connection_ends import ConnectionEnds
-from merlintrail.observability import log_decision
+from merlintrail.observability import describe_error, log_decision
 from merlintrail.protocol import (
     CALL_HEADER,
     DecodeFailure,
+    Outcome,
+    Reason,
     decode_call_header,
 )
 from merlintrail.state import CallerLimits
@@ -19,6 +20,7 @@
     HttpServer,
     ServerLimits,
     ServerReports,
+    build_failure,
 )
 
 #: Bytes that nodes may add to the headers of a call.
@@ -43,33 +45,56 @@
 PEER_LIMITS: Final = build_peer_limits(ServerLimits())
 
 
+class CallerAnswers(Protocol):
+    """Answers to callers whose requests are not served to their end."""
+
+    def read_request_id(self, request: HttpRequest) -> str | None:
+        """Return the identifier that the caller gave to a request."""
+
+    def build_last_answer(self, request: HttpRequest) -> HttpResponse:
+        """Build the answer to a request that does not end before the process."""
+
+    def build_failure(
+        self, request: HttpRequest, error: BaseException
+    ) -> HttpResponse:
+        """Build the answer to a request that an unexpected error ended."""
+
+
 class NodeServers:
     """Servers for callers, the backend server and other nodes."""
 
     def __init__(
         self,
-        build_last_answer: Callable[[HttpRequest], HttpResponse],
-        read_request_id: Callable[[HttpRequest], str | None],
+        caller_answers: CallerAnswers,
     ) -> None:
         """Initialize without servers.
 
-        :param build_last_answer: builds the answer to a caller whose request
-            has not ended when the node does.
-        :param read_request_id: reads the identifier of a caller's request.
+        :param caller_answers: answers to callers whose requests are not
+            served to their end.
         """
-        self._build_last_answer = build_last_answer
+        self._caller_answers = caller_answers
         #: Servers for callers and the backend server.
         self.callers: list[HttpServer] = []
         #: Servers for other nodes.
         self.peers: list[HttpServer] = []
         #: Room for the bodies of all requests.
         self.budget = BodyBudget()
-        self.caller_ends = ConnectionEnds('caller', read_request_id)
+        self.caller_ends = ConnectionEnds(
+            'caller', caller_answers.read_request_id
+        )
         self.peer_ends = ConnectionEnds('node', _read_call_request_id)
 
     def build_caller_reports(self) -> ServerReports:
         """Build what the server for callers reports."""
-        return ServerReports(_log_bad_request, self.caller_ends.record)
+        return ServerReports(
+            self._caller_answers.build_failure,
+            _log_bad_request,
+            self.caller_ends.record,
+        )
+
+    def build_peer_reports(self) -> ServerReports:
+        """Build what the server for other nodes reports."""
+        return ServerReports(_answer_peer_failure, end=self.peer_ends.record)
 
     def apply_limits(self, limits: CallerLimits) -> None:
         """Apply the limits of a configuration to all connections."""
@@ -96,7 +121,7 @@
     def answer_unfinished(self) -> None:
         """Answer the callers that still wait, and close their connections."""
         for server in self.callers:
-            server.answer_unfinished(self._build_last_answer)
+            server.answer_unfinished(self._caller_answers.build_last_answer)
 
     def close(self) -> None:
         """Close all servers and their connections."""
@@ -111,6 +136,20 @@
     log_decision('refuse', reason=bad_request.reason)
 
 
+def _answer_peer_failure(
+    request: HttpRequest, error: BaseException
+) -> HttpResponse:
+    """Answer a call of another node, which takes it for one that may have run."""
+    log_decision(
+        'refuse',
+        request_id=_read_call_request_id(request),
+        reason=Reason.INTERNAL_ERROR.value,
+        outcome=Outcome.MAY_HAVE_RUN.value,
+        detail=describe_error(error),
+    )
+    return build_failure(request, error)
+
+
 def _read_call_request_id(request: HttpRequest) -> str | None:
     """Return the identifier of the request that a node's call belongs to."""
     header = decode_call_header(request.headers.get(CALL_HEADER, ''))
--- a/merlintrail/node/_ingress.py
+++ b/merlintrail/node/_ingress.py
@@ -16,7 +16,11 @@
 from merlintrail.node._keyed import KeyedCalls
 from merlintrail.node._resolution import Resolution, Resolver
 from merlintrail.node._suspect_quarantine import SuspectQuarantine
-from merlintrail.observability import NodeMetrics, log_decision
+from merlintrail.observability import (
+    NodeMetrics,
+    describe_error,
+    log_decision,
+)
 from merlintrail.protocol import (
     CallerHeaders,
     Dialect,
@@ -138,10 +142,28 @@
 
     def build_last_answer(self, request: HttpRequest) -> HttpResponse:
         """Build the answer to a request that does not end before the process."""
-        headers = self._deps.dialect.read_caller(request)
-        request_id = headers.request_id or create_id(self._deps.rng)
-        refusal = Refusal(Outcome.MAY_HAVE_RUN, Reason.NODE_STOPPED)
-        self._log_refusal(request_id, request.target, refusal)
+        return self._refuse_begun(request, Reason.NODE_STOPPED)
+
+    def build_failure(
+        self, request: HttpRequest, error: BaseException
+    ) -> HttpResponse:
+        """Build the answer to a request that an unexpected error ended."""
+        return self._refuse_begun(
+            request, Reason.INTERNAL_ERROR, describe_error(error)
+        )
+
+    def _refuse_begun(
+        self, request: HttpRequest, reason: Reason, detail: str = ''
+    ) -> HttpResponse:
+        """Refuse a request that may have run.
+
+        :param detail: for the log only.
+        """
+        request_id = self.read_request_id(request) or create_id(self._deps.rng)
+        refusal = Refusal(Outcome.MAY_HAVE_RUN, reason)
+        self._log_refusal(
+            request_id, request.target, refusal._replace(detail=detail)
+        )
         return self._build_response(refusal, request_id)
 
     async def _resolve(
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -54,7 +54,7 @@
     ServiceOffer,
 )
 from merlintrail.state.repeats import SlotRight
-from merlintrail.transport import ServerReports, start_server
+from merlintrail.transport import start_server
 
 #: Seconds between checks of the backend servers' readiness and of the member
 #: table.
@@ -140,7 +140,7 @@
                 port,
                 limits=PEER_LIMITS,
                 budget=self._servers.budget,
-                reports=ServerReports(end=self._servers.peer_ends.record),
+                reports=self._servers.build_peer_reports(),
             )
         )
         host, port = split_host_port(self.settings.call_address)
@@ -368,9 +368,7 @@
 
     def _create_services(self) -> None:
         settings = self.settings
-        self._servers = NodeServers(
-            self.ingress.build_last_answer, self.ingress.read_request_id
-        )
+        self._servers = NodeServers(self.ingress)
         self.lifecycle = Lifecycle(
             LifecycleDependencies(
                 settings.instance,
--- a/merlintrail/node/tests/test_caller_limits.py
+++ b/merlintrail/node/tests/test_caller_limits.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from merlintrail.node._connections import PEER_LIMITS, NodeServers
+from merlintrail.node.tests.caller_answers import FakeCallerAnswers
 from merlintrail.state import CallerLimits
 from merlintrail.transport import HttpRequest, HttpResponse, start_server
 
@@ -23,9 +24,7 @@
 
     async def test_upload_within_the_configured_limit_is_refused(self) -> None:
         """Servers for callers and nodes take it, on open connections too."""
-        servers = NodeServers(
-            lambda _: HttpResponse(504, (), b''), lambda _: None
-        )
+        servers = NodeServers(FakeCallerAnswers())
         for group, limits in (
             (servers.callers, None),
             (servers.peers, PEER_LIMITS),
--- a/merlintrail/node/tests/test_lifecycle.py
+++ b/merlintrail/node/tests/test_lifecycle.py
@@ -6,6 +6,7 @@
 from merlintrail.node import Node
 from merlintrail.node._connections import NodeServers
 from merlintrail.node._lifecycle import EXIT_RESERVE_SHARE, Lifecycle
+from merlintrail.node.tests.caller_answers import FakeCallerAnswers
 from merlintrail.node.tests.session import (
     BackendHandler,
     Session,
@@ -185,7 +186,7 @@
     """Servers with one connection that is busy until a time."""
 
     def __init__(self, busy_until: float) -> None:
-        super().__init__(lambda _: HttpResponse(504, (), b''), lambda _: None)
+        super().__init__(FakeCallerAnswers())
         self._busy_until = busy_until
         self.has_answered = False
 
--- a/merlintrail/observability/__init__.py
+++ b/merlintrail/observability/__init__.py
@@ -1,6 +1,7 @@
 """Structured logs and OpenTelemetry metrics of a node."""
 
 from merlintrail.observability._deferred import defer, run_deferred
+from merlintrail.observability._errors import describe_error
 from merlintrail.observability._logs import (
     JsonLinesHandler,
     create_logger,
@@ -20,6 +21,7 @@
     'create_logger',
     'create_metrics',
     'defer',
+    'describe_error',
     'log_decision',
     'open_log',
     'run_deferred',
--- a/merlintrail/platform/_dialect.py
+++ b/merlintrail/platform/_dialect.py
@@ -80,6 +80,7 @@
 _MAY_HAVE_RUN_STATUSES: Final[Mapping[Reason, int]] = {
     Reason.BACKEND_LOST: 502,
     Reason.BACKEND_REFUSED: 502,
+    Reason.INTERNAL_ERROR: 500,
 }
 _TIMEOUT_STATUS: Final = 504
 
--- a/merlintrail/protocol/_outcome.py
+++ b/merlintrail/protocol/_outcome.py
@@ -35,6 +35,8 @@
     DRAINING = 'draining'
     #: The process ended before the call did.
     NODE_STOPPED = 'node-stopped'
+    #: The node failed while it served the call.
+    INTERNAL_ERROR = 'internal-error'
     PLANNED_STOP = 'planned-stop'
     NO_BACKEND_SERVER = 'no-backend-server'
     NO_CONFIGURATION = 'no-configuration'
@@ -85,6 +87,7 @@
     Reason.BACKEND_LOST: 502,
     Reason.PEER_LOST: 504,
     Reason.NODE_STOPPED: 504,
+    Reason.INTERNAL_ERROR: 500,
     Reason.KEY_TOO_OLD: 422,
     Reason.KEY_FROM_FUTURE: 422,
     Reason.KEY_IN_USE: 409,
--- a/merlintrail/transport/__init__.py
+++ b/merlintrail/transport/__init__.py
@@ -21,6 +21,7 @@
     encode_request,
     encode_response,
 )
+from merlintrail.transport._own_answers import build_failure
 from merlintrail.transport._pool import ConnectionPool, create_pool
 from merlintrail.transport._request_parser import ServerLimits
 from merlintrail.transport._server import HttpServer, start_server
@@ -44,6 +45,7 @@
     'ServerLimits',
     'ServerReports',
     'TransportFailure',
+    'build_failure',
     'create_pool',
     'encode_request',
     'encode_response',
--- a/merlintrail/transport/_connection_group.py
+++ b/merlintrail/transport/_connection_group.py
@@ -7,6 +7,7 @@
 from merlintrail.transport._body_budget import BodyBudget
 from merlintrail.transport._connection_end import ConnectionEnd
 from merlintrail.transport._message import HttpRequest, HttpResponse
+from merlintrail.transport._own_answers import build_failure
 from merlintrail.transport._request_parser import ServerLimits
 
 if TYPE_CHECKING:
@@ -26,6 +27,11 @@
 class ServerReports(NamedTuple):
     """What a server reports to its owner."""
 
+    #: Called for each handler that failed; builds the answer to its request.
+    failure: Callable[[HttpRequest, BaseException], HttpResponse] = (
+        build_failure
+    )
+
     #: Called for each invalid request.
     bad_request: Callable[[BadRequest], None] = _ignore_bad_request
     #: Called when a connection ends with something left undelivered.
--- a/merlintrail/transport/_pending_request.py
+++ b/merlintrail/transport/_pending_request.py
@@ -35,8 +35,8 @@
 
         :param budget: room for the bodies of all requests.
         """
-        if self.task is not None:
-            self.task.cancel()
+        if self.task is not None and not self.task.cancel():
+            _take_exception(self.task)
         request = self.request
         if isinstance(request, HttpRequest) and request.taken_bytes:
             budget.give_back(request.taken_bytes)
@@ -60,6 +60,12 @@
         return task.result()
 
 
+def _take_exception(task: 'asyncio.Task[HttpResponse]') -> None:
+    """Take the exception of a task that ended, which is not needed."""
+    if not task.cancelled():
+        task.exception()
+
+
 async def await_answer(answer: Awaitable[HttpResponse]) -> HttpResponse:
     """Await an answer, as the coroutine of a task."""
     return await answer
--- a/merlintrail/transport/_server_connection.py
+++ b/merlintrail/transport/_server_connection.py
@@ -207,13 +207,22 @@
             self._current = None
 
     async def _respond(self, pending: PendingRequest) -> HttpResponse:
+        """Await the answer; a handler that fails costs this request alone."""
         request = pending.request
         if isinstance(request, BadRequest):
             self._server.reports.bad_request(request)
             return build_refusal(request)
-        if pending.task is not None:
-            return await pending.task
-        return await self._server.handler(request)
+        try:
+            if pending.task is not None:
+                return await pending.task
+            return await self._server.handler(request)
+        except asyncio.CancelledError as cancellation:
+            if self._task is None or self._task.cancelling():
+                raise
+            failure: BaseException = cancellation
+        except Exception as error:
+            failure = error
+        return self._server.reports.failure(request, failure)
 
     async def _receive(self) -> None:
         """Wait for a request, or for the end of the idle time."""
