Count the idle time from the moment at which the caller has the answer

Callers saw: a closed connection in place of an answer to a request that they send on a kept connection well within the idle time after reading an answer slowly. Cause: the time counted from the moment at which the answer was buffered. In calm this costs a second timer and one call to the kernel in an idle time.

--- a/merlintrail/transport/_idle_timer.py
+++ b/merlintrail/transport/_idle_timer.py
@@ -2,14 +2,22 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Final
 
 from merlintrail.transport._connection_group import ConnectionGroup
 from merlintrail.transport._connection_state import ConnectionState
 
 
+#: Parts of the idle time at whose ends a caller is asked what it has taken.
+CHECKS: Final = 8
+
+
 class IdleTimer:
     """Reports that a connection was idle for too long.
 
+    The time counts from the moment at which the caller has taken the last
+    answer, as far as the checks tell.
+
     One timer covers many requests, since cancelling a timer for each of them
     costs the event loop an additional iteration.
     """
@@ -18,22 +26,25 @@
         self,
         server: ConnectionGroup,
         state: ConnectionState,
+        count_untaken: Callable[[], int],
         on_idle: Callable[[], None],
     ) -> None:
         """Initialize a timer that does not run.
 
+        :param count_untaken: returns the bytes that the caller has not taken.
         :param on_idle: called when the idle time is over.
         """
         self._loop = asyncio.get_running_loop()
         self._server = server
         self._state = state
+        self._count_untaken = count_untaken
         self._on_idle = on_idle
         self._timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         """Start the timer unless it runs."""
         if self._timer is None:
-            self._check()
+            self._wait(self._server.limits.idle_timeout_s / CHECKS)
 
     def stop(self) -> None:
         """Stop the timer."""
@@ -45,9 +56,15 @@
         self._timer = None
         if self._state.is_busy:
             return
+        self._state.record_untaken(self._count_untaken(), self._loop.time())
+        limit_s = self._server.limits.idle_timeout_s
         idle_s = self._loop.time() - self._state.idle_since
-        remaining_s = self._server.limits.idle_timeout_s - idle_s
-        if remaining_s <= 0:
+        if idle_s >= limit_s:
             self._on_idle()
             return
-        self._timer = self._loop.call_later(remaining_s, self._check)
+        first_check_s = limit_s / CHECKS
+        due_s = first_check_s if idle_s < first_check_s else limit_s
+        self._wait(due_s - idle_s)
+
+    def _wait(self, delay_s: float) -> None:
+        self._timer = self._loop.call_later(delay_s, self._check)
--- a/merlintrail/transport/_server_connection.py
+++ b/merlintrail/transport/_server_connection.py
@@ -63,7 +63,12 @@
         self._receive_timer = ReceiveTimer(
             self._loop, self._parser, self._enqueue
         )
-        self._idle_timer = IdleTimer(server, self._state, self._wake)
+        self._idle_timer = IdleTimer(
+            server,
+            self._state,
+            lambda: count_untaken_bytes(self._transport),
+            self._wake,
+        )
         self._hand_over = HandOver(self._state)
         #: Why the connection ends, ``None`` until something ends it.
         self._end_cause: EndCause | None = None
