Let the idle time not run while a request arrives

Callers saw: a closed connection within an upload that takes longer than the idle time, though its bytes arrive. Found by reading, in the search for the class: the idle timer ran from the last answer on, whatever arrived. Now it starts anew while a request arrives; the limits on headers and bodies bound that. test_idle_time_runs_out_while_a_body_arrives failed before (no answer in place of a 200).

--- a/merlintrail/transport/_idle_timer.py
+++ b/merlintrail/transport/_idle_timer.py
@@ -6,6 +6,7 @@
 
 from merlintrail.transport._connection_group import ConnectionGroup
 from merlintrail.transport._connection_state import ConnectionState
+from merlintrail.transport._request_parser import RequestParser
 
 
 #: Parts of the idle time at whose ends a caller is asked what it has taken.
@@ -16,7 +17,8 @@
     """Reports that a connection was idle for too long.
 
     The time counts from the moment at which the caller has taken the last
-    answer, as far as the checks tell.
+    answer, as far as the checks tell, and does not run while a request
+    arrives, which has time limits of its own.
 
     One timer covers many requests, since cancelling a timer for each of them
     costs the event loop an additional iteration.
@@ -26,6 +28,7 @@
         self,
         server: ConnectionGroup,
         state: ConnectionState,
+        parser: RequestParser,
         count_untaken: Callable[[], int],
         on_idle: Callable[[], None],
     ) -> None:
@@ -37,6 +40,7 @@
         self._loop = asyncio.get_running_loop()
         self._server = server
         self._state = state
+        self._parser = parser
         self._count_untaken = count_untaken
         self._on_idle = on_idle
         self._timer: asyncio.TimerHandle | None = None
@@ -56,9 +60,12 @@
         self._timer = None
         if self._state.is_busy:
             return
-        self._state.record_untaken(self._count_untaken(), self._loop.time())
+        now = self._loop.time()
+        self._state.record_untaken(self._count_untaken(), now)
+        if self._parser.is_receiving:
+            self._state.idle_since = now
         limit_s = self._server.limits.idle_timeout_s
-        idle_s = self._loop.time() - self._state.idle_since
+        idle_s = now - self._state.idle_since
         if idle_s >= limit_s:
             self._on_idle()
             return
--- a/merlintrail/transport/_server_connection.py
+++ b/merlintrail/transport/_server_connection.py
@@ -66,6 +66,7 @@
         self._idle_timer = IdleTimer(
             server,
             self._state,
+            self._parser,
             lambda: count_untaken_bytes(self._transport),
             self._wake,
         )
--- a/merlintrail/transport/tests/test_slow_callers.py
+++ b/merlintrail/transport/tests/test_slow_callers.py
@@ -141,6 +141,20 @@
         received = await caller.read_all(limit_s=2)
         self.assertTrue(received.payload.endswith(b'\r\n\r\n/2'), received)
 
+    async def test_idle_time_runs_out_while_a_body_arrives(self) -> None:
+        """The limits on a body apply to it, and it gets its answer."""
+        limits = ServerLimits(idle_timeout_s=0.4)
+        _, caller = await self._connect(_Handler({}).handle, limits)
+        caller.send(
+            b'POST /2 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n'
+            b'content-length: 4\r\n\r\n'
+        )
+        for _ in range(4):
+            await asyncio.sleep(0.6)
+            caller.send(b'x')
+        received = await caller.read_all(limit_s=2)
+        self.assertEqual(received.bodies, [b'/2'])
+
     async def _connect(
         self,
         handler: Callable[[HttpRequest], Awaitable[HttpResponse]],
