Drop callers that take no byte of an answer for 30 s

Operators would see: memory of a node that grows with callers that never read, or that close their sending half and never read, and whose connections nothing ended (up to 4 MiB each, and sixteen finished requests behind it). Found by reading, as the other side of waiting until an answer is taken. Now whatever is left to be taken is watched, on open connections too, and a caller that takes no byte for 30 s is dropped, which is logged (cause stalled). What was written for a caller that closes its sending half is handed over under the same watch, and its requests are dropped at once. Two tests failed before (the connections never ended); test_caller_that_closes_its_end_loses_a_written_answer guards what held already.

--- a/merlintrail/node/tests/test_connection_ends.py
+++ b/merlintrail/node/tests/test_connection_ends.py
@@ -15,4 +15,4 @@
         request = HttpRequest('GET', '/', {}, b'')
         for cause in EndCause:
             ends.record(ConnectionEnd(cause, (request,), 0))
-        self.assertEqual((ends.cut, ends.left), (2, 2))
+        self.assertEqual((ends.cut, ends.left), (2, 3))
--- a/merlintrail/transport/_connection_end.py
+++ b/merlintrail/transport/_connection_end.py
@@ -14,6 +14,8 @@
     CALLER = 'caller'
     #: The connection was reset, or its caller became unreachable.
     RESET = 'reset'
+    #: The caller took no byte of an answer for too long.
+    STALLED = 'stalled'
     #: This process closed it.
     NODE = 'node'
     #: This process ends.
--- a/merlintrail/transport/_connection_state.py
+++ b/merlintrail/transport/_connection_state.py
@@ -73,6 +73,7 @@
         #: Time from which the caller's close is awaited.
         self._awaiting_since = now
         self._input_at = now
+        self._has_caller_ended = False
 
     @property
     def is_open(self) -> bool:
@@ -124,6 +125,13 @@
         self.phase = ConnectionPhase.HANDING_OVER
         self._progress_at = now
 
+    def record_caller_end(self) -> None:
+        """Record that the caller has closed its end.
+
+        Its requests are dropped; what is written is still handed over.
+        """
+        self._has_caller_ended = True
+
     def ignore_input(self, count: int, now: float) -> bool:
         """Record input that is ignored.
 
@@ -146,13 +154,18 @@
         elif untaken_bytes:
             self._check_stall(now)
         elif self.phase == ConnectionPhase.HANDING_OVER:
-            self.phase = ConnectionPhase.AWAITING_CLOSE
-            self._awaiting_since = now
+            self._await_close(now)
 
     def close(self) -> None:
         """Record that the connection has ended."""
         self.phase = ConnectionPhase.CLOSED
 
+    def _await_close(self, now: float) -> None:
+        self.phase = ConnectionPhase.AWAITING_CLOSE
+        self._awaiting_since = now
+        if self._has_caller_ended:
+            self.close()
+
     def _check_linger(self, now: float) -> None:
         limits = self._limits
         quiet_s = now - max(self._awaiting_since, self._input_at)
--- a/merlintrail/transport/_hand_over.py
+++ b/merlintrail/transport/_hand_over.py
@@ -1,9 +1,12 @@
-"""End of a connection whose last answer is written."""
+"""Checks of what the caller of a connection has taken."""
 
 import asyncio
 from typing import Final
 
-from merlintrail.transport._connection_state import ConnectionState
+from merlintrail.transport._connection_state import (
+    ConnectionPhase,
+    ConnectionState,
+)
 from merlintrail.transport._send_queue import count_untaken_bytes
 
 #: Bounds in seconds of the interval between two checks of what the caller has
@@ -13,10 +16,10 @@
 
 
 class HandOver:
-    """Closes a connection once its caller has taken everything.
+    """Closes a connection whose caller has taken everything, or takes nothing.
 
-    Input is to be read and ignored meanwhile: closing with unread bytes resets
-    the connection, and what is still under way is lost.
+    Behind the last answer, input is to be read and ignored: closing with
+    unread bytes resets the connection, and what is still under way is lost.
     """
 
     def __init__(self, state: ConnectionState) -> None:
@@ -25,12 +28,18 @@
         self._interval_s = MIN_CHECK_INTERVAL_S
         self._timer: asyncio.TimerHandle | None = None
 
+    def watch(self, transport: asyncio.Transport) -> None:
+        """Check from now on, while something is left to be taken."""
+        if self._timer is None:
+            self._interval_s = MIN_CHECK_INTERVAL_S
+            self._check(transport)
+
     def start(self, transport: asyncio.Transport) -> None:
         """Announce the end, and check until the connection may be closed."""
         self._state.begin_end(self._loop.time())
-        transport.resume_reading()
         transport.write_eof()
-        self._check(transport)
+        self.stop()
+        self.watch(transport)
 
     def stop(self) -> None:
         """Check no more."""
@@ -39,12 +48,13 @@
             self._timer = None
 
     def _check(self, transport: asyncio.Transport) -> None:
+        self._timer = None
         untaken_bytes = count_untaken_bytes(transport)
         self._state.record_untaken(untaken_bytes, self._loop.time())
-        if not self._state.is_busy:
+        if self._state.phase == ConnectionPhase.CLOSED:
             transport.abort()
-            return
-        self._timer = self._loop.call_later(
-            self._interval_s, self._check, transport
-        )
-        self._interval_s = min(2 * self._interval_s, MAX_CHECK_INTERVAL_S)
+        elif untaken_bytes or self._state.is_ending:
+            self._timer = self._loop.call_later(
+                self._interval_s, self._check, transport
+            )
+            self._interval_s = min(2 * self._interval_s, MAX_CHECK_INTERVAL_S)
--- a/merlintrail/transport/_idle_timer.py
+++ b/merlintrail/transport/_idle_timer.py
@@ -29,19 +29,19 @@
         server: ConnectionGroup,
         state: ConnectionState,
         parser: RequestParser,
-        count_untaken: Callable[[], int],
+        watch_taken: Callable[[], None],
         on_idle: Callable[[], None],
     ) -> None:
         """Initialize a timer that does not run.
 
-        :param count_untaken: returns the bytes that the caller has not taken.
+        :param watch_taken: called to check what the caller has taken.
         :param on_idle: called when the idle time is over.
         """
         self._loop = asyncio.get_running_loop()
         self._server = server
         self._state = state
         self._parser = parser
-        self._count_untaken = count_untaken
+        self._watch_taken = watch_taken
         self._on_idle = on_idle
         self._timer: asyncio.TimerHandle | None = None
 
@@ -61,7 +61,7 @@
         if self._state.is_busy:
             return
         now = self._loop.time()
-        self._state.record_untaken(self._count_untaken(), now)
+        self._watch_taken()
         if self._parser.is_receiving:
             self._state.idle_since = now
         limit_s = self._server.limits.idle_timeout_s
--- a/merlintrail/transport/_request_parser.py
+++ b/merlintrail/transport/_request_parser.py
@@ -35,6 +35,8 @@
     idle_timeout_s: float = 75.0
     #: Seconds to receive a body after that, or the next part of a large one.
     body_timeout_s: float = 10.0
+    #: Seconds in which a caller has to take some bytes of an answer.
+    send_timeout_s: float = 30.0
 
 
 class RequestParser:
--- a/merlintrail/transport/_server_connection.py
+++ b/merlintrail/transport/_server_connection.py
@@ -7,7 +7,11 @@
 from merlintrail.transport._bad_request import BadRequest
 from merlintrail.transport._connection_end import ConnectionEnd, EndCause
 from merlintrail.transport._connection_group import ConnectionGroup
-from merlintrail.transport._connection_state import ConnectionState
+from merlintrail.transport._connection_state import (
+    ConnectionPhase,
+    ConnectionState,
+    EndLimits,
+)
 from merlintrail.transport._hand_over import HandOver
 from merlintrail.transport._idle_timer import IdleTimer
 from merlintrail.transport._message import (
@@ -45,7 +49,9 @@
     def __init__(self, server: ConnectionGroup) -> None:
         self._server = server
         self._loop = asyncio.get_running_loop()
-        self._state = ConnectionState(self._loop.time())
+        self._state = ConnectionState(
+            self._loop.time(), EndLimits(server.limits.send_timeout_s)
+        )
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._parser = RequestParser(server.limits, server.budget)
@@ -67,7 +73,7 @@
             server,
             self._state,
             self._parser,
-            lambda: count_untaken_bytes(self._transport),
+            self._watch_taken,
             self._wake,
         )
         self._hand_over = HandOver(self._state)
@@ -90,6 +96,8 @@
         """Cancel the requests of a caller that disconnected."""
         if exc is not None:
             self._end_cause = EndCause.RESET
+        elif self._state.phase == ConnectionPhase.CLOSED:
+            self._end_cause = EndCause.STALLED
         self.report_end(self._end_cause or EndCause.NODE)
         self._server.connections.discard(self)
         self._state.close()
@@ -108,23 +116,36 @@
         that ends the connection.
         """
         if not self._state.is_open:
-            self._ignore_input(len(data))
-            return
-        if len(self._pending) < MAX_PIPELINED:
+            may_read_on = self._state.ignore_input(len(data), self._loop.time())
+        elif len(self._pending) < MAX_PIPELINED:
             self._parse(data)
             return
-        self._backlog += data
-        is_full = len(self._backlog) > MAX_BACKLOG_BYTES
-        if is_full and self._transport is not None:
+        else:
+            self._backlog += data
+            may_read_on = len(self._backlog) <= MAX_BACKLOG_BYTES
+        if not may_read_on and self._transport is not None:
             self._transport.pause_reading()
 
-    def eof_received(self) -> None:
-        """Close the connection of a caller that has closed its end."""
+    def eof_received(self) -> bool:
+        """Drop the requests of a caller that has closed its end.
+
+        :returns: whether the connection is kept, to hand over what is written.
+        """
         self._end_cause = self._end_cause or EndCause.CALLER
+        self._state.record_caller_end()
+        transport = self._transport
+        if transport is None or not transport.get_write_buffer_size():
+            return False
+        if not self._state.is_ending:
+            self._end()
+        if self._task is not None:
+            self._task.cancel()
+        return True
 
     def pause_writing(self) -> None:
         """Hold back answers while the caller does not read."""
         self._drained = self._loop.create_future()
+        self._watch_taken()
 
     def resume_writing(self) -> None:
         """Continue to send answers."""
@@ -300,11 +321,6 @@
         if self._state.is_open:
             self._receive_timer.update()
 
-    def _ignore_input(self, count: int) -> None:
-        may_read_on = self._state.ignore_input(count, self._loop.time())
-        if not may_read_on and self._transport is not None:
-            self._transport.pause_reading()
-
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
@@ -318,8 +334,14 @@
             return
         self._receive_timer.stop()
         self._backlog.clear()
+        if self._end_cause != EndCause.CALLER:
+            transport.resume_reading()
         self._hand_over.start(transport)
 
+    def _watch_taken(self) -> None:
+        if self._transport is not None:
+            self._hand_over.watch(self._transport)
+
     def _write(self, payload: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(payload)
--- a/merlintrail/transport/tests/slow_callers.py
+++ b/merlintrail/transport/tests/slow_callers.py
@@ -55,6 +55,10 @@
         """Send bytes."""
         self._writer.write(payload)
 
+    def send_end(self) -> None:
+        """Close the sending half of the connection."""
+        self._writer.write_eof()
+
     async def drain(self) -> None:
         """Wait until most of what was sent has left."""
         await self._writer.drain()
--- a/merlintrail/transport/tests/test_slow_callers.py
+++ b/merlintrail/transport/tests/test_slow_callers.py
@@ -155,6 +155,46 @@
         received = await caller.read_all(limit_s=2)
         self.assertEqual(received.bodies, [b'/2'])
 
+    async def test_caller_that_never_reads_is_kept(self) -> None:
+        """It takes no byte for the time to send, with or without an end."""
+        limits = ServerLimits(send_timeout_s=0.6)
+        for headers in ('', 'connection: close\r\n'):
+            server, caller = await self._connect(_answer_large, limits)
+            caller.send(build_request(1, headers))
+            await asyncio.sleep(0.3)
+            self.assertEqual(len(server.connections), 1)
+            await self._wait_for_end(server)
+
+    async def test_caller_that_closes_its_end_and_never_reads_is_kept(
+        self,
+    ) -> None:
+        """The same bound holds for what it does not take."""
+        limits = ServerLimits(send_timeout_s=0.6)
+        server, caller = await self._connect(_answer_large, limits)
+        caller.send(build_request(1))
+        await asyncio.sleep(0.1)
+        caller.send_end()
+        await asyncio.sleep(0.2)
+        self.assertEqual(len(server.connections), 1)
+        await self._wait_for_end(server)
+
+    async def test_caller_that_closes_its_end_loses_a_written_answer(
+        self,
+    ) -> None:
+        """It reads slowly what was written before."""
+        server, caller = await self._connect(_answer_large)
+        caller.send(build_request(1))
+        await asyncio.sleep(0.1)
+        caller.send_end()
+        received = await caller.read_all(0.01)
+        self.assertEqual((received.bodies, received.error), ([_LARGE], ''))
+        await self._wait_for_end(server)
+
+    async def _wait_for_end(self, server: HttpServer) -> None:
+        async with asyncio.timeout(5):
+            while server.connections:
+                await asyncio.sleep(0.05)
+
     async def _connect(
         self,
         handler: Callable[[HttpRequest], Awaitable[HttpResponse]],
