--- a/merlintrail/transport/_server_connection.py
+++ b/merlintrail/transport/_server_connection.py
@@ -115,14 +115,14 @@
         Bytes are kept while too many requests wait, and ignored behind one
         that ends the connection.
         """
-        if not self._state.is_open:
-            may_read_on = self._state.ignore_input(len(data), self._loop.time())
-        elif len(self._pending) < MAX_PIPELINED:
+        if self._state.is_open and len(self._pending) < MAX_PIPELINED:
             self._parse(data)
             return
-        else:
+        if self._state.is_open:
             self._backlog += data
             may_read_on = len(self._backlog) <= MAX_BACKLOG_BYTES
+        else:
+            may_read_on = self._state.ignore_input(len(data), self._loop.time())
         if not may_read_on and self._transport is not None:
             self._transport.pause_reading()
 
