Free a connection when it has ended

Operators would see: memory that grows with connections that come and go, until the collector of cycles runs, every 50,000 allocations. Timers drop what they refer to when the connection ends, and the connection drops its task.

--- a/merlintrail/transport/_hand_over.py
+++ b/merlintrail/transport/_hand_over.py
@@ -25,36 +25,41 @@
     def __init__(self, state: ConnectionState) -> None:
         self._loop = asyncio.get_running_loop()
         self._state = state
+        #: Transport of the connection, once it is made.
+        self.transport: asyncio.Transport | None = None
         self._interval_s = MIN_CHECK_INTERVAL_S
         self._timer: asyncio.TimerHandle | None = None
 
-    def watch(self, transport: asyncio.Transport) -> None:
+    def watch(self) -> None:
         """Check from now on, while something is left to be taken."""
         if self._timer is None:
             self._interval_s = MIN_CHECK_INTERVAL_S
-            self._check(transport)
+            self._check()
 
-    def start(self, transport: asyncio.Transport) -> None:
-        """Announce the end, and check until the connection may be closed."""
+    def start(self) -> None:
+        """Check until the connection, whose end is announced, may be closed."""
         self._state.begin_end(self._loop.time())
-        transport.write_eof()
-        self.stop()
-        self.watch(transport)
+        self._stop()
+        self.watch()
 
-    def stop(self) -> None:
-        """Check no more."""
+    def close(self) -> None:
+        """Check no more, and drop the reference to the connection."""
+        self._stop()
+        self.transport = None
+
+    def _stop(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
-    def _check(self, transport: asyncio.Transport) -> None:
+    def _check(self) -> None:
         self._timer = None
-        untaken_bytes = count_untaken_bytes(transport)
+        if self.transport is None:
+            return
+        untaken_bytes = count_untaken_bytes(self.transport)
         self._state.record_untaken(untaken_bytes, self._loop.time())
         if self._state.phase == ConnectionPhase.CLOSED:
-            transport.abort()
+            self.transport.abort()
         elif untaken_bytes or self._state.is_ending:
-            self._timer = self._loop.call_later(
-                self._interval_s, self._check, transport
-            )
+            self._timer = self._loop.call_later(self._interval_s, self._check)
             self._interval_s = min(2 * self._interval_s, MAX_CHECK_INTERVAL_S)
--- a/merlintrail/transport/_idle_timer.py
+++ b/merlintrail/transport/_idle_timer.py
@@ -50,11 +50,11 @@
         if self._timer is None:
             self._wait(self._server.limits.idle_timeout_s / CHECKS)
 
-    def stop(self) -> None:
-        """Stop the timer."""
+    def close(self) -> None:
+        """Stop for good, and drop the references to the connection."""
         if self._timer is not None:
             self._timer.cancel()
-            self._timer = None
+        del self._on_idle
 
     def _check(self) -> None:
         self._timer = None
--- a/merlintrail/transport/_receive_timer.py
+++ b/merlintrail/transport/_receive_timer.py
@@ -48,6 +48,11 @@
             self._timer.cancel()
             self._timer = None
 
+    def close(self) -> None:
+        """Stop for good, and drop the references to the connection."""
+        self.stop()
+        del self._refuse
+
     def _check(self, received_bytes: int | None = None) -> None:
         """Refuse the request unless it is in time.
 
--- a/merlintrail/transport/_server_connection.py
+++ b/merlintrail/transport/_server_connection.py
@@ -69,14 +69,14 @@
         self._receive_timer = ReceiveTimer(
             self._loop, self._parser, self._enqueue
         )
+        self._hand_over = HandOver(self._state)
         self._idle_timer = IdleTimer(
             server,
             self._state,
             self._parser,
-            self._watch_taken,
+            self._hand_over.watch,
             self._wake,
         )
-        self._hand_over = HandOver(self._state)
         #: Why the connection ends, ``None`` until something ends it.
         self._end_cause: EndCause | None = None
         self._has_reported_end = False
@@ -87,6 +87,7 @@
         """Start the task that serves the connection."""
         transport = cast(asyncio.Transport, transport)
         self._transport = transport
+        self._hand_over.transport = transport
         peer = transport.get_extra_info('peername')
         self._parser.remote_host = str(peer[0]) if peer else ''
         self._server.connections.add(self)
@@ -101,11 +102,12 @@
         self.report_end(self._end_cause or EndCause.NODE)
         self._server.connections.discard(self)
         self._state.close()
-        self._receive_timer.stop()
-        self._idle_timer.stop()
-        self._hand_over.stop()
+        self._receive_timer.close()
+        self._idle_timer.close()
+        self._hand_over.close()
         if self._task is not None:
             self._task.cancel()
+            self._task = None
         self._parser.close()
         self._transport = None
 
@@ -145,7 +147,7 @@
     def pause_writing(self) -> None:
         """Hold back answers while the caller does not read."""
         self._drained = self._loop.create_future()
-        self._watch_taken()
+        self._hand_over.watch()
 
     def resume_writing(self) -> None:
         """Continue to send answers."""
@@ -231,6 +233,7 @@
             )
             self._current.drop(self._server.budget)
             # An idle connection does not keep the last messages.
+            del answer
             self._current = None
 
     async def _respond(self, pending: PendingRequest) -> HttpResponse:
@@ -336,11 +339,8 @@
         self._backlog.clear()
         if self._end_cause != EndCause.CALLER:
             transport.resume_reading()
-        self._hand_over.start(transport)
-
-    def _watch_taken(self) -> None:
-        if self._transport is not None:
-            self._hand_over.watch(self._transport)
+        transport.write_eof()
+        self._hand_over.start()
 
     def _write(self, payload: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
--- a/merlintrail/transport/tests/test_connection_end.py
+++ b/merlintrail/transport/tests/test_connection_end.py
@@ -1,8 +1,10 @@
 """Ends of connections that leave something undelivered are reported."""
 
 import asyncio
+import gc
 import socket
 import unittest
+import weakref
 from typing import Final
 
 from merlintrail.transport import (
@@ -74,6 +76,21 @@
         self.server.close()
         self.assertEqual(self.ends, [])
 
+    async def test_ended_connection_stays_in_memory(self) -> None:
+        """It is freed without the garbage collector, which runs rarely."""
+
+        async def answer(_: HttpRequest) -> HttpResponse:
+            return HttpResponse(200, (), b'')
+
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        writer = await self._connect(answer)
+        ended = weakref.ref(next(iter(self.server.connections)))
+        writer.close()
+        await asyncio.sleep(0.2)
+        self.assertIsNone(ended())
+
     async def _connect(self, handler: object) -> asyncio.StreamWriter:
         self.server = await start_server(
             handler,  # type: ignore[arg-type]
--- a/merlintrail/transport/tests/test_held_bodies.py
+++ b/merlintrail/transport/tests/test_held_bodies.py
@@ -115,6 +115,32 @@
         _run_traced(scenario())
         self.assertLess(self.held_bytes, _HELD_BYTES)
 
+    def test_idle_connection_of_a_caller_keeps_its_answer(self) -> None:
+        """The answer is gone once its caller has taken it."""
+
+        async def send_large(_: HttpRequest) -> HttpResponse:
+            return HttpResponse(200, (), _BODY[:-1] + b'y')
+
+        async def scenario() -> None:
+            server = await start_server(send_large, '127.0.0.1', 0)
+            writers = []
+            for _ in range(_MESSAGES):
+                reader, writer = await asyncio.open_connection(
+                    '127.0.0.1', server.port
+                )
+                writer.write(b'GET /x HTTP/1.1\r\nhost: a\r\n\r\n')
+                await reader.readuntil(b'\r\n\r\n')
+                await reader.readexactly(len(_BODY))
+                writers.append(writer)
+            await asyncio.sleep(0.1)
+            self.held_bytes = tracemalloc.get_traced_memory()[0]
+            for writer in writers:
+                writer.close()
+            server.close()
+
+        _run_traced(scenario())
+        self.assertLess(self.held_bytes, _HELD_BYTES)
+
     def test_body_in_tiny_parts_takes_many_times_its_size(self) -> None:
         """Its memory follows its bytes."""
         tracemalloc.start()
