Wait for callers to take the last answers before the process ends

Callers saw: an answer that ends early when the time of a stop is over, as the process left 0.1 s after it had written the last answers, whether they were taken or not. Now it waits for them, beside the notice to its neighbours, for a twentieth of the grace period; new requests of callers are refused from then on, also in a drain without a grace period, whose connections are told to close like those of SIGTERM. What is still not taken is logged.

--- a/merlintrail/node/_lifecycle.py
+++ b/merlintrail/node/_lifecycle.py
@@ -1,8 +1,8 @@
 """Draining and shutdown of a node, on a signal or for a planned stop."""
 
 import asyncio
-from collections.abc import Callable
-from typing import Final, NamedTuple
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, NamedTuple
 
 from merlintrail.coordination import Heartbeats, Membership
 from merlintrail.node._backend_gateway import BackendGateway
@@ -31,8 +31,12 @@
 #: Share of the grace period that is kept in reserve for the end of the
 #: process.
 EXIT_RESERVE_SHARE: Final = 0.15
-#: Seconds for the last answers to leave.
-LAST_ANSWERS_S: Final = 0.1
+#: Seconds between checks whether callers have taken the last answers.
+DELIVERY_CHECK_INTERVAL_S: Final = 0.05
+#: Share of the grace period for callers to take the last answers.
+LAST_ANSWERS_SHARE: Final = 0.05
+#: Seconds for callers to take the last answers without a grace period.
+LAST_ANSWERS_S: Final = 2.0
 #: Timeout in seconds for notifying the neighbours of the departure.
 DEPARTURE_NOTICE_TIMEOUT_S: Final = 0.25
 #: Longest wait in seconds for running calls when a node drains without a
@@ -77,8 +81,8 @@
     def start_drain(self, reason: str) -> None:
         """Refuse calls to the local backend server and stop once idle."""
         if self._drain is None:
-            log_decision('drain', instance=self._deps.instance, reason=reason)
-            self._drain = asyncio.create_task(self._drain_and_stop())
+            self._log_drain(reason)
+            self._begin(self._drain_and_stop())
 
     def start_shutdown(self, reason: str, grace_s: float) -> None:
         """Shut down within a grace period and let running calls finish.
@@ -95,7 +99,12 @@
                 grace_s=grace_s,
             )
             self.is_shutting_down = True
-            self._drain = asyncio.create_task(self._shut_down_within(grace_s))
+            self._begin(self._shut_down_within(grace_s))
+
+    def _begin(self, drain: Coroutine[Any, Any, None]) -> None:
+        """Close connections behind their answers, and drain."""
+        self._deps.servers.close_after_answers()
+        self._drain = asyncio.create_task(drain)
 
     def _check_planned_stop(self) -> None:
         configuration = self._deps.holder.current
@@ -134,42 +143,66 @@
         self._deps.gateway.is_draining = True
         self._deps.ingress.is_closed = True
         await self._end_when_idle(
-            grace_s * (1 - SERVING_SHARE - EXIT_RESERVE_SHARE)
+            grace_s * (1 - SERVING_SHARE - EXIT_RESERVE_SHARE),
+            grace_s * LAST_ANSWERS_SHARE,
         )
 
     async def _drain_and_stop(self) -> None:
         self._deps.gateway.is_draining = True
         self._deps.membership.update_own(status=MemberStatus.DRAINING)
         await asyncio.sleep(DRAIN_PROPAGATION_S)
-        await self._end_when_idle(MAX_DRAIN_S)
+        await self._end_when_idle(MAX_DRAIN_S, LAST_ANSWERS_S)
 
-    async def _end_when_idle(self, limit_s: float) -> None:
-        try:
-            async with asyncio.timeout(limit_s):
-                await self._wait_until_idle()
-        except TimeoutError:
-            log_decision(
-                'drain',
-                instance=self._deps.instance,
-                reason=f'calls still running after {limit_s:.1f} s',
-            )
-            await self._answer_unfinished()
+    async def _end_when_idle(self, limit_s: float, last_s: float) -> None:
+        """Stop once nothing runs, or when the time is over.
+
+        :param limit_s: seconds for running calls.
+        :param last_s: seconds for callers to take the last answers.
+        """
+        servers = self._deps.servers
+        if not await self._try_within(limit_s, self._wait_until_idle()):
+            self._log_drain(f'calls still running after {limit_s:.1f} s')
+            servers.answer_unfinished()
+        self._deps.ingress.is_closed = True
         self._deps.membership.update_own(status=MemberStatus.LEFT)
-        try:
-            async with asyncio.timeout(DEPARTURE_NOTICE_TIMEOUT_S):
-                await self._deps.heartbeats.flush_outboxes()
-        except TimeoutError:
-            log_decision(
-                'drain',
-                instance=self._deps.instance,
-                reason='neighbours did not answer the departure notice',
+        has_notified, has_delivered = await asyncio.gather(
+            self._try_within(
+                DEPARTURE_NOTICE_TIMEOUT_S,
+                self._deps.heartbeats.flush_outboxes(),
+            ),
+            self._try_within(last_s, self._wait_until_delivered()),
+        )
+        if not has_notified:
+            self._log_drain('neighbours did not answer the departure notice')
+        if not has_delivered:
+            self._log_drain(
+                f'callers take answers still after {last_s:.1f} s',
+                servers.count_busy(),
             )
         self.stopped.set()
 
-    async def _answer_unfinished(self) -> None:
-        """Tell callers that wait, and give the answers time to leave."""
-        self._deps.servers.answer_unfinished()
-        await asyncio.sleep(LAST_ANSWERS_S)
+    async def _try_within(
+        self, limit_s: float, work: Coroutine[Any, Any, None]
+    ) -> bool:
+        """Return whether work ended within some seconds."""
+        try:
+            async with asyncio.timeout(limit_s):
+                await work
+        except TimeoutError:
+            return False
+        return True
+
+    def _log_drain(self, reason: str, connections: int | None = None) -> None:
+        log_decision(
+            'drain',
+            instance=self._deps.instance,
+            reason=reason,
+            connections=connections,
+        )
+
+    async def _wait_until_delivered(self) -> None:
+        while self._deps.servers.count_busy():
+            await asyncio.sleep(DELIVERY_CHECK_INTERVAL_S)
 
     async def _wait_until_idle(self) -> None:
         """Wait until no call runs and no connection has anything to send."""
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -233,7 +233,6 @@
         if platform is None:
             self.lifecycle.start_drain(reason)
             return
-        self._servers.close_after_answers()
         self.lifecycle.start_shutdown(reason, platform.stop_grace_s)
 
     def build_health(self) -> Mapping[str, Any]:
--- a/merlintrail/node/tests/test_lifecycle.py
+++ b/merlintrail/node/tests/test_lifecycle.py
@@ -166,6 +166,23 @@
 
         run_virtually(scenario())
 
+    def test_process_ends_before_its_last_answers_are_taken(self) -> None:
+        """It waits for callers to take what is written at the end."""
+
+        async def scenario() -> None:
+            session = _create_session(60.0)
+            node = session.nodes['one']
+            begun_at = asyncio.get_running_loop().time()
+            servers = _SlowServers(begun_at + 5.3)
+            lifecycle = _create_lifecycle(node, servers)
+            lifecycle.start_shutdown('SIGTERM', _GRACE_S)
+            await lifecycle.stopped.wait()
+            ended_at = asyncio.get_running_loop().time()
+            self.assertGreaterEqual(ended_at - begun_at, 5.3)
+            self.assertLess(ended_at - begun_at, _GRACE_S - 0.5)
+
+        run_virtually(scenario())
+
     def test_callers_that_wait_at_the_end_get_no_answer(self) -> None:
         """They get the last answer before the process ends."""
 
