Refuse requests that are still arriving when the process ends

Callers saw: a closed connection within an upload when a node stops. The request was not whole, so that nothing was lost, but its caller was not told that it did not run, nor when to come back. Found by reading, in the search for the class. Now it gets 503 with Retry-After, and what it sends on is read and ignored, so that the answer arrives. The test test_request_that_arrives_at_the_end_gets_no_answer asks for it (the call did not exist).

--- a/merlintrail/node/_connections.py
+++ b/merlintrail/node/_connections.py
@@ -123,6 +123,11 @@
         for server in self.callers:
             server.answer_unfinished(self._caller_answers.build_last_answer)
 
+    def refuse_incomplete(self) -> None:
+        """Refuse the requests of callers that have not arrived whole."""
+        for server in self.callers:
+            server.refuse_incomplete(Reason.DRAINING.value)
+
     def close(self) -> None:
         """Close all servers and their connections."""
         for server in self._list_all():
--- a/merlintrail/node/_lifecycle.py
+++ b/merlintrail/node/_lifecycle.py
@@ -164,6 +164,7 @@
             self._log_drain(f'calls still running after {limit_s:.1f} s')
             servers.answer_unfinished()
         self._deps.ingress.is_closed = True
+        servers.refuse_incomplete()
         self._deps.membership.update_own(status=MemberStatus.LEFT)
         has_notified, has_delivered = await asyncio.gather(
             self._try_within(
--- a/merlintrail/transport/_server.py
+++ b/merlintrail/transport/_server.py
@@ -61,6 +61,11 @@
         for connection in tuple(self.connections):
             connection.answer_unfinished(build_answer)
 
+    def refuse_incomplete(self, reason: str) -> None:
+        """Refuse, as not run, the requests that have not arrived whole."""
+        for connection in tuple(self.connections):
+            connection.refuse_incomplete(reason)
+
     @property
     def port(self) -> int:
         """Port on which the server listens."""
--- a/merlintrail/transport/_server_connection.py
+++ b/merlintrail/transport/_server_connection.py
@@ -37,6 +37,7 @@
 #: Bytes that a connection reads beyond those, so that it notices the end of
 #: the caller.
 MAX_BACKLOG_BYTES: Final = 262144
+_UNAVAILABLE_STATUS: Final = 503
 _CONTINUE_RESPONSE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -199,6 +200,11 @@
             self._write_answer(pending, answer, is_stopping=True)
             pending.drop(self._server.budget)
 
+    def refuse_incomplete(self, reason: str) -> None:
+        """Refuse a request that has not arrived whole."""
+        if self._parser.is_receiving:
+            self._enqueue(BadRequest(_UNAVAILABLE_STATUS, reason))
+
     def _list_unanswered(self) -> list[PendingRequest]:
         if self._current is None:
             return list(self._pending)
--- a/merlintrail/transport/tests/test_slow_callers.py
+++ b/merlintrail/transport/tests/test_slow_callers.py
@@ -190,6 +190,20 @@
         self.assertEqual((received.bodies, received.error), ([_LARGE], ''))
         await self._wait_for_end(server)
 
+    async def test_request_that_arrives_at_the_end_gets_no_answer(self) -> None:
+        """It is refused as not run, and its caller goes on sending."""
+        server, caller = await self._connect(_answer_large)
+        caller.send(_CHUNKED + _CHUNK)
+        await asyncio.sleep(0.1)
+        server.refuse_incomplete('draining')
+        for _ in range(10):
+            caller.send(_CHUNK)
+            await asyncio.sleep(0.01)
+        received = await caller.read_all(limit_s=3)
+        self.assertIn(b'HTTP/1.1 503', received.payload)
+        self.assertIn(b'retry-after: 1', received.payload)
+        self.assertEqual(received.error, '')
+
     async def _wait_for_end(self, server: HttpServer) -> None:
         async with asyncio.timeout(5):
             while server.connections:
