End the process although its drain failed

An unexpected error in the drain left the process running until the platform kills it, with everything that it had taken. Found by reading, in the search for what ends a process. The error is logged, and the process ends. test_failing_drain_keeps_the_process failed before.

--- a/merlintrail/node/_lifecycle.py
+++ b/merlintrail/node/_lifecycle.py
@@ -8,7 +8,7 @@
 from merlintrail.node._backend_gateway import BackendGateway
 from merlintrail.node._connections import NodeServers
 from merlintrail.node._ingress import Ingress
-from merlintrail.observability import log_decision
+from merlintrail.observability import describe_error, log_decision
 from merlintrail.state import (
     ConfigurationHolder,
     MemberStatus,
@@ -102,9 +102,19 @@
             self._begin(self._shut_down_within(grace_s))
 
     def _begin(self, drain: Coroutine[Any, Any, None]) -> None:
-        """Close connections behind their answers, and drain."""
+        """Close connections behind their answers, and drain.
+
+        The process ends whatever happens to the drain.
+        """
         self._deps.servers.close_after_answers()
         self._drain = asyncio.create_task(drain)
+        self._drain.add_done_callback(self._end_process)
+
+    def _end_process(self, drain: 'asyncio.Task[None]') -> None:
+        error = None if drain.cancelled() else drain.exception()
+        if error is not None:
+            self._log_drain(f'failed: {describe_error(error)}')
+        self.stopped.set()
 
     def _check_planned_stop(self) -> None:
         configuration = self._deps.holder.current
@@ -180,7 +190,6 @@
                 f'callers take answers still after {last_s:.1f} s',
                 servers.count_busy(),
             )
-        self.stopped.set()
 
     async def _try_within(
         self, limit_s: float, work: Coroutine[Any, Any, None]
--- a/merlintrail/node/tests/test_lifecycle.py
+++ b/merlintrail/node/tests/test_lifecycle.py
@@ -183,6 +183,19 @@
 
         run_virtually(scenario())
 
+    def test_failing_drain_keeps_the_process(self) -> None:
+        """The process ends although an error ended its drain."""
+
+        async def scenario() -> None:
+            session = _create_session(60.0)
+            node = session.nodes['one']
+            lifecycle = _create_lifecycle(node, _FailingServers())
+            lifecycle.start_shutdown('SIGTERM', _GRACE_S)
+            async with asyncio.timeout(_GRACE_S):
+                await lifecycle.stopped.wait()
+
+        run_virtually(scenario())
+
     def test_callers_that_wait_at_the_end_get_no_answer(self) -> None:
         """They get the last answer before the process ends."""
 
@@ -216,6 +229,17 @@
         self.has_answered = True
 
 
+class _FailingServers(NodeServers):
+    """Servers whose connections cannot be counted."""
+
+    def __init__(self) -> None:
+        super().__init__(FakeCallerAnswers())
+
+    def count_busy(self) -> int:
+        """Fail."""
+        raise LookupError('a fault of the node')
+
+
 def _create_lifecycle(node: Node, servers: NodeServers) -> Lifecycle:
     return Lifecycle(node.lifecycle._deps._replace(servers=servers))
 
