Read answers of nodes of other versions without an error

Callers would see: a closed connection, now a 500, when another node gives a reason or an outcome that this version does not know, as during a replacement of the program, or a record that cannot be read. An unknown outcome counts as one that may have run, an unknown reason is passed on as unknown-reason, an unreadable answer counts as none; an inquiry that fails ends the exchange that it watches. One decoder of passed-on answers in place of two.

--- a/merlintrail/node/_answers.py
+++ b/merlintrail/node/_answers.py
@@ -11,6 +11,7 @@
     Refusal,
     decode_call_report,
     list_returned_headers,
+    read_refusal,
 )
 from merlintrail.transport import HttpResponse
 
@@ -57,18 +58,21 @@
         )
         return GatewayResult(refusal, _build_missing_report(refusal, 0))
     if report.reason:
-        refusal = Refusal(
-            Outcome(report.outcome),
-            Reason(report.reason),
-            retry_after_s=float(answer.find_header('retry-after') or 1),
-        )
-        return GatewayResult(refusal, report)
+        refusal = read_refusal(report.outcome, report.reason)
+        seconds = _read_seconds(answer.find_header('retry-after'))
+        return GatewayResult(refusal._replace(retry_after_s=seconds), report)
     stripped = HttpResponse(
         answer.status, list_returned_headers(answer), answer.body
     )
     return GatewayResult(stripped, report)
 
 
+def _read_seconds(text: str | None) -> float:
+    """Read the seconds after which to retry, one if they are unreadable."""
+    is_number = text is not None and text.isdecimal()
+    return float(text) if text and is_number else 1.0
+
+
 def _build_missing_report(
     refusal: Refusal, returned_retries: int
 ) -> CallReport:
--- a/merlintrail/node/_exchange.py
+++ b/merlintrail/node/_exchange.py
@@ -1,7 +1,6 @@
 """Sending a call to another node and determining its outcome."""
 
 import asyncio
-import base64
 from collections.abc import Callable
 from typing import Final
 
@@ -17,6 +16,7 @@
     Outcome,
     Reason,
     Refusal,
+    decode_answer,
     decode_record,
     encode_header_record,
 )
@@ -146,8 +146,10 @@
         connection: ClientConnection,
     ) -> None:
         """Query the outcome of a slow call, then end its exchange."""
-        watch.result = await self._inquire_outcome(member, header, deadline)
-        connection.abort_exchange('ended by an inquiry')
+        try:
+            watch.result = await self._inquire_outcome(member, header, deadline)
+        finally:
+            connection.abort_exchange('ended by an inquiry')
 
     async def _inquire_outcome(
         self, member: Member, header: CallHeader, deadline: float
@@ -221,15 +223,15 @@
         )
         if inquiry_answer.state == InquiryState.TOMBSTONE:
             return Refusal(Outcome.NOT_RUN, Reason.TOMBSTONE, 'never arrived')
-        if (
+        answer = decode_answer(
+            inquiry_answer.status, inquiry_answer.headers, inquiry_answer.body
+        )
+        is_known = (
             inquiry_answer.state == InquiryState.FINISHED
             and inquiry_answer.status
-        ):
-            return HttpResponse(
-                inquiry_answer.status,
-                [(name, text) for name, text in inquiry_answer.headers],
-                base64.b64decode(inquiry_answer.body),
-            )
+        )
+        if is_known and isinstance(answer, HttpResponse):
+            return answer
         return Refusal(
             Outcome.MAY_HAVE_RUN, Reason.PEER_LOST, inquiry_answer.state
         )
--- a/merlintrail/node/_keyed.py
+++ b/merlintrail/node/_keyed.py
@@ -29,10 +29,13 @@
 from merlintrail.protocol import (
     CallHeader,
     CallReport,
+    DecodeFailure,
     Outcome,
     Reason,
     Refusal,
     create_id,
+    decode_answer,
+    read_refusal,
 )
 from merlintrail.state import (
     Configuration,
@@ -312,11 +315,13 @@
     return digest
 
 
-def _decode_recalled_answer(answer: dict[str, Any]) -> HttpResponse | Refusal:
-    if 'outcome' in answer:
-        return Refusal(Outcome(answer['outcome']), Reason(answer['reason']))
-    return HttpResponse(
-        answer['status'],
-        [(name, text) for name, text in answer['headers']],
-        base64.b64decode(answer['body']),
+def _decode_recalled_answer(
+    document: dict[str, Any],
+) -> HttpResponse | Refusal | None:
+    """Decode an answer; ``None`` if it cannot be read."""
+    if 'outcome' in document:
+        return read_refusal(document['outcome'], document.get('reason'))
+    answer = decode_answer(
+        document.get('status'), document.get('headers'), document.get('body')
     )
+    return None if isinstance(answer, DecodeFailure) else answer
--- a/merlintrail/protocol/__init__.py
+++ b/merlintrail/protocol/__init__.py
@@ -63,7 +63,9 @@
     Reason,
     Refusal,
     build_refusal_response,
+    read_refusal,
 )
+from merlintrail.protocol._recorded_answer import decode_answer
 from merlintrail.protocol._repeat import Repeat
 
 __all__ = (
@@ -107,6 +109,7 @@
     'compute_draw',
     'compute_priority',
     'create_id',
+    'decode_answer',
     'decode_call_header',
     'decode_call_report',
     'decode_json',
@@ -120,5 +123,6 @@
     'read_caller_headers',
     'read_importance',
     'read_key_age_s',
+    'read_refusal',
     'read_run_notice',
 )
--- a/merlintrail/protocol/_outcome.py
+++ b/merlintrail/protocol/_outcome.py
@@ -2,7 +2,7 @@
 
 import enum
 import math
-from typing import Final, NamedTuple
+from typing import Any, Final, NamedTuple
 
 from merlintrail.protocol._codec import encode_json
 from merlintrail.protocol._headers import (
@@ -73,6 +73,8 @@
     LEDGER_UNAVAILABLE = 'ledger-unavailable'
     LEDGER_MOVED = 'ledger-owner-moved'
     CALL_CHAIN_TOO_DEEP = 'call-chain-too-deep'
+    #: Another node gave a reason that this version does not know.
+    UNKNOWN_REASON = 'unknown-reason'
 
 
 _STATUS_BY_REASON: Final = {
@@ -117,6 +119,19 @@
         return _STATUS_BY_REASON.get(self.reason, _DEFAULT_STATUS)
 
 
+def read_refusal(outcome: Any, reason: Any) -> Refusal:
+    """Read the refusal of another node, which may be of another version.
+
+    An unknown outcome counts as one that may have run.
+    """
+    known_outcome = Outcome.MAY_HAVE_RUN
+    if outcome in tuple(Outcome):
+        known_outcome = Outcome(outcome)
+    if reason in tuple(Reason):
+        return Refusal(known_outcome, Reason(reason))
+    return Refusal(known_outcome, Reason.UNKNOWN_REASON, str(reason))
+
+
 def build_refusal_response(refusal: Refusal, request_id: str) -> HttpResponse:
     """Build the answer that reports a refusal to a caller."""
     headers = [
