Stop on SIGINT as on SIGTERM

Callers saw: answers cut in the middle when an operator ends a node with Ctrl-C. Cause: SIGINT ended the process at once. Now the first one stops it as SIGTERM does, a second one ends it at once. test_stop_signals_cut_answers_that_are_read_slowly starts a real node and reads 7 MB slowly through a small window; with SIGINT 5 of 8 answers arrived before, with SIGTERM all.

--- a/merlintrail/daemon/_main.py
+++ b/merlintrail/daemon/_main.py
@@ -112,7 +112,7 @@
     node = runtime.node
     loop.add_signal_handler(signal.SIGHUP, reloader.request_reload)
     loop.add_signal_handler(signal.SIGTERM, node.begin_shutdown, 'SIGTERM')
-    loop.add_signal_handler(signal.SIGINT, node.lifecycle.stopped.set)
+    loop.add_signal_handler(signal.SIGINT, _interrupt, node)
     tasks = [loop.create_task(_flush_log(log))]
     await wait_for_addresses(
         list_addresses(settings, has_listener=listener is not None),
@@ -138,7 +138,15 @@
 
 
 def _is_stopping(node: Node) -> bool:
-    return node.lifecycle.is_shutting_down or node.lifecycle.stopped.is_set()
+    return node.lifecycle.is_draining or node.lifecycle.stopped.is_set()
+
+
+def _interrupt(node: Node) -> None:
+    """Stop like SIGTERM; while the node stops already, end at once."""
+    if _is_stopping(node):
+        node.lifecycle.stopped.set()
+    else:
+        node.begin_shutdown('SIGINT')
 
 
 async def _flush_log(log: JsonLinesHandler) -> None:
--- a/merlintrail/node/_lifecycle.py
+++ b/merlintrail/node/_lifecycle.py
@@ -72,6 +72,11 @@
         self.is_shutting_down = False
         self._drain: asyncio.Task[None] | None = None
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether the node has begun to stop."""
+        return self._drain is not None
+
     async def run(self) -> None:
         """Check for planned stops until cancelled."""
         while True:
