Soak the ends of connections under planned stops and changes

Real nodes; callers of six kinds (kept, HTTP/1.0, slow bodies, pipelines, far ones that read slowly, alone and with others on their way) use their connections until they are closed; SIGTERM, SIGHUP and changes of routes come in series and overlap.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 CHANGE_NODES ?= 24
 CHANGE_DURATION ?= 15
 
-.PHONY: run test bench soak fault-soak change-soak format golden
+.PHONY: run test bench soak fault-soak change-soak connection-soak format golden
 
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -47,3 +47,6 @@
 
 change-soak: $(STAMP)
 	$(PY) -m merlintrail.bench.change_soak --seed=$(SEED) --seeds=$(SEEDS) --nodes=$(CHANGE_NODES) --duration=$(CHANGE_DURATION)
+
+connection-soak: $(STAMP)
+	$(PY) -m merlintrail.bench.connection_soak --seed=$(SEED) --seeds=$(SEEDS) --nodes=$(CHANGE_NODES) --duration=$(CHANGE_DURATION)
--- a/merlintrail/lab/backend.py
+++ b/merlintrail/lab/backend.py
@@ -44,6 +44,8 @@
 #: Header whose value is appended to the run log, see
 #: :attr:`BackendPlan.run_log`.
 RUN_LABEL_HEADER: Final = 'x-run-label'
+#: Header with the number of bytes that the answer has at least.
+ANSWER_BYTES_HEADER: Final = 'x-answer-bytes'
 #: A request whose body contains this text makes the process exit at once.
 CRASH_MARKER: Final = b'crash-the-backend-server'
 _OK: Final = 200
@@ -225,11 +227,12 @@
             'target': request.target,
             'echo': request.body.decode('latin-1'),
         }
+        size = int(request.headers.get(ANSWER_BYTES_HEADER, '0'))
         headers = [
             ('content-type', 'application/json'),
             *self.statements.build_headers(),
         ]
-        return HttpResponse(_OK, headers, encode_json(body))
+        return HttpResponse(_OK, headers, encode_json(body).ljust(size))
 
     def _log_run(self, request: HttpRequest) -> None:
         label = request.headers.get(RUN_LABEL_HEADER)
