--- a/merlintrail/node/_connections.py
+++ b/merlintrail/node/_connections.py
@@ -15,6 +15,7 @@
 from merlintrail.transport import (
     BadRequest,
     BodyBudget,
+    EndingConnection,
     HttpRequest,
     HttpResponse,
     HttpServer,
@@ -113,6 +114,14 @@
         """Count the connections with an unfinished request or answer."""
         return sum(server.count_busy() for server in self._list_all())
 
+    def list_ending(self) -> list[EndingConnection]:
+        """List the connections whose last answer is written."""
+        return [
+            connection
+            for server in self._list_all()
+            for connection in server.list_ending()
+        ]
+
     def close_after_answers(self) -> None:
         """Close each caller's connection after its next answer."""
         for server in self.callers:
--- a/merlintrail/node/_gauges.py
+++ b/merlintrail/node/_gauges.py
@@ -194,6 +194,31 @@
         lambda: [GaugePoint(servers.caller_ends.left + servers.peer_ends.left)],
     )
 
+    metrics.register_gauge(
+        'merlintrail.connections_ending',
+        '{connection}',
+        'Connections whose last answer is written, and which are still open.',
+        lambda: [GaugePoint(len(servers.list_ending()))],
+    )
+    metrics.register_gauge(
+        'merlintrail.connections_ending_age',
+        's',
+        'Time since the last answer of the oldest of them was written.',
+        lambda: [
+            GaugePoint(
+                max((end.ending_s for end in servers.list_ending()), default=0)
+            )
+        ],
+    )
+    metrics.register_gauge(
+        'merlintrail.connections_ending_bytes',
+        'By',
+        'What their callers have not taken yet.',
+        lambda: [
+            GaugePoint(sum(end.untaken_bytes for end in servers.list_ending()))
+        ],
+    )
+
 
 def _read_age(watch: ConfigurationWatch) -> Iterable[GaugePoint]:
     age_s = watch.read_age()
--- a/merlintrail/transport/__init__.py
+++ b/merlintrail/transport/__init__.py
@@ -8,7 +8,11 @@
     ClientConnection,
     ExchangeTimeouts,
 )
-from merlintrail.transport._connection_end import ConnectionEnd, EndCause
+from merlintrail.transport._connection_end import (
+    ConnectionEnd,
+    EndCause,
+    EndingConnection,
+)
 from merlintrail.transport._connection_group import (
     RequestHandler,
     ServerReports,
@@ -35,6 +39,7 @@
     'ConnectionEnd',
     'ConnectionPool',
     'EndCause',
+    'EndingConnection',
     'ExchangeTimeouts',
     'FailureStage',
     'HeaderList',
--- a/merlintrail/transport/_connection_end.py
+++ b/merlintrail/transport/_connection_end.py
@@ -30,3 +30,12 @@
     unanswered: Sequence[HttpRequest]
     #: Bytes of answers that the socket had not taken.
     unsent_bytes: int
+
+
+class EndingConnection(NamedTuple):
+    """A connection whose last answer is written, and which is still open."""
+
+    #: Seconds since then.
+    ending_s: float
+    #: Bytes that the caller's host has not acknowledged.
+    untaken_bytes: int
--- a/merlintrail/transport/_connection_state.py
+++ b/merlintrail/transport/_connection_state.py
@@ -74,6 +74,8 @@
         self._awaiting_since = now
         self._input_at = now
         self._has_caller_ended = False
+        #: Time at which the last answer was written, ``None`` before.
+        self.ending_since: float | None = None
 
     @property
     def is_open(self) -> bool:
@@ -124,6 +126,7 @@
     def begin_end(self, now: float) -> None:
         """End the connection once the caller has taken what is written."""
         self.phase = ConnectionPhase.HANDING_OVER
+        self.ending_since = now
         self._progress_at = now
 
     def record_caller_end(self) -> None:
--- a/merlintrail/transport/_hand_over.py
+++ b/merlintrail/transport/_hand_over.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Final
 
+from merlintrail.transport._connection_end import EndingConnection
 from merlintrail.transport._connection_state import (
     ConnectionPhase,
     ConnectionState,
@@ -42,6 +43,14 @@
         self._stop()
         self.watch()
 
+    def describe(self) -> EndingConnection | None:
+        """Describe the end that is under way, ``None`` if there is none."""
+        since = self._state.ending_since
+        if since is None:
+            return None
+        untaken_bytes = count_untaken_bytes(self.transport)
+        return EndingConnection(self._loop.time() - since, untaken_bytes)
+
     def close(self) -> None:
         """Check no more, and drop the reference to the connection."""
         self._stop()
--- a/merlintrail/transport/_server.py
+++ b/merlintrail/transport/_server.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from merlintrail.transport._body_budget import BodyBudget
-from merlintrail.transport._connection_end import EndCause
+from merlintrail.transport._connection_end import EndCause, EndingConnection
 from merlintrail.transport._connection_group import (
     ConnectionGroup,
     RequestHandler,
@@ -61,6 +61,13 @@
         for connection in tuple(self.connections):
             connection.answer_unfinished(build_answer)
 
+    def list_ending(self) -> list[EndingConnection]:
+        """List the connections whose last answer is written."""
+        ends = [
+            connection.hand_over.describe() for connection in self.connections
+        ]
+        return [end for end in ends if end is not None]
+
     def refuse_incomplete(self, reason: str) -> None:
         """Refuse, as not run, the requests that have not arrived whole."""
         for connection in tuple(self.connections):
--- a/merlintrail/transport/_server_connection.py
+++ b/merlintrail/transport/_server_connection.py
@@ -70,12 +70,12 @@
         self._receive_timer = ReceiveTimer(
             self._loop, self._parser, self._enqueue
         )
-        self._hand_over = HandOver(self._state)
+        self.hand_over = HandOver(self._state)
         self._idle_timer = IdleTimer(
             server,
             self._state,
             self._parser,
-            self._hand_over.watch,
+            self.hand_over.watch,
             self._wake,
         )
         #: Why the connection ends, ``None`` until something ends it.
@@ -88,7 +88,7 @@
         """Start the task that serves the connection."""
         transport = cast(asyncio.Transport, transport)
         self._transport = transport
-        self._hand_over.transport = transport
+        self.hand_over.transport = transport
         peer = transport.get_extra_info('peername')
         self._parser.remote_host = str(peer[0]) if peer else ''
         self._server.connections.add(self)
@@ -105,7 +105,7 @@
         self._state.close()
         self._receive_timer.close()
         self._idle_timer.close()
-        self._hand_over.close()
+        self.hand_over.close()
         if self._task is not None:
             self._task.cancel()
             self._task = None
@@ -148,7 +148,7 @@
     def pause_writing(self) -> None:
         """Hold back answers while the caller does not read."""
         self._drained = self._loop.create_future()
-        self._hand_over.watch()
+        self.hand_over.watch()
 
     def resume_writing(self) -> None:
         """Continue to send answers."""
@@ -346,7 +346,7 @@
         if self._end_cause != EndCause.CALLER:
             transport.resume_reading()
         transport.write_eof()
-        self._hand_over.start()
+        self.hand_over.start()
 
     def _write(self, payload: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
--- a/merlintrail/transport/tests/test_slow_callers.py
+++ b/merlintrail/transport/tests/test_slow_callers.py
@@ -69,6 +69,7 @@
         server.is_closing = True
         caller.send(build_request(1))
         await asyncio.sleep(0.1)
+        self.assertGreater(server.list_ending()[0].untaken_bytes, 500_000)
         read_bytes = 0
         while read_bytes < len(_LARGE):
             self.assertEqual(server.count_busy(), 1)
