Refuse callers that wait for a node which is stopped while it loads

Callers saw: a reset connection without an answer, when a node gets SIGTERM before it has loaded the program: the socket listens early, so that callers wait in its backlog, and the signal ended the process (status -15). Now the stop is remembered, the callers are refused as not run, with Retry-After, and the process ends with status 0. test_stop_signal_resets_callers_of_a_starting_node failed before (ConnectionResetError). The soak sends signals to processes that listen, not to interpreters that are being started.

--- a/merlintrail/bench/_soak_faults.py
+++ b/merlintrail/bench/_soak_faults.py
@@ -233,7 +233,7 @@
             instance = self._reload_rng.choice(sorted(workers))
             name = f'node {instance}'
             process_id = self._targets.deployment.read_process_id(name)
-            if not await _is_listening(workers[instance].call_address):
+            if not await is_listening(workers[instance].call_address):
                 continue
             # Another process may have replaced it meanwhile.
             if process_id == self._targets.deployment.read_process_id(name):
@@ -381,7 +381,7 @@
             await asyncio.sleep(_POLL_INTERVAL_S)
 
 
-async def _is_listening(address: str) -> bool:
+async def is_listening(address: str) -> bool:
     """Return whether a process accepts connections on an address.
 
     The interpreter of a node that does not yet is still starting.
--- a/merlintrail/bench/connection_soak/_changes.py
+++ b/merlintrail/bench/connection_soak/_changes.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from merlintrail.bench._route_changes import RouteChanges
+from merlintrail.bench._soak_faults import is_listening
 from merlintrail.lab.processes import Deployment
 
 #: Bounds of the pause in seconds between two changes.
@@ -47,7 +48,7 @@
             if self._rng.random() < 1 / 2:
                 self._stop_some()
             else:
-                self._reload()
+                await self._reload()
         await routes
         await asyncio.gather(*self._stops.values())
 
@@ -61,21 +62,38 @@
             self.counts['stop'] += 1
             self._stops[name] = asyncio.create_task(self._stop(name))
 
-    def _reload(self) -> None:
+    async def _reload(self) -> None:
         """Ask a node to reload its settings, one that is stopping too."""
         name = self._rng.choice(sorted(self._deployment.workers))
-        process = f'node {name}'
-        if not self._deployment.has_exited(process):
+        if await self._has_started(name):
             self.counts['reload'] += 1
-            self._deployment.send_signal(process, signal.SIGHUP)
+            self._deployment.send_signal(f'node {name}', signal.SIGHUP)
 
-    async def _stop(self, name: str) -> None:
+    async def _has_started(self, name: str) -> bool:
+        """Return whether a node, rather than its interpreter, has started."""
+        process = f'node {name}'
+        process_id = self._deployment.read_process_id(process)
+        address = self._deployment.workers[name].call_address
+        return (
+            await is_listening(address)
+            # Another process may have replaced it meanwhile.
+            and process_id == self._deployment.read_process_id(process)
+            and not self._deployment.has_exited(process)
+        )
+
+    async def _end_process(self, name: str) -> None:
+        while not await self._has_started(name):
+            await asyncio.sleep(_POLL_S)
         process = f'node {name}'
         self._deployment.send_signal(process, signal.SIGTERM)
+        while not self._deployment.has_exited(process):
+            await asyncio.sleep(_POLL_S)
+
+    async def _stop(self, name: str) -> None:
+        process = f'node {name}'
         try:
             async with asyncio.timeout(STOP_LIMIT_S):
-                while not self._deployment.has_exited(process):
-                    await asyncio.sleep(_POLL_S)
+                await self._end_process(name)
         except TimeoutError:
             self.findings.append(f'{name} did not stop in {STOP_LIMIT_S} s')
             self._deployment.send_signal(process, signal.SIGKILL)
--- a/merlintrail/daemon/_main.py
+++ b/merlintrail/daemon/_main.py
@@ -7,7 +7,7 @@
 import socket
 import sys
 from collections.abc import Sequence
-from typing import Final
+from typing import Final, NamedTuple
 
 import uvloop
 from absl import app, flags
@@ -20,6 +20,7 @@
     SETTINGS_WAIT_S,
     read_settings_file,
 )
+from merlintrail.daemon._startup import StopRequest
 from merlintrail.node import (
     InvalidSettings,
     Node,
@@ -27,6 +28,7 @@
     parse_settings,
 )
 from merlintrail.observability import JsonLinesHandler, open_log
+from merlintrail.transport import start_server
 
 #: Exit status for a missing --settings flag, extra arguments, settings that
 #: cannot be read or are invalid, and a log file that cannot be opened.
@@ -35,6 +37,8 @@
 EXIT_CANNOT_LISTEN: Final = 3
 #: Seconds between flushes of the buffered log lines.
 LOG_FLUSH_INTERVAL_S: Final = 0.2
+#: Seconds in which a node that stops before it serves refuses callers.
+REFUSAL_TIME_S: Final = 0.3
 #: Net allocations of container objects that trigger a collection of the
 #: youngest generation.
 GC_YOUNG_GENERATION_THRESHOLD: Final = 50000
@@ -50,23 +54,30 @@
 )
 
 
-def run_node(listener: socket.socket | None) -> None:
+def run_node(listener: socket.socket | None, stop_request: StopRequest) -> None:
     """Run a node until it is stopped, and exit.
 
     :param listener: socket that listens on the call address already, if
         there is one.
+    :param stop_request: a stop that was requested so far.
     """
-    app.run(lambda arguments: _run(arguments, listener))
+    app.run(lambda arguments: _run(arguments, listener, stop_request))
 
 
-def _run(arguments: Sequence[str], listener: socket.socket | None) -> int:
+def _run(
+    arguments: Sequence[str],
+    listener: socket.socket | None,
+    stop_request: StopRequest,
+) -> int:
     if len(arguments) > 1 or _SETTINGS_FLAG.value is None:
         sys.stderr.write(
             'usage: merlintraild --settings FILE [--check_settings]\n'
         )
         return EXIT_INVALID_SETTINGS
     wait_s = 0 if _CHECK_FLAG.value else SETTINGS_WAIT_S
-    text = read_settings_file(_SETTINGS_FLAG.value, wait_s)
+    text = read_settings_file(
+        _SETTINGS_FLAG.value, wait_s, lambda: stop_request.is_made
+    )
     settings = None if text is None else _parse_settings(text)
     if text is None or settings is None:
         return EXIT_INVALID_SETTINGS
@@ -81,7 +92,9 @@
     sys.setswitchinterval(THREAD_SWITCH_INTERVAL_S)
     gc.set_threshold(GC_YOUNG_GENERATION_THRESHOLD, 20, 100)
     with log.applicationbound():
-        status = uvloop.run(_serve(settings, text, log, listener))
+        status = uvloop.run(
+            _serve(_Start(settings, text, listener, stop_request), log)
+        )
     log.flush()
     sys.stderr.flush()
     # Skip the interpreter's shutdown, which may wait for the threads of the
@@ -98,27 +111,34 @@
     return settings
 
 
-async def _serve(
-    settings: Settings,
-    text: str,
-    log: JsonLinesHandler,
-    listener: socket.socket | None,
-) -> int:
+class _Start(NamedTuple):
+    """What a process starts with."""
+
+    settings: Settings
+    #: Content of the settings file.
+    text: str
+    #: Socket that listens on the call address already, if there is one.
+    listener: socket.socket | None
+    stop_request: StopRequest
+
+
+async def _serve(start: _Start, log: JsonLinesHandler) -> int:
+    settings = start.settings
+    listener = start.listener
     runtime = create_runtime(settings)
     loop = asyncio.get_running_loop()
     reloader = SettingsReloader(
-        str(_SETTINGS_FLAG.value), text, runtime.apply_settings
+        str(_SETTINGS_FLAG.value), start.text, runtime.apply_settings
     )
     node = runtime.node
-    loop.add_signal_handler(signal.SIGHUP, reloader.request_reload)
-    loop.add_signal_handler(signal.SIGTERM, node.begin_shutdown, 'SIGTERM')
-    loop.add_signal_handler(signal.SIGINT, _interrupt, node)
+    _handle_signals(node, reloader, start.stop_request)
     tasks = [loop.create_task(_flush_log(log))]
     await wait_for_addresses(
         list_addresses(settings, has_listener=listener is not None),
         lambda: _is_stopping(node),
     )
     if _is_stopping(node):
+        await _refuse_waiting_callers(node, listener)
         return 0
     try:
         await node.start(listener)
@@ -137,6 +157,29 @@
     return 0
 
 
+def _handle_signals(
+    node: Node, reloader: SettingsReloader, stop_request: StopRequest
+) -> None:
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, reloader.request_reload)
+    loop.add_signal_handler(signal.SIGTERM, node.begin_shutdown, 'SIGTERM')
+    loop.add_signal_handler(signal.SIGINT, _interrupt, node)
+    if stop_request.is_made:
+        node.begin_shutdown('SIGTERM')
+
+
+async def _refuse_waiting_callers(
+    node: Node, listener: socket.socket | None
+) -> None:
+    """Refuse the callers that have connected to a node before it serves."""
+    if listener is None:
+        return
+    server = await start_server(node.ingress.refuse, '', 0, listener=listener)
+    server.is_closing = True
+    await asyncio.sleep(REFUSAL_TIME_S)
+    server.close()
+
+
 def _is_stopping(node: Node) -> bool:
     return node.lifecycle.is_draining or node.lifecycle.stopped.is_set()
 
--- a/merlintrail/daemon/_settings_file.py
+++ b/merlintrail/daemon/_settings_file.py
@@ -2,6 +2,7 @@
 
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Final
 
@@ -14,12 +15,15 @@
 _POLL_INTERVAL_S: Final = 0.05
 
 
-def read_settings_file(path: str, wait_s: float) -> str | None:
+def read_settings_file(
+    path: str, wait_s: float, is_stopping: Callable[[], bool]
+) -> str | None:
     """Read the settings file as soon as it is complete.
 
     What is wrong with the file is written to the standard error stream.
 
     :param wait_s: seconds to wait for that.
+    :param is_stopping: returns whether to wait no longer.
     :returns: the last content, or ``None`` if the file cannot be read.
     """
     deadline = time.monotonic() + wait_s
@@ -30,7 +34,8 @@
             sys.stderr.write(f'{path}: {fault}\n')
             sys.stderr.flush()
             reported = fault
-        if not fault or time.monotonic() >= deadline:
+        is_over = time.monotonic() >= deadline or is_stopping()
+        if not fault or is_over:
             return text
         time.sleep(_POLL_INTERVAL_S)
 
--- a/merlintrail/daemon/_startup.py
+++ b/merlintrail/daemon/_startup.py
@@ -22,11 +22,31 @@
 def run_daemon() -> None:
     """Run the daemon; the console script ``merlintraild`` calls this."""
     ignore_reload_requests()
+    stop_request = StopRequest()
+    stop_request.await_signal()
     listener = open_call_listener(sys.argv[1:])
     # The rest of the program is loaded while the socket listens.
     from merlintrail.daemon._main import run_node  # noqa: WPS433
 
-    run_node(listener)
+    run_node(listener, stop_request)
+
+
+class StopRequest:
+    """A stop that was requested before the program could serve it.
+
+    By default the signal ends the process, and resets the connections of the
+    callers that wait in the backlog.
+    """
+
+    def __init__(self) -> None:
+        self.is_made = False
+
+    def await_signal(self) -> None:
+        """Remember the signal to stop until the program handles it."""
+        signal.signal(signal.SIGTERM, self._record)
+
+    def _record(self, *_: object) -> None:
+        self.is_made = True
 
 
 def ignore_reload_requests() -> None:
--- a/merlintrail/daemon/tests/test_signals.py
+++ b/merlintrail/daemon/tests/test_signals.py
@@ -84,6 +84,27 @@
     return received
 
 
+async def _call_starting_node(deployment: Deployment) -> bytes:
+    """Send a request while a node is loading, and stop the node."""
+    address = deployment.workers['one'].call_address
+    deployment.start_node('one')
+    while True:
+        try:
+            sock = await _connect(address)
+        except OSError:
+            await asyncio.sleep(_PAUSE_S)
+        else:
+            break
+    deployment.send_signal('node one', signal.SIGTERM)
+    with sock:
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(
+            sock, b'GET /echo/x HTTP/1.1\r\nhost: a\r\n\r\n'
+        )
+        async with asyncio.timeout(30):
+            return await _read_slowly(sock)
+
+
 class SignalTest(unittest.TestCase):
     """A far caller reads large answers while the process is told to stop."""
 
@@ -93,6 +114,16 @@
             with self.subTest(number.name):
                 self._check(number)
 
+    def test_stop_signal_resets_callers_of_a_starting_node(self) -> None:
+        """They wait for a node that is loading, and are refused."""
+        deployment = Deployment()
+        self.addCleanup(deployment.stop)
+        deployment.allocate_addresses([WorkerPlan('one', 'dc', None)])
+        received = asyncio.run(_call_starting_node(deployment))
+        self.assertIn(b'HTTP/1.1 503', received)
+        self.assertIn(b'retry-after', received)
+        self.assertEqual(deployment.wait_for_exit('node one'), 0)
+
     def _check(self, signal_number: int) -> None:
         deployment = Deployment()
         self.addCleanup(deployment.stop)
--- a/merlintrail/node/_ingress.py
+++ b/merlintrail/node/_ingress.py
@@ -136,6 +136,13 @@
         )
         return response
 
+    async def refuse(self, request: HttpRequest) -> HttpResponse:
+        """Refuse a request to a node that stops before it serves."""
+        request_id = self.read_request_id(request) or create_id(self._deps.rng)
+        refusal = Refusal(Outcome.NOT_RUN, Reason.DRAINING)
+        self._log_refusal(request_id, request.target, refusal)
+        return self._build_response(refusal, request_id)
+
     def read_request_id(self, request: HttpRequest) -> str | None:
         """Return the identifier that the caller gave to a request."""
         return self._deps.dialect.read_caller(request).request_id
