End an exchange by its own inquiry alone

Callers would see: a 504 (may have run) for a call whose connection between nodes was closed in the middle, under load, when a slow call before it on that connection had been answered while an inquiry about it was under way.

--- a/merlintrail/node/_exchange.py
+++ b/merlintrail/node/_exchange.py
@@ -148,8 +148,10 @@
         """Query the outcome of a slow call, then end its exchange."""
         try:
             watch.result = await self._inquire_outcome(member, header, deadline)
-        finally:
-            connection.abort_exchange('ended by an inquiry')
+        except Exception:
+            connection.abort_exchange('inquiry failed')
+            raise
+        connection.abort_exchange('ended by an inquiry')
 
     async def _inquire_outcome(
         self, member: Member, header: CallHeader, deadline: float
