Give the modules of a node rooms by job

backend: servers beside a node; calling: calls and their retries; keyed; serving: callers, local servers and other nodes; life: start, stop and membership. Files keep their names, and rooms re-export what others use. No behaviour changes.

--- a/merlintrail/node/__init__.py
+++ b/merlintrail/node/__init__.py
@@ -1,11 +1,5 @@
 """Node process: call path, lifecycle and their assembly."""
 
-from merlintrail.node._backend import (
-    Announcement,
-    AnnouncementOrder,
-    InvalidAnnouncement,
-    read_announcement,
-)
 from merlintrail.node._environment import (
     Environment,
     create_environment,
@@ -18,6 +12,12 @@
     Settings,
     parse_settings,
 )
+from merlintrail.node.backend import (
+    Announcement,
+    AnnouncementOrder,
+    InvalidAnnouncement,
+    read_announcement,
+)
 
 __all__ = (
     'Announcement',
--- a/merlintrail/node/_call_path.py
+++ b/merlintrail/node/_call_path.py
@@ -12,27 +12,27 @@
     UsageExchange,
     create_ledger,
 )
-from merlintrail.node._backend_exchange import (
+from merlintrail.node._contexts import ContextTable
+from merlintrail.node._environment import Environment
+from merlintrail.node._settings import Settings
+from merlintrail.node._suspect_quarantine import SuspectQuarantine
+from merlintrail.node.backend import (
     BackendExchange,
     BackendExchangeDependencies,
-)
-from merlintrail.node._backend_gateway import (
     BackendGateway,
+    BackendRegistry,
     GatewayDependencies,
 )
-from merlintrail.node._backend_registry import BackendRegistry
-from merlintrail.node._contexts import ContextTable
-from merlintrail.node._customer_entry import CustomerEntry
-from merlintrail.node._dispatch import Dispatcher, DispatcherDependencies
-from merlintrail.node._environment import Environment
-from merlintrail.node._exchange import PeerExchange
-from merlintrail.node._ingress import Ingress, IngressDependencies
-from merlintrail.node._keyed import KeyedCalls, KeyedCallsDependencies
-from merlintrail.node._repeat_grants import RepeatGrants
-from merlintrail.node._repeat_limits import RepeatLimits
-from merlintrail.node._settings import Settings
-from merlintrail.node._startup import StartupWait
-from merlintrail.node._suspect_quarantine import SuspectQuarantine
+from merlintrail.node.calling import (
+    Dispatcher,
+    DispatcherDependencies,
+    PeerExchange,
+    RepeatGrants,
+    RepeatLimits,
+    StartupWait,
+)
+from merlintrail.node.keyed import KeyedCalls, KeyedCallsDependencies
+from merlintrail.node.serving import CustomerEntry, Ingress, IngressDependencies
 from merlintrail.observability import NodeMetrics
 from merlintrail.protocol import create_id
 from merlintrail.state import (
--- a/merlintrail/node/_gauges.py
+++ b/merlintrail/node/_gauges.py
@@ -8,10 +8,9 @@
     ConfigurationWatch,
     ConfirmationRecord,
 )
-from merlintrail.node._backend_gateway import BackendGateway
-from merlintrail.node._connections import NodeServers
-from merlintrail.node._gate import AdmissionGate
-from merlintrail.node._repeat_limits import RepeatLimits
+from merlintrail.node.backend import AdmissionGate, BackendGateway
+from merlintrail.node.calling import RepeatLimits
+from merlintrail.node.serving import NodeServers
 from merlintrail.observability import GaugePoint, NodeMetrics
 from merlintrail.state import (
     CallTable,
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -20,30 +20,34 @@
     UsageExchange,
     run_supervised,
 )
-from merlintrail.node._backend import HINT_INTERVAL_S
 from merlintrail.node._call_path import CallPathDependencies, create_call_path
-from merlintrail.node._connections import PEER_LIMITS, NodeServers
 from merlintrail.node._environment import Environment, split_host_port
 from merlintrail.node._gauges import (
     register_connection_gauges,
     register_coordination_gauges,
     register_gauges,
 )
-from merlintrail.node._joiner import Joiner, JoinerDependencies
-from merlintrail.node._lifecycle import Lifecycle, LifecycleDependencies
-from merlintrail.node._local_service import LocalService
-from merlintrail.node._peer_service import PeerService, PeerServiceDependencies
 from merlintrail.node._settings import Settings
 from merlintrail.node._status import (
     describe_backends,
     describe_members,
     describe_routes,
 )
-from merlintrail.observability import (
-    NodeMetrics,
-    create_logger,
-    create_metrics,
+from merlintrail.node.backend import HINT_INTERVAL_S
+from merlintrail.node.life import (
+    Joiner,
+    JoinerDependencies,
+    Lifecycle,
+    LifecycleDependencies,
 )
+from merlintrail.node.serving import (
+    PEER_LIMITS,
+    LocalService,
+    NodeServers,
+    PeerService,
+    PeerServiceDependencies,
+)
+from merlintrail.observability import NodeMetrics, create_logger, create_metrics
 from merlintrail.state import (
     Configuration,
     ConfigurationHolder,
--- a/merlintrail/node/_status.py
+++ b/merlintrail/node/_status.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any, Final
 
-from merlintrail.node._backend_gateway import BackendGateway
+from merlintrail.node.backend import BackendGateway
 from merlintrail.protocol import Importance
 from merlintrail.state import Configuration, Member, MemberStatus
 
--- a/merlintrail/node/_backend_exchange.py
+++ b/merlintrail/node/backend/_backend_exchange.py
@@ -4,15 +4,15 @@
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple
 
-from merlintrail.node._backend import (
+from merlintrail.node._calls import OutgoingCall
+from merlintrail.node._contexts import ParentCall, get_call_class
+from merlintrail.node._suspect_quarantine import SuspectQuarantine
+from merlintrail.node.backend._backend import (
     BackendProber,
     BackendServer,
     describe_hint,
 )
-from merlintrail.node._calls import OutgoingCall
-from merlintrail.node._contexts import ParentCall, get_call_class
-from merlintrail.node._gate import AdmissionGate
-from merlintrail.node._suspect_quarantine import SuspectQuarantine
+from merlintrail.node.backend._gate import AdmissionGate
 from merlintrail.observability import log_decision
 from merlintrail.protocol import (
     AnswerClass,
--- a/merlintrail/node/_backend_gateway.py
+++ b/merlintrail/node/backend/_backend_gateway.py
@@ -4,16 +4,16 @@
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple
 
-from merlintrail.node._backend_exchange import BackendExchange
-from merlintrail.node._backend_registry import BackendRegistry
 from merlintrail.node._calls import (
     GatewayResult,
     OutgoingCall,
     build_peer_answer,
 )
 from merlintrail.node._contexts import ContextTable, ParentCall, get_call_class
-from merlintrail.node._gate import AdmissionGate
 from merlintrail.node._suspect_quarantine import SuspectQuarantine
+from merlintrail.node.backend._backend_exchange import BackendExchange
+from merlintrail.node.backend._backend_registry import BackendRegistry
+from merlintrail.node.backend._gate import AdmissionGate
 from merlintrail.observability import NodeMetrics, log_decision
 from merlintrail.protocol import (
     SUBLEVELS,
--- a/merlintrail/node/_backend_registry.py
+++ b/merlintrail/node/backend/_backend_registry.py
@@ -3,14 +3,14 @@
 from collections.abc import Callable
 from typing import Final
 
-from merlintrail.node._backend import (
+from merlintrail.node.backend._backend import (
     Announcement,
     AnnouncementOrder,
     BackendServer,
     DepartedRuns,
     compare_announcements,
 )
-from merlintrail.node._gate import AdmissionGate
+from merlintrail.node.backend._gate import AdmissionGate
 from merlintrail.observability import log_decision
 from merlintrail.protocol import Reason, RunNotice
 from merlintrail.state import Configuration
--- a/merlintrail/node/_gate.py
+++ b/merlintrail/node/backend/_gate.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from merlintrail.node._backend import Announcement, BackendServer
+from merlintrail.node.backend._backend import Announcement, BackendServer
 from merlintrail.protocol import (
     BackendNotice,
     DecodeFailure,
--- a/merlintrail/node/_dispatch.py
+++ b/merlintrail/node/calling/_dispatch.py
@@ -4,22 +4,18 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple, Protocol
 
-from merlintrail.node._answers import read_peer_answer
-from merlintrail.node._calls import (
-    CallResult,
-    GatewayResult,
-    OutgoingCall,
-)
-from merlintrail.node._exchange import PeerExchange
-from merlintrail.node._progress import Progress, has_failed
-from merlintrail.node._repeat_grants import RepeatGrants
-from merlintrail.node._retry_policy import (
+from merlintrail.node._calls import CallResult, GatewayResult, OutgoingCall
+from merlintrail.node._suspect_quarantine import SuspectQuarantine
+from merlintrail.node.calling._answers import read_peer_answer
+from merlintrail.node.calling._exchange import PeerExchange
+from merlintrail.node.calling._progress import Progress, has_failed
+from merlintrail.node.calling._repeat_grants import RepeatGrants
+from merlintrail.node.calling._retry_policy import (
     RetryDecision,
     RetryPolicy,
     has_failed_in_backend,
 )
-from merlintrail.node._startup import StartupWait
-from merlintrail.node._suspect_quarantine import SuspectQuarantine
+from merlintrail.node.calling._startup import StartupWait
 from merlintrail.observability import NodeMetrics, log_decision
 from merlintrail.protocol import (
     CallHeader,
--- a/merlintrail/node/_progress.py
+++ b/merlintrail/node/calling/_progress.py
@@ -1,8 +1,8 @@
 """Results of the attempts made for one call."""
 
-from merlintrail.node._answers import combine_refusals
 from merlintrail.node._calls import GatewayResult
-from merlintrail.node._retry_policy import Attempts
+from merlintrail.node.calling._answers import combine_refusals
+from merlintrail.node.calling._retry_policy import Attempts
 from merlintrail.protocol import Outcome, Reason, Refusal, Repeat
 from merlintrail.transport import HttpResponse
 
--- a/merlintrail/node/_repeat_limits.py
+++ b/merlintrail/node/calling/_repeat_limits.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from merlintrail.node._repeat_grants import RepeatGrants
+from merlintrail.node.calling._repeat_grants import RepeatGrants
 from merlintrail.state import Configuration
 from merlintrail.state.repeats import RepeatAllowances, RepeatBase
 
--- a/merlintrail/node/_retry_policy.py
+++ b/merlintrail/node/calling/_retry_policy.py
@@ -6,11 +6,7 @@
 
 from merlintrail.node._calls import GatewayResult, OutgoingCall
 from merlintrail.node._suspect_quarantine import SuspectQuarantine
-from merlintrail.protocol import (
-    Outcome,
-    Reason,
-    Refusal,
-)
+from merlintrail.protocol import Outcome, Reason, Refusal
 from merlintrail.transport import HttpResponse
 
 #: Maximum number of redirects of one call.
--- a/merlintrail/node/_keyed.py
+++ b/merlintrail/node/keyed/_keyed.py
@@ -16,15 +16,13 @@
     find_slot,
     find_slot_owner,
 )
-from merlintrail.node._answers import read_peer_answer
 from merlintrail.node._calls import (
     CallResult,
     GatewayResult,
     OutgoingCall,
     compute_call_digest,
 )
-from merlintrail.node._dispatch import Dispatcher
-from merlintrail.node._exchange import PeerExchange
+from merlintrail.node.calling import Dispatcher, PeerExchange, read_peer_answer
 from merlintrail.observability import log_decision
 from merlintrail.protocol import (
     CallHeader,
--- a/merlintrail/node/_lifecycle.py
+++ b/merlintrail/node/life/_lifecycle.py
@@ -5,9 +5,8 @@
 from typing import Any, Final, NamedTuple
 
 from merlintrail.coordination import Heartbeats, Membership
-from merlintrail.node._backend_gateway import BackendGateway
-from merlintrail.node._connections import NodeServers
-from merlintrail.node._ingress import Ingress
+from merlintrail.node.backend import BackendGateway
+from merlintrail.node.serving import Ingress, NodeServers
 from merlintrail.observability import describe_error, log_decision
 from merlintrail.state import (
     ConfigurationHolder,
--- a/merlintrail/node/_connections.py
+++ b/merlintrail/node/serving/_connections.py
@@ -2,7 +2,7 @@
 
 from typing import Final, Protocol
 
-from merlintrail.node._connection_ends import ConnectionEnds
+from merlintrail.node.serving._connection_ends import ConnectionEnds
 from merlintrail.observability import describe_error, log_decision
 from merlintrail.protocol import (
     CALL_HEADER,
--- a/merlintrail/node/_customer_entry.py
+++ b/merlintrail/node/serving/_customer_entry.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from merlintrail.node._resolution import Resolution
+from merlintrail.node.serving._resolution import Resolution
 from merlintrail.protocol import (
     CallerHeaders,
     Importance,
--- a/merlintrail/node/_ingress.py
+++ b/merlintrail/node/serving/_ingress.py
@@ -4,23 +4,19 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from merlintrail.node._caller_retries import CallerRetries
 from merlintrail.node._calls import (
     CallResult,
     OutgoingCall,
     compute_call_digest,
 )
 from merlintrail.node._contexts import MAX_DEPTH, ContextTable, ParentCall
-from merlintrail.node._customer_entry import CustomerEntry
-from merlintrail.node._dispatch import Dispatcher
-from merlintrail.node._keyed import KeyedCalls
-from merlintrail.node._resolution import Resolution, Resolver
 from merlintrail.node._suspect_quarantine import SuspectQuarantine
-from merlintrail.observability import (
-    NodeMetrics,
-    describe_error,
-    log_decision,
-)
+from merlintrail.node.calling import Dispatcher
+from merlintrail.node.keyed import KeyedCalls
+from merlintrail.node.serving._caller_retries import CallerRetries
+from merlintrail.node.serving._customer_entry import CustomerEntry
+from merlintrail.node.serving._resolution import Resolution, Resolver
+from merlintrail.observability import NodeMetrics, describe_error, log_decision
 from merlintrail.protocol import (
     CallerHeaders,
     Dialect,
--- a/merlintrail/node/_local_service.py
+++ b/merlintrail/node/serving/_local_service.py
@@ -4,12 +4,12 @@
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, Final
 
-from merlintrail.node._backend import (
+from merlintrail.node.backend import (
+    BackendGateway,
     InvalidAnnouncement,
     is_local_sender,
     read_announcement,
 )
-from merlintrail.node._backend_gateway import BackendGateway
 from merlintrail.observability import log_decision
 from merlintrail.protocol import decode_json, encode_json
 from merlintrail.transport import HttpRequest, HttpResponse, RequestHandler
--- a/merlintrail/node/_peer_service.py
+++ b/merlintrail/node/serving/_peer_service.py
@@ -6,15 +6,15 @@
 from typing import Any, Final, NamedTuple, Protocol
 
 from merlintrail.coordination import PEER_PATH, Heartbeats, UsageExchange
-from merlintrail.node._backend_gateway import BackendGateway
 from merlintrail.node._calls import (
     GatewayResult,
     OutgoingCall,
     build_peer_answer,
     list_forwarded_headers,
 )
-from merlintrail.node._keyed import KeyedCalls
-from merlintrail.node._repeat_grants import GRANT_SUBJECT, RepeatGrants
+from merlintrail.node.backend import BackendGateway
+from merlintrail.node.calling import GRANT_SUBJECT, RepeatGrants
+from merlintrail.node.keyed import KeyedCalls
 from merlintrail.observability import log_decision
 from merlintrail.protocol import (
     CALL_HEADER,
--- a/merlintrail/node/tests/crash_load.py
+++ b/merlintrail/node/tests/crash_load.py
@@ -12,7 +12,7 @@
 from typing import Any, Final, NamedTuple, TypeAlias
 
 from merlintrail.coordination import CONFIGURATION_KEY
-from merlintrail.node._backend import Announcement
+from merlintrail.node.backend._backend import Announcement
 from merlintrail.node.tests.fake_network import get_header
 from merlintrail.node.tests.session import (
     EPOCH_S,
--- a/merlintrail/node/tests/notice_load.py
+++ b/merlintrail/node/tests/notice_load.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from typing import Final, NamedTuple
 
-from merlintrail.node._backend import Announcement
+from merlintrail.node.backend._backend import Announcement
 from merlintrail.node.tests.session import Session, build_document, build_kind
 from merlintrail.protocol import (
     IDEMPOTENCY_KEY_HEADER,
--- a/merlintrail/node/tests/session.py
+++ b/merlintrail/node/tests/session.py
@@ -16,7 +16,7 @@
     Settings,
     create_node,
 )
-from merlintrail.node._backend import Announcement
+from merlintrail.node.backend._backend import Announcement
 from merlintrail.node.tests.fake_network import FakeNetwork, FakePool
 from merlintrail.observability import JsonLinesHandler, run_deferred
 from merlintrail.protocol import CONTEXT_HEADER, Dialect, NativeDialect
--- a/merlintrail/node/tests/test_announcements.py
+++ b/merlintrail/node/tests/test_announcements.py
@@ -4,7 +4,7 @@
 from typing import Any, Final
 
 from merlintrail.node import Announcement, AnnouncementOrder
-from merlintrail.node._backend import compare_announcements
+from merlintrail.node.backend._backend import compare_announcements
 from merlintrail.node.tests.session import (
     Session,
     answer_after,
--- a/merlintrail/node/tests/test_caller_limits.py
+++ b/merlintrail/node/tests/test_caller_limits.py
@@ -4,7 +4,7 @@
 import unittest
 from typing import Final
 
-from merlintrail.node._connections import PEER_LIMITS, NodeServers
+from merlintrail.node.serving._connections import PEER_LIMITS, NodeServers
 from merlintrail.node.tests.caller_answers import FakeCallerAnswers
 from merlintrail.state import CallerLimits
 from merlintrail.transport import HttpRequest, HttpResponse, start_server
--- a/merlintrail/node/tests/test_closed_routes.py
+++ b/merlintrail/node/tests/test_closed_routes.py
@@ -4,7 +4,7 @@
 import unittest
 from typing import Any, Final
 
-from merlintrail.node._resolution import Resolution, Resolver
+from merlintrail.node.serving._resolution import Resolution, Resolver
 from merlintrail.protocol import (
     Outcome,
     Reason,
--- a/merlintrail/node/tests/test_connection_ends.py
+++ b/merlintrail/node/tests/test_connection_ends.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from merlintrail.node._connection_ends import ConnectionEnds
+from merlintrail.node.serving._connection_ends import ConnectionEnds
 from merlintrail.transport import ConnectionEnd, EndCause, HttpRequest
 
 
--- a/merlintrail/node/tests/test_crashing_requests.py
+++ b/merlintrail/node/tests/test_crashing_requests.py
@@ -4,7 +4,7 @@
 import unittest
 from typing import Final
 
-from merlintrail.node._backend import DEFAULT_TTL_S, Announcement
+from merlintrail.node.backend._backend import DEFAULT_TTL_S, Announcement
 from merlintrail.node.tests.crash_load import (
     MAX_LATE_DELIVERIES,
     CrashFigures,
--- a/merlintrail/node/tests/test_customers.py
+++ b/merlintrail/node/tests/test_customers.py
@@ -5,11 +5,7 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
-from merlintrail.node.tests.session import (
-    Session,
-    build_document,
-    build_kind,
-)
+from merlintrail.node.tests.session import Session, build_document, build_kind
 from merlintrail.observability import JsonLinesHandler, run_deferred
 from merlintrail.protocol import (
     API_KEY_HEADER,
--- a/merlintrail/node/tests/test_drained_servers.py
+++ b/merlintrail/node/tests/test_drained_servers.py
@@ -4,7 +4,7 @@
 import unittest
 from typing import Final
 
-from merlintrail.node._backend import (
+from merlintrail.node.backend._backend import (
     Announcement,
     AnnouncementOrder,
     compare_announcements,
--- a/merlintrail/node/tests/test_exchange.py
+++ b/merlintrail/node/tests/test_exchange.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from merlintrail.node._calls import OutgoingCall
-from merlintrail.node._exchange import PeerExchange
+from merlintrail.node.calling._exchange import PeerExchange
 from merlintrail.protocol import CallHeader, InquiryState
 from merlintrail.state import Member, MemberStatus, RetryAccount
 from merlintrail.transport import (
--- a/merlintrail/node/tests/test_hints.py
+++ b/merlintrail/node/tests/test_hints.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from merlintrail.node._backend import Announcement
+from merlintrail.node.backend._backend import Announcement
 from merlintrail.node.tests.session import (
     Session,
     answer_after,
--- a/merlintrail/node/tests/test_inquiries.py
+++ b/merlintrail/node/tests/test_inquiries.py
@@ -9,10 +9,7 @@
     answer_after,
     create_read_write_session,
 )
-from merlintrail.protocol import (
-    OUTCOME_HEADER,
-    InquiryState,
-)
+from merlintrail.protocol import OUTCOME_HEADER, InquiryState
 from merlintrail.testing import run_virtually
 from merlintrail.transport import HttpResponse
 
--- a/merlintrail/node/tests/test_large_headers.py
+++ b/merlintrail/node/tests/test_large_headers.py
@@ -4,13 +4,9 @@
 from typing import Final
 
 from merlintrail.node._calls import build_call_headers
-from merlintrail.node._connections import PEER_LIMITS
+from merlintrail.node.serving._connections import PEER_LIMITS
 from merlintrail.protocol import CallHeader, encode_header_record
-from merlintrail.transport import (
-    HttpRequest,
-    ServerLimits,
-    encode_request,
-)
+from merlintrail.transport import HttpRequest, ServerLimits, encode_request
 from merlintrail.transport._request_parser import RequestParser
 
 _NAME: Final = 'n' * 250
--- a/merlintrail/node/tests/test_lifecycle.py
+++ b/merlintrail/node/tests/test_lifecycle.py
@@ -4,8 +4,8 @@
 import unittest
 
 from merlintrail.node import Node
-from merlintrail.node._connections import NodeServers
-from merlintrail.node._lifecycle import EXIT_RESERVE_SHARE, Lifecycle
+from merlintrail.node.life._lifecycle import EXIT_RESERVE_SHARE, Lifecycle
+from merlintrail.node.serving._connections import NodeServers
 from merlintrail.node.tests.caller_answers import FakeCallerAnswers
 from merlintrail.node.tests.session import (
     BackendHandler,
--- a/merlintrail/node/tests/test_other_versions.py
+++ b/merlintrail/node/tests/test_other_versions.py
@@ -3,8 +3,8 @@
 import unittest
 from typing import Any
 
-from merlintrail.node._answers import read_peer_answer
-from merlintrail.node._keyed import _decode_recalled_answer
+from merlintrail.node.calling._answers import read_peer_answer
+from merlintrail.node.keyed._keyed import _decode_recalled_answer
 from merlintrail.protocol import (
     CallHeader,
     CallReport,
--- a/merlintrail/node/tests/test_outcomes.py
+++ b/merlintrail/node/tests/test_outcomes.py
@@ -12,9 +12,7 @@
     build_kind,
     create_read_write_session,
 )
-from merlintrail.protocol import (
-    OUTCOME_HEADER,
-)
+from merlintrail.protocol import OUTCOME_HEADER
 from merlintrail.testing import run_virtually
 from merlintrail.transport import HttpRequest, HttpResponse
 
--- a/merlintrail/node/tests/test_recovery.py
+++ b/merlintrail/node/tests/test_recovery.py
@@ -8,11 +8,7 @@
     StoreValue,
     build_relay_key,
 )
-from merlintrail.node.tests.session import (
-    Session,
-    build_document,
-    build_kind,
-)
+from merlintrail.node.tests.session import Session, build_document, build_kind
 from merlintrail.state import Envelope
 from merlintrail.testing import run_virtually
 
--- a/merlintrail/node/tests/test_start_together.py
+++ b/merlintrail/node/tests/test_start_together.py
@@ -4,10 +4,7 @@
 import unittest
 from collections import Counter
 
-from merlintrail.coordination import (
-    CONFIGURATION_KEY,
-    build_relay_key,
-)
+from merlintrail.coordination import CONFIGURATION_KEY, build_relay_key
 from merlintrail.node import Node
 from merlintrail.node.tests.session import Session, build_document, build_kind
 from merlintrail.state import Envelope
--- a/merlintrail/node/tests/test_startup.py
+++ b/merlintrail/node/tests/test_startup.py
@@ -10,11 +10,7 @@
 
 from merlintrail.coordination import CONFIGURATION_KEY
 from merlintrail.node import Node
-from merlintrail.node.tests.session import (
-    READ_AND_WRITE,
-    Session,
-    answer_after,
-)
+from merlintrail.node.tests.session import READ_AND_WRITE, Session, answer_after
 from merlintrail.protocol import DEADLINE_HEADER, OUTCOME_HEADER, Outcome
 from merlintrail.state import Envelope
 from merlintrail.testing import run_virtually
--- a/merlintrail/node/tests/test_stops_and_crashes.py
+++ b/merlintrail/node/tests/test_stops_and_crashes.py
@@ -9,10 +9,7 @@
     Session,
     create_read_write_session,
 )
-from merlintrail.protocol import (
-    REASON_HEADER,
-    Reason,
-)
+from merlintrail.protocol import REASON_HEADER, Reason
 from merlintrail.testing import run_virtually
 from merlintrail.transport import HttpRequest, HttpResponse
 
--- a/merlintrail/node/tests/test_upstream_ends.py
+++ b/merlintrail/node/tests/test_upstream_ends.py
@@ -2,11 +2,7 @@
 
 import unittest
 
-from merlintrail.node.tests.session import (
-    READ_AND_WRITE,
-    Session,
-    answer_after,
-)
+from merlintrail.node.tests.session import READ_AND_WRITE, Session, answer_after
 from merlintrail.testing import run_virtually
 from merlintrail.transport import HttpRequest, HttpResponse
 
