--- a/merlintrail/transport/_connection_state.py
+++ b/merlintrail/transport/_connection_state.py
@@ -57,6 +57,20 @@
     All times are those of one clock, in seconds.
     """
 
+    __slots__ = (
+        '_awaiting_since',
+        '_has_caller_ended',
+        '_input_at',
+        '_limits',
+        '_progress_at',
+        '_untaken_bytes',
+        'ending_since',
+        'idle_since',
+        'ignored_bytes',
+        'phase',
+        'unanswered',
+    )
+
     def __init__(self, now: float, limits: EndLimits | None = None) -> None:
         self._limits = limits or EndLimits()
         self.phase = ConnectionPhase.RECEIVING
--- a/merlintrail/transport/_hand_over.py
+++ b/merlintrail/transport/_hand_over.py
@@ -23,6 +23,14 @@
     unread bytes resets the connection, and what is still under way is lost.
     """
 
+    __slots__ = (
+        '_interval_s',
+        '_loop',
+        '_state',
+        '_timer',
+        'transport',
+    )
+
     def __init__(self, state: ConnectionState) -> None:
         self._loop = asyncio.get_running_loop()
         self._state = state
--- a/merlintrail/transport/_idle_timer.py
+++ b/merlintrail/transport/_idle_timer.py
@@ -24,6 +24,16 @@
     costs the event loop an additional iteration.
     """
 
+    __slots__ = (
+        '_loop',
+        '_on_idle',
+        '_parser',
+        '_server',
+        '_state',
+        '_timer',
+        '_watch_taken',
+    )
+
     def __init__(
         self,
         server: ConnectionGroup,
--- a/merlintrail/transport/_receive_timer.py
+++ b/merlintrail/transport/_receive_timer.py
@@ -18,6 +18,13 @@
     The time limits are those of the parser's limits.
     """
 
+    __slots__ = (
+        '_loop',
+        '_parser',
+        '_refuse',
+        '_timer',
+    )
+
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
