Bound the memory of answers that no caller takes

Operators would see: a node that the platform ends for its memory, with everything that it serves, when some 75 callers do not read answers of 4 MiB: each may hold its answer for 30 s. Memory that servers share is one type.

--- a/merlintrail/node/_gauges.py
+++ b/merlintrail/node/_gauges.py
@@ -193,6 +193,12 @@
         lambda: [GaugePoint(servers.caller_ends.left + servers.peer_ends.left)],
     )
 
+    metrics.register_gauge(
+        'merlintrail.untaken_bytes',
+        'By',
+        'Memory of answers that callers take slowly.',
+        lambda: [GaugePoint(servers.memory.answers.total_bytes)],
+    )
     metrics.register_gauge(
         'merlintrail.connections_ending',
         '{connection}',
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -114,7 +114,7 @@
             self.membership.confirmations,
             self._repeats,
             self.calls,
-            self._servers.budget,
+            self._servers.memory.bodies,
         )
         register_connection_gauges(self.metrics, self._servers)
         self.holder.add_listener(self._apply_configuration)
@@ -143,7 +143,7 @@
                 host,
                 port,
                 limits=PEER_LIMITS,
-                budget=self._servers.budget,
+                memory=self._servers.memory,
                 reports=self._servers.build_peer_reports(),
             )
         )
@@ -154,7 +154,7 @@
                 host,
                 port,
                 listener=call_listener,
-                budget=self._servers.budget,
+                memory=self._servers.memory,
                 reports=self._servers.build_caller_reports(),
             )
         )
--- a/merlintrail/node/serving/_connections.py
+++ b/merlintrail/node/serving/_connections.py
@@ -14,7 +14,6 @@
 from merlintrail.state import CallerLimits
 from merlintrail.transport import (
     BadRequest,
-    BodyBudget,
     EndingConnection,
     HttpRequest,
     HttpResponse,
@@ -22,6 +21,7 @@
     ServerLimits,
     ServerReports,
     build_failure,
+    create_memory,
 )
 
 #: Bytes that nodes may add to the headers of a call.
@@ -78,8 +78,8 @@
         self.callers: list[HttpServer] = []
         #: Servers for other nodes.
         self.peers: list[HttpServer] = []
-        #: Room for the bodies of all requests.
-        self.budget = BodyBudget()
+        #: Memory of the requests and answers on all connections.
+        self.memory = create_memory()
         self.caller_ends = ConnectionEnds(
             'caller', caller_answers.read_request_id
         )
--- a/merlintrail/node/tests/test_caller_limits.py
+++ b/merlintrail/node/tests/test_caller_limits.py
@@ -30,7 +30,7 @@
             (servers.peers, PEER_LIMITS),
         ):
             server = await start_server(
-                _answer, '127.0.0.1', 0, limits=limits, budget=servers.budget
+                _answer, '127.0.0.1', 0, limits=limits, memory=servers.memory
             )
             self.addCleanup(server.close)
             group.append(server)
--- a/merlintrail/transport/__init__.py
+++ b/merlintrail/transport/__init__.py
@@ -29,6 +29,8 @@
 from merlintrail.transport._pool import ConnectionPool, create_pool
 from merlintrail.transport._request_parser import ServerLimits
 from merlintrail.transport._server import HttpServer, start_server
+from merlintrail.transport._server_memory import ServerMemory, create_memory
+from merlintrail.transport._untaken_answers import UntakenAnswers
 
 __all__ = (
     'TIMEOUT',
@@ -48,9 +50,12 @@
     'HttpServer',
     'RequestHandler',
     'ServerLimits',
+    'ServerMemory',
     'ServerReports',
     'TransportFailure',
+    'UntakenAnswers',
     'build_failure',
+    'create_memory',
     'create_pool',
     'encode_request',
     'encode_response',
--- a/merlintrail/transport/_connection_group.py
+++ b/merlintrail/transport/_connection_group.py
@@ -4,11 +4,11 @@
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
 from merlintrail.transport._bad_request import BadRequest
-from merlintrail.transport._body_budget import BodyBudget
 from merlintrail.transport._connection_end import ConnectionEnd
 from merlintrail.transport._message import HttpRequest, HttpResponse
 from merlintrail.transport._own_answers import build_failure
 from merlintrail.transport._request_parser import ServerLimits
+from merlintrail.transport._server_memory import ServerMemory
 
 if TYPE_CHECKING:
     from merlintrail.transport._server_connection import ServerConnection
@@ -46,13 +46,15 @@
         handler: RequestHandler,
         limits: ServerLimits,
         reports: ServerReports,
-        budget: BodyBudget,
+        memory: ServerMemory,
     ) -> None:
         self.handler = handler
         #: Limits on requests, which may be replaced.
         self.limits = limits
         #: Room for the bodies of all requests.
-        self.budget = budget
+        self.budget = memory.bodies
+        #: What callers have not taken of their answers.
+        self.untaken = memory.answers
         self.reports = reports
         #: The open connections.
         self.connections: 'set[ServerConnection]' = set()
--- a/merlintrail/transport/_connection_state.py
+++ b/merlintrail/transport/_connection_state.py
@@ -43,6 +43,8 @@
 
     #: Seconds in which a caller has to take some bytes of an answer.
     stall_s: float = 30.0
+    #: The same while callers hold too many bytes together.
+    short_stall_s: float = 3.0
     #: Seconds without input to wait for the caller's close.
     linger_s: float = 2.0
     #: Seconds to wait for the caller's close altogether.
@@ -160,10 +162,14 @@
         self._input_at = now
         return self.ignored_bytes <= self._limits.max_ignored_bytes
 
-    def record_untaken(self, untaken_bytes: int, now: float) -> None:
+    def record_untaken(
+        self, untaken_bytes: int, now: float, *, is_pressed: bool = False
+    ) -> None:
         """Record the bytes that the caller has not taken.
 
         It ends the connection when a wait is over.
+
+        :param is_pressed: whether callers hold too many bytes together.
         """
         if untaken_bytes != self._untaken_bytes:
             self._untaken_bytes = untaken_bytes
@@ -171,7 +177,7 @@
         if self.phase == ConnectionPhase.AWAITING_CLOSE:
             self._check_linger(now)
         elif untaken_bytes:
-            self._check_stall(now)
+            self._check_stall(now, is_pressed=is_pressed)
         elif self.phase == ConnectionPhase.HANDING_OVER:
             self._await_close(now)
 
@@ -196,8 +202,10 @@
         if is_over:
             self.close()
 
-    def _check_stall(self, now: float) -> None:
+    def _check_stall(self, now: float, *, is_pressed: bool) -> None:
         if self.phase == ConnectionPhase.RECEIVING:
             self.idle_since = now
-        if now - self._progress_at >= self._limits.stall_s:
+        limits = self._limits
+        limit_s = limits.short_stall_s if is_pressed else limits.stall_s
+        if now - self._progress_at >= limit_s:
             self.close()
--- a/merlintrail/transport/_hand_over.py
+++ b/merlintrail/transport/_hand_over.py
@@ -9,6 +9,7 @@
     ConnectionState,
 )
 from merlintrail.transport._send_queue import count_untaken_bytes
+from merlintrail.transport._untaken_answers import UntakenAnswers
 
 #: Bounds in seconds of the interval between two checks of what the caller has
 #: taken. It doubles from one check to the next.
@@ -24,14 +25,23 @@
     """
 
     __slots__ = (
+        '_counted_bytes',
         '_interval_s',
         '_loop',
         '_state',
         '_timer',
+        '_untaken',
         'transport',
     )
 
-    def __init__(self, state: ConnectionState) -> None:
+    def __init__(self, state: ConnectionState, untaken: UntakenAnswers) -> None:
+        """Initialize without a connection.
+
+        :param untaken: what all callers hold together.
+        """
+        self._untaken = untaken
+        #: Bytes of this connection in that sum.
+        self._counted_bytes = 0
         self._loop = asyncio.get_running_loop()
         self._state = state
         #: Transport of the connection, once it is made.
@@ -62,8 +72,13 @@
     def close(self) -> None:
         """Check no more, and drop the reference to the connection."""
         self._stop()
+        self._count(0)
         self.transport = None
 
+    def _count(self, untaken_bytes: int) -> None:
+        self._untaken.update(self._counted_bytes, untaken_bytes)
+        self._counted_bytes = untaken_bytes
+
     def _stop(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -74,7 +89,12 @@
         if self.transport is None:
             return
         untaken_bytes = count_untaken_bytes(self.transport)
-        self._state.record_untaken(untaken_bytes, self._loop.time())
+        self._count(untaken_bytes)
+        self._state.record_untaken(
+            untaken_bytes,
+            self._loop.time(),
+            is_pressed=self._untaken.is_above_limit,
+        )
         if self._state.phase == ConnectionPhase.CLOSED:
             self.transport.abort()
         elif untaken_bytes or self._state.is_ending:
--- a/merlintrail/transport/_server.py
+++ b/merlintrail/transport/_server.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from typing import Final
 
-from merlintrail.transport._body_budget import BodyBudget
 from merlintrail.transport._connection_end import EndCause, EndingConnection
 from merlintrail.transport._connection_group import (
     ConnectionGroup,
@@ -15,6 +14,10 @@
 from merlintrail.transport._message import HttpRequest, HttpResponse
 from merlintrail.transport._request_parser import ServerLimits
 from merlintrail.transport._server_connection import ServerConnection
+from merlintrail.transport._server_memory import (
+    ServerMemory,
+    create_memory,
+)
 
 #: Connections that wait to be accepted.
 BACKLOG: Final = 1024
@@ -28,9 +31,9 @@
         handler: RequestHandler,
         limits: ServerLimits,
         reports: ServerReports,
-        budget: BodyBudget,
+        memory: ServerMemory,
     ) -> None:
-        super().__init__(handler, limits, reports, budget)
+        super().__init__(handler, limits, reports, memory)
         self._listener: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
@@ -97,11 +100,11 @@
     limits: ServerLimits | None = None,
     reports: ServerReports | None = None,
     listener: socket.socket | None = None,
-    budget: BodyBudget | None = None,
+    memory: ServerMemory | None = None,
 ) -> HttpServer:
     """Start a server.
 
-    :param budget: room for request bodies that other servers share.
+    :param memory: memory that other servers share.
     :param reports: what to report, nothing by default.
     :param listener: socket that listens on the address already, if any.
     :raises OSError: if the address cannot be bound.
@@ -110,7 +113,7 @@
         handler,
         limits or ServerLimits(),
         reports or ServerReports(),
-        budget or BodyBudget(),
+        memory or create_memory(),
     )
     if listener is None:
         await server.listen(host, port)
--- a/merlintrail/transport/_server_connection.py
+++ b/merlintrail/transport/_server_connection.py
@@ -70,7 +70,7 @@
         self._receive_timer = ReceiveTimer(
             self._loop, self._parser, self._enqueue
         )
-        self.hand_over = HandOver(self._state)
+        self.hand_over = HandOver(self._state, server.untaken)
         self._idle_timer = IdleTimer(
             server,
             self._state,
--- a/merlintrail/transport/tests/test_body_budget.py
+++ b/merlintrail/transport/tests/test_body_budget.py
@@ -10,6 +10,7 @@
     HttpResponse,
     HttpServer,
     ServerLimits,
+    create_memory,
     start_server,
 )
 
@@ -33,7 +34,11 @@
     async def start(self) -> HttpServer:
         """Start the server."""
         return await start_server(
-            self._answer, '127.0.0.1', 0, limits=_LIMITS, budget=self.budget
+            self._answer,
+            '127.0.0.1',
+            0,
+            limits=_LIMITS,
+            memory=create_memory(self.budget),
         )
 
     async def _answer(self, request: HttpRequest) -> HttpResponse:
--- a/merlintrail/transport/tests/test_connection_state.py
+++ b/merlintrail/transport/tests/test_connection_state.py
@@ -65,16 +65,18 @@
 class _NeverStalls(ConnectionState):
     """Breaks the bound of (c)."""
 
-    def _check_stall(self, now: float) -> None:
+    def _check_stall(self, now: float, *, is_pressed: bool) -> None:
         """Wait for ever."""
 
 
 class _ClosesEarly(ConnectionState):
     """Breaks (d): it closes some time after the last answer was written."""
 
-    def record_untaken(self, untaken_bytes: int, now: float) -> None:
+    def record_untaken(
+        self, untaken_bytes: int, now: float, *, is_pressed: bool = False
+    ) -> None:
         """Close although something is left to be taken."""
-        super().record_untaken(untaken_bytes, now)
+        super().record_untaken(untaken_bytes, now, is_pressed=is_pressed)
         if self.phase == ConnectionPhase.HANDING_OVER:
             self.close()
 
@@ -104,10 +106,10 @@
 class _IdlesFromAnswer(ConnectionState):
     """Breaks (g): the idle time counts from the answer on."""
 
-    def _check_stall(self, now: float) -> None:
+    def _check_stall(self, now: float, *, is_pressed: bool) -> None:
         """Keep the time from which the connection is idle."""
         idle_since = self.idle_since
-        super()._check_stall(now)
+        super()._check_stall(now, is_pressed=is_pressed)
         self.idle_since = idle_since
 
 
--- a/merlintrail/transport/tests/test_slow_callers.py
+++ b/merlintrail/transport/tests/test_slow_callers.py
@@ -10,6 +10,8 @@
     HttpResponse,
     HttpServer,
     ServerLimits,
+    UntakenAnswers,
+    create_memory,
     start_server,
 )
 from merlintrail.transport.tests.slow_callers import (
@@ -166,6 +168,23 @@
             self.assertEqual(len(server.connections), 1)
             await self._wait_for_end(server)
 
+    async def test_callers_that_never_read_take_all_memory(self) -> None:
+        """Together they hold too much; one that reads slowly is kept."""
+        untaken = UntakenAnswers(3 * len(_LARGE))
+        server = await start_server(
+            _answer_large, '127.0.0.1', 0, memory=create_memory(answers=untaken)
+        )
+        self.addCleanup(server.close)
+        callers = [await connect_slowly(server) for _ in range(6)]
+        for caller in callers:
+            self.addCleanup(caller.close)
+            caller.send(build_request(1, 'connection: close\r\n'))
+        received = await callers[0].read_all(0.03, limit_s=12)
+        self.assertEqual((received.bodies, received.error), ([_LARGE], ''))
+        async with asyncio.timeout(10):
+            while untaken.total_bytes > 3 * len(_LARGE):
+                await asyncio.sleep(0.1)
+
     async def test_caller_that_closes_its_end_and_never_reads_is_kept(
         self,
     ) -> None:
