--- a/merlintrail/transport/_server_connection.py
+++ b/merlintrail/transport/_server_connection.py
@@ -96,11 +96,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests of a caller that disconnected."""
-        if exc is not None:
-            self._end_cause = EndCause.RESET
-        elif self._state.phase == ConnectionPhase.CLOSED:
+        if self._state.phase == ConnectionPhase.CLOSED:
             self._end_cause = EndCause.STALLED
-        self.report_end(self._end_cause or EndCause.NODE)
+        # uvloop passes no error for every reset.
+        self.report_end(self._end_cause or EndCause.RESET)
         self._server.connections.discard(self)
         self._state.close()
         self._receive_timer.close()
@@ -161,6 +160,7 @@
     def close(self) -> None:
         """Close the connection."""
         if self._transport is not None:
+            self._end_cause = self._end_cause or EndCause.NODE
             self._transport.close()
 
     @property
--- a/merlintrail/transport/tests/test_connection_end.py
+++ b/merlintrail/transport/tests/test_connection_end.py
@@ -7,6 +7,8 @@
 import weakref
 from typing import Final
 
+import uvloop
+
 from merlintrail.transport import (
     ConnectionEnd,
     EndCause,
@@ -17,6 +19,8 @@
 )
 
 _REQUEST: Final = b'GET /x HTTP/1.1\r\nhost: a\r\n\r\n'
+#: Makes a close reset the connection.
+_LINGER: Final = b'\x01\x00\x00\x00\x00\x00\x00\x00'
 _LARGE: Final = b'x' * 4_000_000
 
 
@@ -47,14 +51,27 @@
         """What the caller has not taken is counted."""
         writer = await self._connect(_answer_large)
         sock: socket.socket = writer.get_extra_info('socket')
-        linger = b'\x01\x00\x00\x00\x00\x00\x00\x00'
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER)
         writer.transport.abort()
         end = await self._wait_for_report()
         self.assertEqual(end.cause, EndCause.RESET)
         self.assertEqual(end.unanswered, ())
         self.assertGreater(end.unsent_bytes, 0)
 
+    def test_reset_in_the_event_loop_of_nodes_counts_as_a_cut(self) -> None:
+        """It is not what this node did."""
+
+        async def scenario() -> None:
+            writer = await self._connect(_never_answer)
+            sock = writer.get_extra_info('socket')
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER)
+            writer.transport.abort()
+            end = await self._wait_for_report()
+            self.assertEqual(end.cause, EndCause.RESET)
+
+        self.ends = []
+        uvloop.run(scenario())
+
     async def test_end_of_the_process_leaves_no_trace(self) -> None:
         """It is reported once, before anything is closed."""
         await self._connect(_never_answer)
