Answer nested calls whose parent has ended, and keep their connection

Callers (here backend servers) saw: a closed connection in place of an answer to a nested call, and with it all other calls that were on their way on it, when the call that it belongs to reached its deadline or lost its caller. Cause: the end of the parent cancels the task of each nested call, which is that of the connection. Now the nested call ends with 504 (parent-ended, may have run), and the connection goes on. test_end_of_a_call_cuts_the_connections_of_its_server failed before (CancelledError).

--- a/merlintrail/node/_contexts.py
+++ b/merlintrail/node/_contexts.py
@@ -32,6 +32,8 @@
         self.has_failed = False
         #: Number of nested calls, over the whole call tree.
         self.nested_calls = 0
+        #: Whether the call has ended, and its nested calls with it.
+        self.has_ended = False
         #: Digests of the nested calls made so far.
         self.digests: set[str] = set()
         self._nested_tasks: set[asyncio.Task[object]] = set()
@@ -63,7 +65,8 @@
         return max(0.0, duration_s - self._nested_time_s)
 
     def cancel_nested_calls(self) -> None:
-        """Cancel the nested calls in progress."""
+        """Cancel the nested calls in progress, as the call has ended."""
+        self.has_ended = True
         for task in tuple(self._nested_tasks):
             task.cancel()
 
--- a/merlintrail/node/serving/_ingress.py
+++ b/merlintrail/node/serving/_ingress.py
@@ -1,5 +1,6 @@
 """Requests of callers and nested calls of the local backend servers."""
 
+import asyncio
 import random
 from collections.abc import Callable
 from typing import Final, NamedTuple
@@ -302,6 +303,12 @@
         parent.begin_nested_call(self._clock())
         try:
             call_result = await self._send(nested_call)
+        except asyncio.CancelledError:
+            if not _is_cancelled_by(parent):
+                raise
+            refusal = Refusal(Outcome.MAY_HAVE_RUN, Reason.PARENT_ENDED)
+            self._log_refusal(call.request_id, call.kind, refusal)
+            return refusal
         finally:
             parent.end_nested_call(self._clock())
         parent.account.refund(reserved_retries, nested_call.account.balance)
@@ -454,6 +461,12 @@
         )
 
 
+def _is_cancelled_by(parent: ParentCall) -> bool:
+    """Return whether the end of its parent alone cancelled a nested call."""
+    task = asyncio.current_task()
+    return parent.has_ended and task is not None and not task.uncancel()
+
+
 def _find_earliest_retry(refusal: Refusal) -> float:
     """Return the seconds until which a retry is known to be refused.
 
--- a/merlintrail/node/tests/test_outcomes.py
+++ b/merlintrail/node/tests/test_outcomes.py
@@ -70,6 +70,36 @@
 
         run_virtually(scenario())
 
+    def test_end_of_a_call_cuts_the_connections_of_its_server(self) -> None:
+        """Its nested calls are answered, also when nobody waits for it."""
+
+        async def scenario() -> None:
+            document = build_document(
+                {
+                    'top': [build_kind('x', deadline_ms=300)],
+                    'deep': [build_kind('x', deadline_ms=5000)],
+                }
+            )
+            session = Session(document, ('ingress', 'one', 'two'))
+            nested: list[asyncio.Task[HttpResponse]] = []
+
+            async def run_top(request: HttpRequest) -> HttpResponse:
+                call = session.call_nested('one', request, '/deep/x')
+                nested.append(asyncio.create_task(call))
+                await asyncio.sleep(5)
+                return HttpResponse(200, (), b'')
+
+            session.add_backend('one', 'top', run_top)
+            session.add_backend('two', 'deep', answer_after(5))
+            answer = await session.call('ingress', '/top/x')
+            self.assertEqual(answer.status, 504)
+            async with asyncio.timeout(1):
+                below = await nested[0]
+            self.assertEqual(below.status, 504)
+            self.assertIn(b'parent-ended', below.body)
+
+        run_virtually(scenario())
+
 
 class RetryTest(unittest.TestCase):
     """Limits on retries over the whole call tree."""
--- a/merlintrail/protocol/_outcome.py
+++ b/merlintrail/protocol/_outcome.py
@@ -89,6 +89,7 @@
     Reason.BACKEND_LOST: 502,
     Reason.PEER_LOST: 504,
     Reason.NODE_STOPPED: 504,
+    Reason.PARENT_ENDED: 504,
     Reason.INTERNAL_ERROR: 500,
     Reason.KEY_TOO_OLD: 422,
     Reason.KEY_FROM_FUTURE: 422,
