Keep the grace period for a stop signal in a drain

Callers would see: cut answers when the platform stops a node that drains for a planned stop: the drain, which waits up to 60 s, ignored the signal, and the platform ends the process after its grace period. The shutdown replaces the drain now. test_stop_signal_in_a_drain_exceeds_the_grace_period failed before.

--- a/merlintrail/node/life/_lifecycle.py
+++ b/merlintrail/node/life/_lifecycle.py
@@ -93,9 +93,10 @@
 
         The node still serves while callers and the other nodes switch away
         from it. Then it refuses their calls, serves the nested calls of its
-        local backend server, and stops once it is idle.
+        local backend server, and stops once it is idle. It replaces a drain
+        that has no limit of its own.
         """
-        if self._drain is None:
+        if not self.is_shutting_down:
             log_decision(
                 'drain',
                 instance=self._deps.instance,
@@ -111,6 +112,9 @@
         The process ends whatever happens to the drain.
         """
         self._deps.servers.close_after_answers()
+        if self._drain is not None:
+            self._drain.remove_done_callback(self._end_process)
+            self._drain.cancel()
         self._drain = asyncio.create_task(drain)
         self._drain.add_done_callback(self._end_process)
 
--- a/merlintrail/node/serving/_connections.py
+++ b/merlintrail/node/serving/_connections.py
@@ -64,10 +64,7 @@
 class NodeServers:
     """Servers for callers, the backend server and other nodes."""
 
-    def __init__(
-        self,
-        caller_answers: CallerAnswers,
-    ) -> None:
+    def __init__(self, caller_answers: CallerAnswers) -> None:
         """Initialize without servers.
 
         :param caller_answers: answers to callers whose requests are not
--- a/merlintrail/node/tests/test_lifecycle.py
+++ b/merlintrail/node/tests/test_lifecycle.py
@@ -183,6 +183,25 @@
 
         run_virtually(scenario())
 
+    def test_stop_signal_in_a_drain_exceeds_the_grace_period(self) -> None:
+        """The drain for a planned stop waits longer than the platform does."""
+
+        async def scenario() -> None:
+            kind = build_kind('read', deadline_ms=60000)
+            session = Session(build_document({'svc': [kind]}), ('one', 'two'))
+            session.add_backend('two', 'svc', answer_after(50.0))
+            node = session.nodes['one']
+            calls = asyncio.create_task(session.call('one', '/svc/read'))
+            await asyncio.sleep(1)
+            node.lifecycle.start_drain('planned stop')
+            await asyncio.sleep(2)
+            node.lifecycle.start_shutdown('SIGTERM', _GRACE_S)
+            async with asyncio.timeout(_GRACE_S - 0.5):
+                await node.lifecycle.stopped.wait()
+            calls.cancel()
+
+        run_virtually(scenario())
+
     def test_failing_drain_keeps_the_process(self) -> None:
         """The process ends although an error ended its drain."""
 
--- a/merlintrail/transport/_idle_timer.py
+++ b/merlintrail/transport/_idle_timer.py
@@ -8,7 +8,6 @@
 from merlintrail.transport._connection_state import ConnectionState
 from merlintrail.transport._request_parser import RequestParser
 
-
 #: Parts of the idle time at whose ends a caller is asked what it has taken.
 CHECKS: Final = 8
 
--- a/merlintrail/transport/_server_connection.py
+++ b/merlintrail/transport/_server_connection.py
@@ -98,7 +98,6 @@
         """Cancel the requests of a caller that disconnected."""
         if self._state.phase == ConnectionPhase.CLOSED:
             self._end_cause = EndCause.STALLED
-        # uvloop passes no error for every reset.
         self.report_end(self._end_cause or EndCause.RESET)
         self._server.connections.discard(self)
         self._state.close()
