--- a/merlintrail/bench/fault_soak.py
+++ b/merlintrail/bench/fault_soak.py
@@ -3,15 +3,13 @@
 Run it with ``python -m merlintrail.bench.fault_soak``.
 """
 
-import signal
-import sys
 from collections.abc import Sequence
-from typing import Any, Final
+from typing import Final
 
-import orjson
 from absl import app, flags
 
 from merlintrail.bench._fault_soak import run_soak
+from merlintrail.bench._soak_seeds import run_seeds
 
 _SEED: Final = flags.DEFINE_integer('seed', 1, 'Seed of the first run.')
 _SEEDS: Final = flags.DEFINE_integer(
@@ -25,20 +23,12 @@
 )
 
 
-def _exit_on_sigterm(*_: Any) -> None:
-    """Raise ``SystemExit`` so that all processes of the run are stopped."""
-    sys.exit(1)
-
-
 def _run(_: Sequence[str]) -> int:
-    signal.signal(signal.SIGTERM, _exit_on_sigterm)
-    failed_seeds = 0
-    for seed in range(_SEED.value, _SEED.value + _SEEDS.value):
-        result = run_soak(seed, _DURATION.value, _KEEP.value)
-        failed_seeds += bool(result.findings)
-        sys.stdout.write(f'{orjson.dumps(result.summarise()).decode()}\n')
-        sys.stdout.flush()
-    return 1 if failed_seeds else 0
+    return run_seeds(
+        _SEED.value,
+        _SEEDS.value,
+        lambda seed: run_soak(seed, _DURATION.value, _KEEP.value),
+    )
 
 
 if __name__ == '__main__':
