--- a/merlintrail/cli/_explain.py
+++ b/merlintrail/cli/_explain.py
@@ -33,6 +33,9 @@
     Reason.BACKEND_LOST: 'the connection to the backend server ended early',
     Reason.BACKEND_REFUSED: 'the backend server itself refused',
     Reason.PEER_LOST: 'the node beside the backend server did not answer',
+    Reason.NODE_STOPPED: 'the node ended before the request did',
+    Reason.PARENT_ENDED: 'the call that made this nested call has ended',
+    Reason.INTERNAL_ERROR: 'the node itself failed; the detail says where',
     Reason.QUARANTINED: 'the request crashed backend servers before',
 }
 
