Give each soak a package of its own

Callers, changes, checks and the command line of a soak stand together; the fault injector and the loop over seeds are shared. Commands and tests keep their names.

--- a/merlintrail/bench/_soak_faults.py
+++ b/merlintrail/bench/_soak_faults.py
@@ -10,10 +10,11 @@
 
 import urllib3
 
-from merlintrail.bench._soak_checks import FAULT_FREE_ENTRY_INDEX
 from merlintrail.lab.processes import Deployment
 from merlintrail.lab.relay import TcpRelay
 
+#: Index of the entry node into which no fault is injected.
+FAULT_FREE_ENTRY_INDEX: Final = 0
 #: Mean seconds between two attempts to inject a fault.
 MEAN_FAULT_INTERVAL_S: Final = 0.7
 #: Bounds of the random duration of a fault.
--- a/merlintrail/bench/change_soak.py
+++ b/merlintrail/bench/change_soak/__main__.py
@@ -1,15 +1,12 @@
-"""Soak test of changes of routes beside faults.
-
-Run it with ``python -m merlintrail.bench.change_soak``.
-"""
+"""Command line of the soak of route changes."""
 
 from collections.abc import Sequence
 from typing import Final
 
 from absl import app, flags
 
-from merlintrail.bench._change_soak import run_change_soak
 from merlintrail.bench._soak_seeds import run_seeds
+from merlintrail.bench.change_soak import run_change_soak
 
 _SEED: Final = flags.DEFINE_integer('seed', 1, 'Seed of the first run.')
 _SEEDS: Final = flags.DEFINE_integer(
--- a/merlintrail/bench/_route_callers.py
+++ b/merlintrail/bench/change_soak/_callers.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Final, NamedTuple
 
-from merlintrail.bench._route_changes import ROUTE_HOST, ROUTE_PREFIXES
+from merlintrail.bench.change_soak._changes import ROUTE_HOST, ROUTE_PREFIXES
 from merlintrail.lab.backend import RUN_LABEL_HEADER
 from merlintrail.protocol import DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER
 from merlintrail.transport import HttpResponse, create_pool
--- a/merlintrail/bench/_route_checks.py
+++ b/merlintrail/bench/change_soak/_checks.py
@@ -5,13 +5,13 @@
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from typing import Final, NamedTuple, TypeAlias
 
-from merlintrail.bench._route_callers import RouteRecord
-from merlintrail.bench._route_changes import (
+from merlintrail.bench._soak_faults import Disturbance
+from merlintrail.bench.change_soak._callers import RouteRecord
+from merlintrail.bench.change_soak._changes import (
     ADDED_PREFIX,
     ROUTE_PREFIXES,
     RouteChanges,
 )
-from merlintrail.bench._soak_faults import Disturbance
 
 #: Seconds after a fault for which it still excuses what it disturbed.
 STABLE_WINDOW_S: Final = 3.0
--- a/merlintrail/bench/_change_soak.py
+++ b/merlintrail/bench/change_soak/_run.py
@@ -15,18 +15,18 @@
 
 import uvloop
 
-from merlintrail.bench._route_callers import RouteCallers, RouteRecord
-from merlintrail.bench._route_changes import SERVICES, RouteChanges
-from merlintrail.bench._route_checks import (
-    RouteRun,
-    SoakHistory,
-    check_history,
-)
 from merlintrail.bench._soak_faults import (
     FaultInjector,
     FaultIntensity,
     FaultTargets,
 )
+from merlintrail.bench.change_soak._callers import RouteCallers, RouteRecord
+from merlintrail.bench.change_soak._changes import SERVICES, RouteChanges
+from merlintrail.bench.change_soak._checks import (
+    RouteRun,
+    SoakHistory,
+    check_history,
+)
 from merlintrail.coordination import create_store_client
 from merlintrail.lab.backend import read_run_log
 from merlintrail.lab.processes import Deployment, WorkerPlan
--- a/merlintrail/bench/connection_soak/_changes.py
+++ b/merlintrail/bench/connection_soak/_changes.py
@@ -6,8 +6,8 @@
 from collections import Counter
 from typing import Final
 
-from merlintrail.bench._route_changes import RouteChanges
 from merlintrail.bench._soak_faults import is_listening
+from merlintrail.bench.change_soak._changes import RouteChanges
 from merlintrail.lab.processes import Deployment
 
 #: Bounds of the pause in seconds between two changes.
--- a/merlintrail/bench/connection_soak/_connection.py
+++ b/merlintrail/bench/connection_soak/_connection.py
@@ -4,7 +4,7 @@
 import socket
 from typing import Final
 
-from merlintrail.bench._route_changes import ROUTE_HOST
+from merlintrail.bench.change_soak._changes import ROUTE_HOST
 from merlintrail.bench.connection_soak._requests import (
     RequestEnd,
     SoakRequest,
--- a/merlintrail/bench/connection_soak/_run.py
+++ b/merlintrail/bench/connection_soak/_run.py
@@ -8,7 +8,7 @@
 
 import uvloop
 
-from merlintrail.bench._route_changes import SERVICES, RouteChanges
+from merlintrail.bench.change_soak._changes import SERVICES, RouteChanges
 from merlintrail.bench.connection_soak._callers import (
     Caller,
     create_callers,
--- a/merlintrail/bench/fault_soak.py
+++ b/merlintrail/bench/fault_soak/__main__.py
@@ -1,15 +1,12 @@
-"""Soak test with fault injection.
-
-Run it with ``python -m merlintrail.bench.fault_soak``.
-"""
+"""Command line of the soak with fault injection."""
 
 from collections.abc import Sequence
 from typing import Final
 
 from absl import app, flags
 
-from merlintrail.bench._fault_soak import run_soak
 from merlintrail.bench._soak_seeds import run_seeds
+from merlintrail.bench.fault_soak import run_soak
 
 _SEED: Final = flags.DEFINE_integer('seed', 1, 'Seed of the first run.')
 _SEEDS: Final = flags.DEFINE_integer(
--- a/merlintrail/bench/_soak_checks.py
+++ b/merlintrail/bench/fault_soak/_checks.py
@@ -9,14 +9,13 @@
 from pathlib import Path
 from typing import Final
 
-from merlintrail.bench._soak_callers import RequestRecord, build_run_label
+from merlintrail.bench._soak_faults import FAULT_FREE_ENTRY_INDEX
+from merlintrail.bench.fault_soak._callers import RequestRecord, build_run_label
 from merlintrail.lab.backend import read_run_log
 from merlintrail.protocol import Reason
 
 #: Minimum share of successes among the requests sent after recovery.
 MIN_RECOVERED_SHARE: Final = 0.95
-#: Index of the entry node into which no fault is injected.
-FAULT_FREE_ENTRY_INDEX: Final = 0
 _OK: Final = 200
 #: Status of a request that is refused because it crashes backend servers.
 _QUARANTINED: Final = 422
--- a/merlintrail/bench/_fault_soak.py
+++ b/merlintrail/bench/fault_soak/_run.py
@@ -18,16 +18,16 @@
 import uvloop
 
 from merlintrail.bench._latency import build_document, start_deployment
-from merlintrail.bench._soak_callers import RequestRecord, SoakCallers
-from merlintrail.bench._soak_checks import (
+from merlintrail.bench._soak_faults import FaultInjector, FaultTargets
+from merlintrail.bench.fault_soak._callers import RequestRecord, SoakCallers
+from merlintrail.bench.fault_soak._checks import (
     MIN_RECOVERED_SHARE,
     check_records,
     compute_success_share,
     count_runs,
 )
-from merlintrail.bench._soak_configuration import ConfigurationChanges
-from merlintrail.bench._soak_faults import FaultInjector, FaultTargets
-from merlintrail.bench._soak_statements import check_statements
+from merlintrail.bench.fault_soak._configuration import ConfigurationChanges
+from merlintrail.bench.fault_soak._statements import check_statements
 from merlintrail.lab.backend import read_run_log
 from merlintrail.lab.processes import Deployment, WorkerPlan
 from merlintrail.lab.relay import TcpRelay
--- a/merlintrail/bench/_soak_statements.py
+++ b/merlintrail/bench/fault_soak/_statements.py
@@ -8,12 +8,12 @@
 from itertools import groupby
 from typing import Final
 
-from merlintrail.bench._soak_callers import (
+from merlintrail.bench._soak_faults import FAULT_FREE_ENTRY_INDEX
+from merlintrail.bench.fault_soak._callers import (
     DEADLINE_MS,
     RequestRecord,
     build_run_label,
 )
-from merlintrail.bench._soak_checks import FAULT_FREE_ENTRY_INDEX
 from merlintrail.lab.backend import LoggedRun
 from merlintrail.lab.statement_rule import (
     LEAVING_NOTICE_S,
--- a/merlintrail/bench/tests/test_change_soak.py
+++ b/merlintrail/bench/tests/test_change_soak.py
@@ -5,15 +5,15 @@
 import unittest
 from typing import Final
 
-from merlintrail.bench._change_soak import run_change_soak
-from merlintrail.bench._route_callers import RouteRecord
-from merlintrail.bench._route_changes import RouteChanges, RouteVersion
-from merlintrail.bench._route_checks import (
+from merlintrail.bench._soak_faults import Disturbance
+from merlintrail.bench.change_soak._callers import RouteRecord
+from merlintrail.bench.change_soak._changes import RouteChanges, RouteVersion
+from merlintrail.bench.change_soak._checks import (
     RouteRun,
     SoakHistory,
     check_history,
 )
-from merlintrail.bench._soak_faults import Disturbance
+from merlintrail.bench.change_soak._run import run_change_soak
 from merlintrail.coordination import create_store_client
 
 #: Nodes, seconds of faults and seed of the short run.
--- a/merlintrail/bench/tests/test_fault_soak.py
+++ b/merlintrail/bench/tests/test_fault_soak.py
@@ -4,14 +4,17 @@
 from collections.abc import Sequence
 from typing import Final
 
-from merlintrail.bench._fault_soak import FAILED_SEEDS, run_soak
-from merlintrail.bench._soak_callers import (
+from merlintrail.bench.fault_soak._callers import (
     CRASHING_KIND,
     SOAK_REQUEST_KINDS,
     RequestRecord,
 )
-from merlintrail.bench._soak_checks import check_records, compute_success_share
-from merlintrail.bench._soak_statements import check_statements
+from merlintrail.bench.fault_soak._checks import (
+    check_records,
+    compute_success_share,
+)
+from merlintrail.bench.fault_soak._run import FAILED_SEEDS, run_soak
+from merlintrail.bench.fault_soak._statements import check_statements
 from merlintrail.lab.backend import LoggedRun
 
 #: Even, so that the store is restored.
