Review: a restarted node sends requests to a worker that has left

A node acknowledges that its worker leaves, is killed and starts again; a late heartbeat makes the worker a ready one, and 5 requests that are not idempotent reach it 4.5 s after the ack and are cut off by its end.

--- a/review/lib-2/worker.py
+++ b/review/lib-2/worker.py
@@ -37,6 +37,7 @@
         self.running = 0
         self.waiting = 0
         self.leaving = False
+        self.has_left = False
         self.beats = True
         self.factor = 1.0
         self.changed = asyncio.Condition()
@@ -89,6 +90,7 @@
         status = answer and answer[0]
         is_ack = status is not None and 200 <= status < 300
         self.leaving = is_ack or self.leaving
+        self.has_left = True
         self.record('leave', status=status, ack=is_ack)
 
     async def command(self, line):
@@ -111,7 +113,8 @@
         elif what == 'slow':
             self.factor = line['x']
         elif what == 'end':
-            await self.leave()
+            if not self.has_left:
+                await self.leave()
             self.record('exit', running=self.running)
             os._exit(0)
 
