--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -43,11 +44,17 @@
 
 
 def find_ports(count):
-    """Return free ports."""
-    sockets = [socket.socket() for _ in range(count)]
+    """Return free ports below those that the system gives to connections."""
+    sockets = []
     try:
-        for one in sockets:
-            one.bind(('127.0.0.1', 0))
+        while len(sockets) < count:
+            one = socket.socket()
+            try:
+                one.bind(('127.0.0.1', random.randrange(12000, 32000)))
+            except OSError:
+                one.close()
+                continue
+            sockets.append(one)
         return [one.getsockname()[1] for one in sockets]
     finally:
         for one in sockets:
