--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -43,22 +43,26 @@
     """The case could not run."""
 
 
+_TAKEN_PORTS = set()
+
+
 def find_ports(count):
-    """Return free ports below those that the system gives to connections."""
-    sockets = []
-    try:
-        while len(sockets) < count:
-            one = socket.socket()
+    """Return free ports below those that the system gives to connections.
+
+    None is returned twice.
+    """
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(12000, 32000)
+        with socket.socket() as one:
             try:
-                one.bind(('127.0.0.1', random.randrange(12000, 32000)))
+                one.bind(('127.0.0.1', port))
             except OSError:
-                one.close()
                 continue
-            sockets.append(one)
-        return [one.getsockname()[1] for one in sockets]
-    finally:
-        for one in sockets:
-            one.close()
+        if port not in _TAKEN_PORTS:
+            _TAKEN_PORTS.add(port)
+            ports.append(port)
+    return ports
 
 
 def render(template, fields):
