Review: a node that stops breaks off late calls of its worker

A node that got SIGTERM takes six calls of the worker beside it 4.5 s later, passes them on to a sound worker and answers 504 by itself after 5.1 s of its 6 s, while that worker is at work at them; they may not be repeated. The other cases move down by one, by their gravity.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,16 +1,19 @@
-"""A worker that drains still gets requests that waited behind a suspect.
+"""A node that stops takes its worker's late calls, and breaks them off.
 
-One worker of the service crashes while requests run in it. Its neighbour of
-the same region takes their second attempts, and drains as planned.
+One node gets SIGTERM, the worker beside it goes on. Requests that the worker
+took in time make calls of their own late in the grace; the node passes them
+on and answers them by itself before they end.
 """
 
 import asyncio
+import signal
+import time
 from pathlib import Path
 
 from deployment import (
-    DRAIN_S,
     STABLE_WINDOW_S,
     ZONES,
+    CannotRun,
     build_route,
     run_case,
     send,
@@ -19,97 +22,100 @@
 )
 
 HOST = 'hulo84.example'
-PREFIX = '/leny950/'
+OUTER = '/leny950/'
+INNER = '/puka111/'
 SERVICE = 'huvo11a'
-OTHER_SERVICE = 'kafi81c'
-REQUESTS = 12
-WORK_MS = 600
+INNER_SERVICE = 'kafi81c'
 TIMEOUT_MS = 5000
-#: Seconds for which the worker serves beyond ``Drain`` before it ends.
-LINGER_S = 1.0
-USUAL_S = 12.0
-USUAL_PER_S = 25
-CRASHING = 'sidecar-ist-a-1'
-DRAINING = 'sidecar-ist-b-1'
-#: Machine of the clients; a worker of another service runs on it.
+INNER_TIMEOUT_MS = 2000
+GRACE_S = 6.0
+#: Seconds after the SIGTERM at which the outer requests are sent.
+SENT_AFTER_S = 1.5
+#: Work of an outer request before its call, and work of the call.
+WORK_MS = 3000
+INNER_WORK_MS = 900
+REQUESTS = 6
+STOPPED = 'sidecar-ist-a-1'
 CLIENTS = 'sidecar-ist-a-2'
 
 
 async def case(deployment, has_trouble):
     """Play the case; return what broke the rule."""
-    workers = {f'sidecar-{zone}-1': SERVICE for zone in ZONES}
-    workers[CLIENTS] = OTHER_SERVICE
-    route = build_route(
-        'r-zs989an', HOST, PREFIX, SERVICE, 'idempotent', TIMEOUT_MS
-    )
-    await start_all(deployment, [route], [SERVICE, OTHER_SERVICE], workers)
+    workers = {f'sidecar-{zone}-2': INNER_SERVICE for zone in ZONES}
+    workers |= {f'sidecar-{zone}-1': SERVICE for zone in ZONES}
+    routes = [
+        build_route('r-zs989an', HOST, OUTER, SERVICE, 'idempotent', TIMEOUT_MS),
+        build_route(
+            'r-u6wsjnb', HOST, INNER, INNER_SERVICE, 'non_idempotent',
+            INNER_TIMEOUT_MS, Priority=0,
+        ),
+    ]
+    await start_all(deployment, routes, [SERVICE, INNER_SERVICE], workers)
     clients = deployment.machines[CLIENTS]
-    # The usual requests, so that all machines have been in touch for a while
-    # and the service has its share of retries.
     sent, served = await send_usual(
-        [clients, deployment.machines[DRAINING]], HOST, PREFIX,
-        STABLE_WINDOW_S + USUAL_S, USUAL_PER_S, TIMEOUT_MS,
+        [clients], HOST, OUTER, STABLE_WINDOW_S + 3.0, 20, TIMEOUT_MS
     )
     deployment.note(f'{sent} usual requests sent, {served} served')
-    requests = [
-        asyncio.create_task(
-            send(clients, 'GET', HOST, f'{PREFIX}d{index}?ms={WORK_MS}', TIMEOUT_MS)
-        )
-        for index in range(REQUESTS)
-    ]
-    await asyncio.sleep(0.3)
+    stopped_at = time.monotonic()
     if has_trouble:
-        deployment.note(f'worker i-{CRASHING} crashes (SIGKILL)')
-        deployment.kill(f'worker {CRASHING}')
-    await asyncio.sleep(0.3)
-    deployment.note(f'worker i-{DRAINING} reports that it is draining')
-    deployment.command(DRAINING, do='drain')
-    await asyncio.sleep(DRAIN_S + LINGER_S)
-    deployment.note(f'worker i-{DRAINING} leaves and ends')
-    deployment.command(DRAINING, do='end')
-    answers = await asyncio.gather(*requests)
-    await asyncio.sleep(0.5)
+        deployment.note(f'the node of {STOPPED} gets SIGTERM; its worker goes on')
+        deployment.processes[f'node {STOPPED}'].send_signal(signal.SIGTERM)
+    await asyncio.sleep(SENT_AFTER_S)
+    deployment.note(f'clients at {CLIENTS} send {REQUESTS} requests')
+    call = f'call={INNER}c~ms-{INNER_WORK_MS}'
+    answers = await asyncio.gather(
+        *(
+            send(
+                clients, 'GET', HOST, f'{OUTER}d{index}?ms={WORK_MS}&{call}',
+                TIMEOUT_MS,
+            )
+            for index in range(REQUESTS)
+        )
+    )
     for answer in answers:
         deployment.note(
-            f'attempt {answer.attempt} {answer.target}: {answer.end} after '
-            f'{answer.lasted_s:.2f} s'
+            f'attempt {answer.attempt}: {answer.end} after {answer.lasted_s:.2f} s'
         )
-    return judge(deployment, f'i-{DRAINING}')
+    await asyncio.sleep(1.0)
+    if has_trouble:
+        ended = deployment.processes[f'node {STOPPED}'].poll()
+        deployment.note(f'the node of {STOPPED} ended with status {ended}')
+    return judge(deployment, stopped_at)
 
 
-def judge(deployment, worker):
-    """DRAIN: no request reaches it later than ``Drain`` after its ack."""
-    events = [
-        event for event in deployment.read_events() if event['worker'] == worker
-    ]
-    acks = [
-        event['t'] for event in events
-        if event['what'] == 'beat' and event['state'] == 'draining' and event['ack']
-    ]
-    if not acks:
-        deployment.note(f'{worker} had no ack of its draining')
-        return []
-    acked_at = acks[0]
-    deployment.note(
-        f'{worker} had the ack of its draining at '
-        f'{acked_at - deployment.began:.3f} s'
-    )
-    broken = []
-    ends = {
-        event['attempt']: event for event in events if event['what'] == 'end'
+def judge(deployment, stopped_at):
+    """LOST: no request is broken off while its worker is at work."""
+    events = deployment.read_events()
+    calls = {
+        event['attempt']: event['t'] for event in events
+        if event['what'] == 'call' and event['worker'] == f'i-{STOPPED}'
     }
+    if not calls:
+        raise CannotRun('no request reached the worker beside the stopped node')
+    runs = {event['attempt']: event for event in events if event['what'] == 'run'}
+    ends = {event['attempt']: event for event in events if event['what'] == 'end'}
+    broken = []
     for event in events:
-        after_s = event['t'] - acked_at
-        if event['what'] not in ('run', 'not executed') or after_s <= 0:
+        if event['what'] != 'call answered' or event['attempt'] not in calls:
             continue
-        end = ends.get(event['attempt'])
+        attempt = event['attempt']
+        sent_s = calls[attempt] - stopped_at
+        answered_s = event['t'] - stopped_at
+        run, end = runs.get(attempt), ends.get(attempt)
         line = (
-            f'attempt {event["attempt"]} {event["target"]} reached {worker} '
-            f'{after_s:.2f} s after that'
-            + (', and the end of the worker cut it off' if end is None else '')
+            f'call {attempt} sent {sent_s:.2f} s after the SIGTERM, answered '
+            f'{event["status"]} after {answered_s:.2f} s'
         )
+        if run is not None:
+            line += f'; begun by {run["worker"]}'
+        if end is not None:
+            line += f', which ended it after {end["t"] - stopped_at:.2f} s'
         deployment.note(line)
-        if after_s > DRAIN_S:
+        # Excused: the deadline or the timeout was reached, the worker broke
+        # off, or it was sent no later than 3 s after the SIGTERM.
+        was_at_work = run is not None and (end is None or end['t'] > event['t'])
+        is_due = answered_s - sent_s >= INNER_TIMEOUT_MS / 1000
+        if was_at_work and not is_due and sent_s > 3.0 and event['seal'] is None:
             broken.append(line)
     return broken
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,18 +1,15 @@
-"""A restarted node sends requests to a worker that it has let go.
+"""Requests that wait behind a suspect get no answer at their route's timeout.
 
-The worker leaves, and its node acknowledges that. The node is killed and
-starts again, and a heartbeat that the worker sent before arrives late.
+One worker crashes while pages of two routes are read from it. Clients beside
+the worker that takes the second attempts read the same pages.
 """
 
 import asyncio
-import time
 from pathlib import Path
 
 from deployment import (
-    DRAIN_S,
     STABLE_WINDOW_S,
     ZONES,
-    CannotRun,
     build_route,
     run_case,
     send,
@@ -20,101 +17,97 @@
     start_all,
 )
 
-HOST = 'jepu9.example'
-PREFIX = '/puka111/'
+HOST = 'hulo84.example'
+LONG = '/leny950/'
+SHORT = '/puka111/'
 SERVICE = 'huvo11a'
-TIMEOUT_MS = 1500
-LEAVING = 'sidecar-ist-a-1'
-#: Seconds for which the worker serves after the ack.
-SERVES_S = 12.0
-#: Seconds by which the heartbeat comes late.
-LATE_S = 3.0
-REQUESTS = 5
+OTHER_SERVICE = 'kafi81c'
+LONG_TIMEOUT_MS = 5000
+SHORT_TIMEOUT_MS = 1000
+#: What the clients of the short route wait.
+PATIENCE_MS = 3000
+WORK_MS = 450
+LONG_PAGES = 10
+SHORT_PAGES = 10
+#: Clients at the second machine that read each short page.
+READERS = 2
+USUAL_S = 12.0
+USUAL_PER_S = 25
+#: Seconds after the timeout of the route in which the answer is due.
+SLACK_S = 0.5
+CRASHING = 'sidecar-ist-a-1'
+SECOND = 'sidecar-ist-b-1'
+#: Machine of the first clients; a worker of another service runs on it.
+CLIENTS = 'sidecar-ist-a-2'
+
+
+def read_pages(machine, prefix, count, timeout_ms):
+    """Let clients at a machine read pages."""
+    return [
+        asyncio.create_task(
+            send(machine, 'GET', HOST, f'{prefix}page{page}?ms={WORK_MS}', timeout_ms)
+        )
+        for page in range(count)
+    ]
 
 
 async def case(deployment, has_trouble):
     """Play the case; return what broke the rule."""
     workers = {f'sidecar-{zone}-1': SERVICE for zone in ZONES}
-    route = build_route(
-        'r-u6wsjnb', HOST, PREFIX, SERVICE, 'non_idempotent', TIMEOUT_MS
-    )
-    await start_all(deployment, [route], [SERVICE], workers)
-    machine = deployment.machines[LEAVING]
+    workers[CLIENTS] = OTHER_SERVICE
+    routes = [
+        build_route('r-zs989an', HOST, LONG, SERVICE, 'idempotent', LONG_TIMEOUT_MS),
+        build_route('r-u6wsjnb', HOST, SHORT, SERVICE, 'idempotent', SHORT_TIMEOUT_MS),
+    ]
+    await start_all(deployment, routes, [SERVICE, OTHER_SERVICE], workers)
+    clients = deployment.machines[CLIENTS]
+    second = deployment.machines[SECOND]
     sent, served = await send_usual(
-        deployment.machines.values(), HOST, PREFIX,
-        STABLE_WINDOW_S + 2.0, 2, TIMEOUT_MS,
+        [clients, second], HOST, LONG,
+        STABLE_WINDOW_S + USUAL_S, USUAL_PER_S, LONG_TIMEOUT_MS,
     )
     deployment.note(f'{sent} usual requests sent, {served} served')
-    # The heartbeat that will come late is sent before the worker leaves.
-    deployment.command(LEAVING, do='hold-beat')
-    await asyncio.sleep(0.1)
-    deployment.command(LEAVING, do='leave')
-    left_at = time.monotonic()
-    deployment.note(f'worker i-{LEAVING} leaves')
-    await asyncio.sleep(0.5)
+    first = read_pages(clients, LONG, LONG_PAGES, LONG_TIMEOUT_MS)
+    first += read_pages(clients, SHORT, SHORT_PAGES, PATIENCE_MS)
+    await asyncio.sleep(0.25)
     if has_trouble:
-        deployment.note(f'the node of {LEAVING} is killed and starts again')
-        deployment.kill(f'node {LEAVING}')
-        await asyncio.sleep(0.3)
-        deployment.start_node(LEAVING)
-        await deployment.wait_until_ready([LEAVING])
-        started_at = time.monotonic()
-    await asyncio.sleep(max(0.0, left_at + LATE_S - time.monotonic()))
-    deployment.command(LEAVING, do='late-beat')
-    deployment.note(f'its heartbeat of before arrives, {LATE_S} s late')
-    await asyncio.sleep(0.3)
-    if has_trouble:
-        in_touch_at = started_at + STABLE_WINDOW_S + 0.5
-        await asyncio.sleep(max(0.0, in_touch_at - time.monotonic()))
-    else:
-        await asyncio.sleep(STABLE_WINDOW_S)
-    deployment.note(f'clients at {LEAVING} send {REQUESTS} requests')
-    tasks = [
-        asyncio.create_task(
-            send(machine, 'POST', HOST, f'{PREFIX}n{index}?ms=300', TIMEOUT_MS, b'order')
-        )
-        for index in range(REQUESTS)
-    ]
-    if has_trouble:
-        await asyncio.sleep(0.15)
-        deployment.note(f'worker i-{LEAVING} ends')
-        deployment.command(LEAVING, do='end')
-    for answer in await asyncio.gather(*tasks):
+        deployment.note(f'worker i-{CRASHING} crashes (SIGKILL)')
+        deployment.kill(f'worker {CRASHING}')
+    await asyncio.sleep(0.25)
+    deployment.note(f'clients at {SECOND} read the pages of the short route')
+    later = []
+    for _ in range(READERS):
+        later += read_pages(second, SHORT, SHORT_PAGES, PATIENCE_MS)
+    answers = await asyncio.gather(*first, *later)
+    for answer in answers:
         deployment.note(
-            f'attempt {answer.attempt} {answer.target}: {answer.end} after '
+            f'attempt {answer.attempt} {answer.target}: '
+            f'{"no answer" if answer.end == "none" else answer.end} after '
             f'{answer.lasted_s:.2f} s'
         )
-    if time.monotonic() - left_at > SERVES_S:
-        raise CannotRun('it took longer than the worker serves')
-    return judge(deployment, f'i-{LEAVING}')
+    return judge(deployment, answers)
 
 
-def judge(deployment, worker):
-    """DRAIN: no request reaches it later than ``Drain`` after its ack."""
-    events = [
-        event for event in deployment.read_events() if event['worker'] == worker
-    ]
-    acks = [
-        event['t'] for event in events if event['what'] == 'leave' and event['ack']
-    ]
-    if not acks:
-        raise CannotRun('the leaving of the worker had no ack')
-    acked_at = acks[0]
-    deployment.note(
-        f'{worker} had the ack of its leaving at '
-        f'{acked_at - deployment.began:.3f} s'
+def judge(deployment, answers):
+    """CONFIG: what is unanswered at the route's timeout is answered soon."""
+    unanswered = []
+    late = []
+    for answer in answers:
+        is_short = answer.target.startswith(SHORT)
+        timeout_s = (SHORT_TIMEOUT_MS if is_short else LONG_TIMEOUT_MS) / 1000
+        if answer.lasted_s > timeout_s:
+            unanswered.append(answer)
+        if answer.lasted_s > timeout_s + SLACK_S:
+            late.append(answer)
+    never = sum(answer.end == 'none' for answer in late)
+    line = (
+        f'{len(unanswered)} requests were unanswered at the timeout of their '
+        f'route, {len(late)} of these also {SLACK_S} s later, and {never} '
+        'got no answer while their clients waited'
     )
-    ended = {event['attempt'] for event in events if event['what'] == 'end'}
-    broken = []
-    for event in events:
-        after_s = event['t'] - acked_at
-        if event['what'] == 'run' and after_s > DRAIN_S:
-            cut = '' if event['attempt'] in ended else ', whose end cut it off'
-            broken.append(
-                f'attempt {event["attempt"]} {event["target"]} reached {worker} '
-                f'{after_s:.2f} s after that{cut}'
-            )
-    return broken
+    deployment.note(line)
+    is_broken = len(late) >= 8 and 2 * len(late) > len(unanswered)
+    return [line] if is_broken else []
 
 
 run_case(case, Path(__file__).parent)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,199 +1,120 @@
-"""Slow readers of large answers drive a node over its memory.
+"""A restarted node sends requests to a worker that it has let go.
 
-The clients of one machine send a few downloads each on a kept connection, one
-behind the other, and read slowly. A stand-in of the platform kills the node's
-process when it exceeds ``MemoryMb``, as the pages tell it.
+The worker leaves, and its node acknowledges that. The node is killed and
+starts again, and a heartbeat that the worker sent before arrives late.
 """
 
 import asyncio
-import socket
 import time
 from pathlib import Path
 
 from deployment import (
+    DRAIN_S,
     STABLE_WINDOW_S,
     ZONES,
+    CannotRun,
     build_route,
-    create_attempt,
     run_case,
+    send,
     send_usual,
     start_all,
 )
-from http11 import read_message
 
-HOST = 'hulo84.example'
-PREFIX = '/leny950/'
+HOST = 'jepu9.example'
+PREFIX = '/puka111/'
 SERVICE = 'huvo11a'
-TIMEOUT_MS = 5000
-MEMORY_MB = 300
-CLIENTS = 28
-#: Requests that each client sends behind each other.
-DEPTH = 8
-ANSWER_BYTES = 2000000
-WORK_MS = 120
-#: Bytes a second that a slow client reads.
-SLOW_BYTES_PER_S = 65536
-#: Seconds between the clients' first requests.
-GAP_S = 0.08
-MACHINE = 'sidecar-ist-a-1'
-
-
-class Client:
-    """A client with a kept connection."""
-
-    def __init__(self):
-        self.attempts = []
-        #: Whether the node closed the connection before all was answered.
-        self.was_cut = False
-        self.received = 0
-
-    async def run(self, machine, number, is_slow):
-        """Send the requests; read the answers until the time is over."""
-        await asyncio.sleep(number * GAP_S)
-        try:
-            await self.use_connection(machine, number, is_slow)
-        except OSError:
-            # The node's process has ended before.
-            pass
-
-    async def use_connection(self, machine, number, is_slow):
-        """Send the requests on one connection and read the answers."""
-        host, _, port = machine.listen['Outbound'].rpartition(':')
-        sock = socket.socket()
-        if is_slow:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
-        sock.setblocking(False)
-        await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
-        reader, writer = await asyncio.open_connection(sock=sock, limit=65536)
-        # A usual request first, so that the connection is a kept one.
-        self.write(writer, f'{PREFIX}k{number}?ms=20', 'keep')
-        await read_message(reader)
-        self.attempts.clear()
-        for index in range(DEPTH):
-            target = f'{PREFIX}s{number}-{index}?ms={WORK_MS}&bytes={ANSWER_BYTES}'
-            self.write(writer, target, index)
-        try:
-            async with asyncio.timeout(TIMEOUT_MS / 1000):
-                await self.read(reader, is_slow)
-        except TimeoutError:
-            await self.read_rest(reader)
-        except OSError:
-            self.was_cut = True
-        finally:
-            writer.close()
-
-    def write(self, writer, target, name):
-        attempt = create_attempt()
-        self.attempts.append(attempt)
-        writer.write(
-            f'GET {target} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt}\r\n'
-            f'Timeout-Ms: {TIMEOUT_MS}\r\n\r\n'.encode()
-        )
-
-    async def read(self, reader, is_slow):
-        """Read all answers, if slowly some bytes ten times a second."""
-        part_bytes = SLOW_BYTES_PER_S // 10 if is_slow else 1 << 20
-        while self.received < DEPTH * ANSWER_BYTES:
-            part = await reader.read(part_bytes)
-            if not part:
-                self.was_cut = True
-                return
-            self.received += len(part)
-            if is_slow:
-                await asyncio.sleep(0.1)
-
-    async def read_rest(self, reader):
-        """See whether the connection has been cut, and what had arrived."""
-        try:
-            async with asyncio.timeout(0.3):
-                while part := await reader.read(1 << 20):
-                    self.received += len(part)
-                self.was_cut = True
-        except TimeoutError:
-            pass
-        except OSError:
-            self.was_cut = True
-
-    @property
-    def answered(self):
-        """Whole answers that arrived, at most."""
-        return self.received // ANSWER_BYTES
-
-
-def read_memory_mb(deployment):
-    """Return the resident memory of the node's process, 0 if it has ended."""
-    pid = deployment.processes[f'node {MACHINE}'].pid
-    try:
-        status = Path(f'/proc/{pid}/status').read_text()
-    except OSError:
-        return 0
-    lines = [line for line in status.splitlines() if line.startswith('VmRSS')]
-    return int(lines[0].split()[1]) // 1024 if lines else 0
-
-
-async def keep_to_memory(deployment):
-    """Kill the node when it exceeds its memory, as the platform does."""
-    most = 0
-    while True:
-        used = read_memory_mb(deployment)
-        if used > most + 20:
-            most = used
-            deployment.note(f'the node of {MACHINE} uses {used} MB')
-        if used > MEMORY_MB:
-            deployment.note(f'it exceeds MemoryMb ({MEMORY_MB}) and is killed')
-            deployment.kill(f'node {MACHINE}')
-            return True
-        await asyncio.sleep(0.02)
+TIMEOUT_MS = 1500
+LEAVING = 'sidecar-ist-a-1'
+#: Seconds for which the worker serves after the ack.
+SERVES_S = 12.0
+#: Seconds by which the heartbeat comes late.
+LATE_S = 3.0
+REQUESTS = 5
 
 
 async def case(deployment, has_trouble):
     """Play the case; return what broke the rule."""
     workers = {f'sidecar-{zone}-1': SERVICE for zone in ZONES}
     route = build_route(
-        'r-zs989an', HOST, PREFIX, SERVICE, 'download', TIMEOUT_MS
+        'r-u6wsjnb', HOST, PREFIX, SERVICE, 'non_idempotent', TIMEOUT_MS
     )
     await start_all(deployment, [route], [SERVICE], workers)
-    machine = deployment.machines[MACHINE]
+    machine = deployment.machines[LEAVING]
     sent, served = await send_usual(
-        [machine], HOST, PREFIX, STABLE_WINDOW_S + 2.0, 10, TIMEOUT_MS
+        deployment.machines.values(), HOST, PREFIX,
+        STABLE_WINDOW_S + 2.0, 2, TIMEOUT_MS,
     )
     deployment.note(f'{sent} usual requests sent, {served} served')
-    platform = asyncio.create_task(keep_to_memory(deployment))
-    clients = [Client() for _ in range(CLIENTS)]
-    deployment.note(
-        f'{CLIENTS} clients at {MACHINE} send {DEPTH} downloads of '
-        f'{ANSWER_BYTES} bytes each, and read '
-        + (f'{SLOW_BYTES_PER_S} bytes a second' if has_trouble else 'at once')
-    )
-    began = time.monotonic()
-    await asyncio.gather(
-        *(
-            client.run(machine, number, has_trouble)
-            for number, client in enumerate(clients)
+    # The heartbeat that will come late is sent before the worker leaves.
+    deployment.command(LEAVING, do='hold-beat')
+    await asyncio.sleep(0.1)
+    deployment.command(LEAVING, do='leave')
+    left_at = time.monotonic()
+    deployment.note(f'worker i-{LEAVING} leaves')
+    await asyncio.sleep(0.5)
+    if has_trouble:
+        deployment.note(f'the node of {LEAVING} is killed and starts again')
+        deployment.kill(f'node {LEAVING}')
+        await asyncio.sleep(0.3)
+        deployment.start_node(LEAVING)
+        await deployment.wait_until_ready([LEAVING])
+        started_at = time.monotonic()
+    await asyncio.sleep(max(0.0, left_at + LATE_S - time.monotonic()))
+    deployment.command(LEAVING, do='late-beat')
+    deployment.note(f'its heartbeat of before arrives, {LATE_S} s late')
+    await asyncio.sleep(0.3)
+    if has_trouble:
+        in_touch_at = started_at + STABLE_WINDOW_S + 0.5
+        await asyncio.sleep(max(0.0, in_touch_at - time.monotonic()))
+    else:
+        await asyncio.sleep(STABLE_WINDOW_S)
+    deployment.note(f'clients at {LEAVING} send {REQUESTS} requests')
+    tasks = [
+        asyncio.create_task(
+            send(machine, 'POST', HOST, f'{PREFIX}n{index}?ms=300', TIMEOUT_MS, b'order')
         )
-    )
-    was_killed = platform.done()
-    platform.cancel()
-    ran = {
-        event['attempt'] for event in deployment.read_events()
-        if event['what'] == 'end' and event['status'] == 200
-    }
-    cut = [client for client in clients if client.was_cut]
-    lost = sum(
-        max(0, sum(attempt in ran for attempt in client.attempts) - client.answered)
-        for client in cut
-    )
+        for index in range(REQUESTS)
+    ]
+    if has_trouble:
+        await asyncio.sleep(0.15)
+        deployment.note(f'worker i-{LEAVING} ends')
+        deployment.command(LEAVING, do='end')
+    for answer in await asyncio.gather(*tasks):
+        deployment.note(
+            f'attempt {answer.attempt} {answer.target}: {answer.end} after '
+            f'{answer.lasted_s:.2f} s'
+        )
+    if time.monotonic() - left_at > SERVES_S:
+        raise CannotRun('it took longer than the worker serves')
+    return judge(deployment, f'i-{LEAVING}')
+
+
+def judge(deployment, worker):
+    """DRAIN: no request reaches it later than ``Drain`` after its ack."""
+    events = [
+        event for event in deployment.read_events() if event['worker'] == worker
+    ]
+    acks = [
+        event['t'] for event in events if event['what'] == 'leave' and event['ack']
+    ]
+    if not acks:
+        raise CannotRun('the leaving of the worker had no ack')
+    acked_at = acks[0]
     deployment.note(
-        f'after {time.monotonic() - began:.1f} s: {len(cut)} connections were '
-        f'cut, with {lost} requests that workers had run; '
-        f'{sum(client.answered for client in clients)} whole answers read'
+        f'{worker} had the ack of its leaving at '
+        f'{acked_at - deployment.began:.3f} s'
     )
-    if was_killed and lost > 3:
-        return [
-            f'the process of {MACHINE} ended by its memory, and {lost} '
-            'requests that it had passed on to sound workers had no answer'
-        ]
-    return []
+    ended = {event['attempt'] for event in events if event['what'] == 'end'}
+    broken = []
+    for event in events:
+        after_s = event['t'] - acked_at
+        if event['what'] == 'run' and after_s > DRAIN_S:
+            cut = '' if event['attempt'] in ended else ', whose end cut it off'
+            broken.append(
+                f'attempt {event["attempt"]} {event["target"]} reached {worker} '
+                f'{after_s:.2f} s after that{cut}'
+            )
+    return broken
 
 
 run_case(case, Path(__file__).parent)
--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -213,6 +213,7 @@
         plan = {
             'id': worker_id, 'service': machine.service, 'address': machine.app,
             'control': machine.listen['Control'], 'zone': machine.zone,
+            'outbound': machine.listen['Outbound'],
             'slots': slots, 'queue': queue, 'record': str(self.events),
         }
         self.start(
--- a/review/lib-2/http11.py
+++ b/review/lib-2/http11.py
@@ -75,7 +75,9 @@
     return json.dumps(document, separators=(',', ':')).encode()
 
 
-async def ask(address, method, path, headers=(), body=b'', timeout_s=1.0):
+async def ask(
+    address, method, path, headers=(), body=b'', timeout_s=1.0, own_host=True
+):
     """Send one request on a new connection.
 
     :returns: status, headers and body, or None without a whole answer.
@@ -88,7 +90,7 @@
             writer.write(
                 encode(
                     f'{method} {path} HTTP/1.1',
-                    [('Host', address), *headers],
+                    [('Host', address), *headers] if own_host else headers,
                     body,
                 )
             )
--- a/review/lib-2/worker.py
+++ b/review/lib-2/worker.py
@@ -5,11 +5,13 @@
 
     python3 worker.py PLAN
 
-PLAN is a JSON object: id, service, address, control, zone, slots, record,
-and queue (requests that wait for a slot).
+PLAN is a JSON object: id, service, address, control, outbound, zone, slots,
+record, and queue (requests that wait for a slot).
 
 The work of a request is told by its path: ``ms=800`` is 800 ms of work,
-``bytes=N`` the length of the answer's body.
+``bytes=N`` the length of the answer's body. ``call=/x/y~ms-700`` is a call of
+the worker's own after that work, for the target ``/x/y?ms=700``, which it sends
+to the Outbound address of its machine.
 """
 
 import asyncio
@@ -178,6 +180,11 @@
             left_s = ends_at - time.monotonic()
             await asyncio.sleep(max(0.0, min(work_s, left_s)))
             status = 200 if work_s <= left_s else 504
+            call = re.search(r'[?&]call=([^&~]+)~ms-([0-9]+)', target)
+            if call is not None and status == 200:
+                status = await self.call(
+                    f'{call.group(1)}?ms={call.group(2)}', headers, ends_at
+                )
             content = json.dumps({'worker': self.id, 'attempt': attempt}).encode()
             content = content.ljust(find_number(target, 'bytes', 0), b'.')
             return encode_answer(
@@ -192,6 +199,27 @@
                 self.running -= 1
                 self.changed.notify_all()
 
+    async def call(self, target, headers, ends_at):
+        """Make a call of the worker's own; return the status of its run."""
+        # An id of its own, which names the request that it is made for.
+        attempt = f'{headers["attempt-id"]}.1'
+        left_s = max(0.01, ends_at - time.monotonic())
+        self.record('call', attempt=attempt, target=target)
+        answer = await ask(
+            self.plan['outbound'], 'POST', target,
+            [('Host', headers['host']), ('Attempt-Id', attempt),
+             ('Timeout-Ms', str(int(left_s * 1000)))],
+            timeout_s=left_s, own_host=False,
+        )
+        self.record(
+            'call answered', attempt=attempt, target=target,
+            status=None if answer is None else answer[0],
+            seal=None if answer is None else answer[1].get('response-seal'),
+        )
+        if answer is None and time.monotonic() >= ends_at:
+            return 504
+        return 200 if answer is not None and answer[0] == 200 else 500
+
     async def serve(self, reader, writer):
         """Serve a connection; a request ends when its connection closes."""
         incoming = asyncio.create_task(read_message(reader))
