Review: calls of the stopped node's worker, one after the other

Case 6 with calls of 250 ms in place of one of 900 ms; an unexpected error of a script is no break of a rule, and its processes end with it.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -31,10 +31,14 @@
 GRACE_S = 6.0
 #: Seconds after the SIGTERM at which the outer requests are sent.
 SENT_AFTER_S = 1.5
-#: Work of an outer request before its call, and work of the call.
-WORK_MS = 3000
-INNER_WORK_MS = 900
+#: Work of an outer request before its calls, number of the calls, which it
+#: makes one after the other, and work of each.
+WORK_MS = 300
+CALLS = 16
+INNER_WORK_MS = 250
 REQUESTS = 6
+#: Seconds between the outer requests, so that their calls are not in step.
+GAP_S = 0.045
 STOPPED = 'sidecar-ist-a-1'
 CLIENTS = 'sidecar-ist-a-2'
 
@@ -62,16 +66,15 @@
         deployment.processes[f'node {STOPPED}'].send_signal(signal.SIGTERM)
     await asyncio.sleep(SENT_AFTER_S)
     deployment.note(f'clients at {CLIENTS} send {REQUESTS} requests')
-    call = f'call={INNER}c~ms-{INNER_WORK_MS}'
-    answers = await asyncio.gather(
-        *(
-            send(
-                clients, 'GET', HOST, f'{OUTER}d{index}?ms={WORK_MS}&{call}',
-                TIMEOUT_MS,
-            )
-            for index in range(REQUESTS)
+    call = f'call={INNER}c~ms-{INNER_WORK_MS}~times-{CALLS}'
+    requests = []
+    for index in range(REQUESTS):
+        target = f'{OUTER}d{index}?ms={WORK_MS}&{call}'
+        requests.append(
+            asyncio.create_task(send(clients, 'GET', HOST, target, TIMEOUT_MS))
         )
-    )
+        await asyncio.sleep(GAP_S)
+    answers = await asyncio.gather(*requests)
     for answer in answers:
         deployment.note(
             f'attempt {answer.attempt}: {answer.end} after {answer.lasted_s:.2f} s'
@@ -110,7 +113,8 @@
             line += f'; begun by {run["worker"]}'
         if end is not None:
             line += f', which ended it after {end["t"] - stopped_at:.2f} s'
-        deployment.note(line)
+        if event['status'] != 200 or sent_s > 4.5:
+            deployment.note(line)
         # Excused: the deadline or the timeout was reached, the worker broke
         # off, or it was sent no later than 3 s after the SIGTERM.
         was_at_work = run is not None and (end is None or end['t'] > event['t'])
--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -412,6 +412,8 @@
         trouble; returns the lines of what broke the rule.
     """
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
+    # The processes are ended too when the time of the script is over.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     deployment = Deployment(Path(folder) / 'record.txt')
     status = 2
     try:
@@ -421,8 +423,8 @@
             deployment.note(f'BROKEN: {line}')
         deployment.note('the rule was broken' if broken else 'the rule held')
         status = 1 if broken else 0
-    except CannotRun as error:
-        deployment.note(f'could not run: {error}')
+    except Exception as error:
+        deployment.note(f'could not run: {error!r}')
     finally:
         deployment.stop()
     sys.exit(status)
--- a/review/lib-2/worker.py
+++ b/review/lib-2/worker.py
@@ -9,9 +9,9 @@
 record, and queue (requests that wait for a slot).
 
 The work of a request is told by its path: ``ms=800`` is 800 ms of work,
-``bytes=N`` the length of the answer's body. ``call=/x/y~ms-700`` is a call of
-the worker's own after that work, for the target ``/x/y?ms=700``, which it sends
-to the Outbound address of its machine.
+``bytes=N`` the length of the answer's body. ``call=/x/y~ms-250~times-3`` is
+three calls of the worker's own after that work, one after the other, for the
+target ``/x/y?ms=250``, which it sends to the Outbound address of its machine.
 """
 
 import asyncio
@@ -180,11 +180,15 @@
             left_s = ends_at - time.monotonic()
             await asyncio.sleep(max(0.0, min(work_s, left_s)))
             status = 200 if work_s <= left_s else 504
-            call = re.search(r'[?&]call=([^&~]+)~ms-([0-9]+)', target)
-            if call is not None and status == 200:
-                status = await self.call(
-                    f'{call.group(1)}?ms={call.group(2)}', headers, ends_at
-                )
+            call = re.search(
+                r'[?&]call=([^&~]+)~ms-([0-9]+)~times-([0-9]+)', target
+            )
+            for number in range(int(call.group(3)) if call else 0):
+                if status == 200:
+                    status = await self.call(
+                        f'{call.group(1)}?ms={call.group(2)}',
+                        number, headers, ends_at,
+                    )
             content = json.dumps({'worker': self.id, 'attempt': attempt}).encode()
             content = content.ljust(find_number(target, 'bytes', 0), b'.')
             return encode_answer(
@@ -199,10 +203,10 @@
                 self.running -= 1
                 self.changed.notify_all()
 
-    async def call(self, target, headers, ends_at):
+    async def call(self, target, number, headers, ends_at):
         """Make a call of the worker's own; return the status of its run."""
         # An id of its own, which names the request that it is made for.
-        attempt = f'{headers["attempt-id"]}.1'
+        attempt = f'{headers["attempt-id"]}.{number + 1}'
         left_s = max(0.01, ends_at - time.monotonic())
         self.record('call', attempt=attempt, target=target)
         answer = await ask(
