--- /dev/null
+++ b/merlintrail/bench/tests/crowd.py
@@ -0,0 +1,268 @@
+"""Crowds of misbehaving clients against one node that runs as a process."""
+
+import os
+import selectors
+import socket
+import string
+import time
+import unittest
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from itertools import chain, product, takewhile
+from pathlib import Path
+from typing import Any, Final
+
+import urllib3
+
+from merlintrail.lab.processes import Deployment, Worker, WorkerPlan
+
+#: Memory in bytes of the smallest machine that a node runs on.
+MEMORY_BYTES: Final = 200 * 1000 * 1000
+#: Descriptors of that machine.
+DESCRIPTORS: Final = 4100
+#: Name of the node.
+INSTANCE: Final = 'node'
+#: Attempts of an ordinary client, which waits between them as it is told.
+ATTEMPTS: Final = 12
+#: Connections that clients open at the same time.
+_CONNECTED_AT_ONCE: Final = 500
+#: Seconds that they wait for these before they open others.
+_CONNECT_TIMEOUT_S: Final = 0.5
+_ANSWER_TIMEOUT_S: Final = 5.0
+_POLL_S: Final = 0.05
+_READ_BYTES: Final = 65536
+_OK: Final = 200
+_BYTES_PER_KB: Final = 1024
+#: Characters of header names that differ whatever their case.
+_TOKEN_CHARACTERS: Final = (
+    f"{string.ascii_lowercase}{string.digits}!#$%&'*+-.^_`|~"
+)
+
+_DOCUMENT: Final = {
+    'format': 1,
+    'services': [
+        {
+            'name': 'echo',
+            'warmup_s': 0,
+            'kinds': [
+                {
+                    'name': 'call',
+                    'path': '/',
+                    'importance': 'normal',
+                    'idempotent': True,
+                    'deadline_ms': 8000,
+                }
+            ],
+        }
+    ],
+    'regions': [{'name': 'one', 'data_centres': ['dc']}],
+}
+
+
+def build_request(
+    headers: bytes = b'', body: bytes = b'', target: bytes = b'/echo/call'
+) -> bytes:
+    """Build a request of the smallest size."""
+    length = b'content-length:%d\r\n' % len(body) if body else b''
+    method = b'POST' if body else b'GET'
+    return (
+        b'%b %b HTTP/1.1\r\nhost:a\r\n%b%b\r\n'
+        % (method, target, length, headers)
+    ) + body
+
+
+def build_short_lines(size: int) -> bytes:
+    """Build header lines of five or six bytes that take some bytes together.
+
+    Their names differ.
+    """
+    pairs = product(_TOKEN_CHARACTERS, repeat=2)
+    triples = product(_TOKEN_CHARACTERS, repeat=3)
+    lines = (f'{"".join(name)}:\r\n'.encode() for name in chain(pairs, triples))
+    taken = takewhile(lambda end: end[0] <= size, _add_up(lines))
+    return b''.join(line for _, line in taken)
+
+
+def _add_up(lines: Iterable[bytes]) -> Iterator[tuple[int, bytes]]:
+    """Yield each line with the bytes up to its end."""
+    end = 0
+    for line in lines:
+        end += len(line)
+        yield end, line
+
+
+class Crowd:
+    """Connections of clients that send, and read little or nothing."""
+
+    def __init__(self, address: str, size: int, window: int = 0) -> None:
+        """Connect to an address.
+
+        :param size: number of connections.
+        :param window: bytes that each client's host takes before it reads.
+        """
+        host, _, port = address.rpartition(':')
+        self._address = (host, int(port))
+        self._window = window
+        self._sockets: list[socket.socket] = []
+        for start in range(0, size, _CONNECTED_AT_ONCE):
+            self._connect(min(_CONNECTED_AT_ONCE, size - start))
+
+    def send(self, payload: bytes, limit_s: float) -> None:
+        """Send the same bytes on each connection.
+
+        Connections that are closed or take no more in the time are left.
+        """
+        unsent = {sock: memoryview(payload) for sock in self._sockets}
+        with selectors.DefaultSelector() as selector:
+            for sock in self._sockets:
+                selector.register(sock, selectors.EVENT_WRITE, sock)
+            deadline = time.monotonic() + limit_s
+            while selector.get_map() and time.monotonic() < deadline:
+                for key, _ in selector.select(_POLL_S):
+                    ready: socket.socket = key.data
+                    unsent[ready] = _send_part(ready, unsent[ready])
+                    if not unsent[ready]:
+                        selector.unregister(ready)
+
+    def read_slowly(self, size: int, duration_s: float) -> None:
+        """Read some bytes of each connection ten times a second."""
+        deadline = time.monotonic() + duration_s
+        while time.monotonic() < deadline:
+            for sock in self._sockets:
+                _read_part(sock, size)
+            time.sleep(0.1)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for sock in self._sockets:
+            sock.close()
+        self._sockets.clear()
+
+    def _connect(self, count: int) -> None:
+        """Connect some clients, without waiting long for any of them."""
+        added = [self._begin_connection() for _ in range(count)]
+        self._sockets.extend(added)
+        with selectors.DefaultSelector() as selector:
+            for sock in added:
+                selector.register(sock, selectors.EVENT_WRITE)
+            deadline = time.monotonic() + _CONNECT_TIMEOUT_S
+            while selector.get_map() and time.monotonic() < deadline:
+                for key, _ in selector.select(_POLL_S):
+                    selector.unregister(key.fileobj)
+
+    def _begin_connection(self) -> socket.socket:
+        sock = socket.socket()
+        if self._window:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._window)
+        sock.setblocking(False)  # noqa: WPS425
+        sock.connect_ex(self._address)
+        return sock
+
+
+def _send_part(sock: socket.socket, payload: memoryview) -> memoryview:
+    """Send some bytes and return the rest, empty on a closed connection."""
+    try:
+        return payload[sock.send(payload[:_READ_BYTES]) :]
+    except BlockingIOError:
+        return payload
+    except OSError:
+        return payload[:0]
+
+
+def _read_part(sock: socket.socket, size: int) -> None:
+    try:
+        sock.recv(size)
+    except OSError:
+        # Nothing to read, or closed.
+        return
+
+
+class CrowdTestCase(unittest.TestCase):
+    """One node with its backend server, as processes."""
+
+    #: Fields of the plan of the backend server.
+    backend: Mapping[str, Any] = {}
+
+    def setUp(self) -> None:
+        """Start the processes."""
+        self.deployment = Deployment()
+        self.addCleanup(self.deployment.stop)
+        self.deployment.start_store()
+        plan = {
+            'service': 'echo',
+            'slots': 400,
+            'service_ms': 5.0,
+            **self.backend,
+        }
+        self.deployment.start_workers([WorkerPlan(INSTANCE, 'dc', plan)])
+        self.deployment.wait_until_listening()
+        generation = self.deployment.apply_configuration(_DOCUMENT)
+        self.deployment.wait_until_ready(generation)
+        self._http = urllib3.PoolManager(
+            retries=False, timeout=_ANSWER_TIMEOUT_S
+        )
+        self._most_descriptors = 0
+
+    @property
+    def worker(self) -> Worker:
+        """The addresses of the node."""
+        return self.deployment.workers[INSTANCE]
+
+    def open_crowd(self, address: str, size: int, window: int = 0) -> Crowd:
+        """Open a crowd that is closed at the end of the test."""
+        crowd = Crowd(address, size, window)
+        self.addCleanup(crowd.close)
+        return crowd
+
+    def check_node(self, crowds: Sequence[Crowd]) -> None:
+        """Check the node beside crowds and after they have left.
+
+        It lives, an ordinary request gets its answer, and memory and
+        descriptors have stayed within the machine's.
+        """
+        self.note_descriptors()
+        self.check_ordinary_request()
+        self.note_descriptors()
+        for crowd in crowds:
+            crowd.close()
+        self.check_ordinary_request()
+        self.assertFalse(self.deployment.has_exited(f'node {INSTANCE}'))
+        self.assertLess(self.read_peak_bytes(), MEMORY_BYTES)
+        self.assertLess(self._most_descriptors, DESCRIPTORS)
+
+    def check_ordinary_request(self) -> None:
+        """Check that an ordinary client gets an answer of its server."""
+        url = f'http://{self.worker.call_address}/echo/call'
+        self.assertIn(_OK, self._list_statuses(url))
+
+    def check_console(self) -> None:
+        """Check that the metrics are served."""
+        url = f'http://{self.worker.admin_address}/metrics'
+        self.assertIn(_OK, self._list_statuses(url))
+
+    def note_descriptors(self) -> None:
+        """Note how many descriptors the node has open."""
+        descriptors = len(os.listdir(self._find_process() / 'fd'))
+        self._most_descriptors = max(self._most_descriptors, descriptors)
+
+    def read_peak_bytes(self) -> int:
+        """Return the most resident memory that the node has had, in bytes."""
+        status = (self._find_process() / 'status').read_text()
+        line = next(
+            line for line in status.splitlines() if line.startswith('VmHWM')
+        )
+        return int(line.split()[1]) * _BYTES_PER_KB
+
+    def _find_process(self) -> Path:
+        process_id = self.deployment.read_process_id(f'node {INSTANCE}')
+        return Path(f'/proc/{process_id}')
+
+    def _list_statuses(self, url: str) -> Iterator[int]:
+        """Send a request until it succeeds; yield the statuses."""
+        for _ in range(ATTEMPTS):
+            try:
+                answer = self._http.request('GET', url)
+            except urllib3.exceptions.HTTPError:
+                time.sleep(_POLL_S)
+                continue
+            yield answer.status
+            time.sleep(float(answer.headers.get('retry-after', _POLL_S)))
--- a/merlintrail/lab/backend.py
+++ b/merlintrail/lab/backend.py
@@ -46,6 +46,10 @@
 RUN_LABEL_HEADER: Final = 'x-run-label'
 #: Header with the number of bytes that the answer has at least.
 ANSWER_BYTES_HEADER: Final = 'x-answer-bytes'
+#: Header with the number of short header lines that the answer has besides.
+ANSWER_LINES_HEADER: Final = 'x-answer-lines'
+#: Header with the milliseconds that the request takes besides.
+ANSWER_DELAY_HEADER: Final = 'x-answer-delay-ms'
 #: A request whose body contains this text makes the process exit at once.
 CRASH_MARKER: Final = b'crash-the-backend-server'
 _OK: Final = 200
@@ -215,7 +219,10 @@
         if CRASH_MARKER in request.body:
             os._exit(1)
         mean_s = self.plan.service_ms / _MS_PER_S * self.slowdown
-        await asyncio.sleep(mean_s * self._rng.uniform(0.5, 1.5))
+        delay_ms = int(request.headers.get(ANSWER_DELAY_HEADER, '0'))
+        await asyncio.sleep(
+            mean_s * self._rng.uniform(0.5, 1.5) + delay_ms / _MS_PER_S
+        )
         for nested_target in self.plan.children:
             answer = await self._send_nested_call(request, nested_target)
             if answer is None or answer.status != _OK:
@@ -228,9 +235,11 @@
             'echo': request.body.decode('latin-1'),
         }
         size = int(request.headers.get(ANSWER_BYTES_HEADER, '0'))
+        lines = int(request.headers.get(ANSWER_LINES_HEADER, '0'))
         headers = [
             ('content-type', 'application/json'),
             *self.statements.build_headers(),
+            *((f'{number:x}'[-1:], '') for number in range(lines)),
         ]
         return HttpResponse(_OK, headers, encode_json(body).ljust(size))
 
