Bound what clients send to the console, and how many wait there

What clients saw: one header line without an end took a node to 298 MB; four silent connections held up the console and its metrics for 10 s, as each of the four threads waited for one of them. Cause: cheroot bounds neither headers nor chunked bodies nor its queue by default, and gives a connection to a thread before anything has arrived. Now heads have 64 KiB, bodies 2 MiB; a connection waits for its first bytes without a thread, 64 of them at most; 32 requests wait for a thread, further ones get 503; a client sends its next part within 3 s. Evidence: ConsoleCrowdTest.test_endless_header_line_takes_all_memory failed on (298 MB) and passes; the other two of the class passed before.

--- a/merlintrail/bench/tests/crowd.py
+++ b/merlintrail/bench/tests/crowd.py
@@ -30,7 +30,8 @@
 _ANSWER_TIMEOUT_S: Final = 5.0
 _POLL_S: Final = 0.05
 _READ_BYTES: Final = 65536
-_OK: Final = 200
+#: End of an attempt that was served.
+_SERVED: Final = '200'
 _BYTES_PER_KB: Final = 1024
 #: Characters of header names that differ whatever their case.
 _TOKEN_CHARACTERS: Final = (
@@ -232,12 +233,12 @@
     def check_ordinary_request(self) -> None:
         """Check that an ordinary client gets an answer of its server."""
         url = f'http://{self.worker.call_address}/echo/call'
-        self.assertIn(_OK, self._list_statuses(url))
+        self.assertIn(_SERVED, self._send_until_served(url))
 
     def check_console(self) -> None:
         """Check that the metrics are served."""
         url = f'http://{self.worker.admin_address}/metrics'
-        self.assertIn(_OK, self._list_statuses(url))
+        self.assertIn(_SERVED, self._send_until_served(url))
 
     def note_descriptors(self) -> None:
         """Note how many descriptors the node has open."""
@@ -256,13 +257,18 @@
         process_id = self.deployment.read_process_id(f'node {INSTANCE}')
         return Path(f'/proc/{process_id}')
 
-    def _list_statuses(self, url: str) -> Iterator[int]:
-        """Send a request until it succeeds; yield the statuses."""
-        for _ in range(ATTEMPTS):
+    def _send_until_served(self, url: str) -> list[str]:
+        """Send a request until it succeeds; return the ends of all attempts."""
+        ends: list[str] = []
+        while len(ends) < ATTEMPTS and _SERVED not in ends:
             try:
                 answer = self._http.request('GET', url)
-            except urllib3.exceptions.HTTPError:
+            except urllib3.exceptions.HTTPError as error:
+                ends.append(type(error).__name__)
                 time.sleep(_POLL_S)
                 continue
-            yield answer.status
-            time.sleep(float(answer.headers.get('retry-after', _POLL_S)))
+            reason = answer.headers.get('merlintrail-reason', '')
+            ends.append(f'{answer.status} {reason}'.strip())
+            if ends[-1] != _SERVED:
+                time.sleep(float(answer.headers.get('retry-after', _POLL_S)))
+        return ends
--- a/merlintrail/console/_server.py
+++ b/merlintrail/console/_server.py
@@ -6,11 +6,42 @@
 
 from cheroot import wsgi
 
-from merlintrail.console._application import Application, create_application
+from merlintrail.console._application import (
+    MAX_BODY_BYTES,
+    Application,
+    create_application,
+)
 from merlintrail.node import Node, split_host_port
 
 #: Threads that answer requests.
 WORKER_THREADS: Final = 4
+#: Maximum size in bytes of the request line and headers of a request.
+MAX_HEADER_BYTES: Final = 65536
+#: Connections that may be open without a request.
+MAX_IDLE_CONNECTIONS: Final = 64
+#: Requests that may wait for a thread; further ones get 503.
+MAX_WAITING_REQUESTS: Final = 32
+#: Seconds in which a client has to send the next part of a request.
+RECEIVE_TIMEOUT_S: Final = 3
+
+
+class _ConsoleServer(wsgi.Server):
+    """Server whose threads serve those clients alone that send something."""
+
+    max_request_header_size = MAX_HEADER_BYTES
+    max_request_body_size = MAX_BODY_BYTES
+    #: Connections that wait for input; set when the server is prepared.
+    _connections: Any
+
+    def process_conn(self, conn: Any) -> None:
+        """Serve a connection with input; let a new one wait for its own."""
+        is_new = conn.last_used is None
+        if is_new and self._connections._num_connections > MAX_IDLE_CONNECTIONS:  # noqa: SLF001
+            conn.close()
+        elif is_new:
+            self._connections.put(conn)
+        else:
+            super().process_conn(conn)
 
 
 class Console:
@@ -18,8 +49,13 @@
 
     def __init__(self, application: Application, address: str) -> None:
         host, port = split_host_port(address)
-        self._server: Any = wsgi.Server(
-            (host, port), application.answer, numthreads=WORKER_THREADS
+        self._server: Any = _ConsoleServer(
+            (host, port),
+            application.answer,
+            numthreads=WORKER_THREADS,
+            timeout=RECEIVE_TIMEOUT_S,
+            accepted_queue_size=MAX_WAITING_REQUESTS,
+            accepted_queue_timeout=0,
         )
         self._server.prepare()
         self._thread = threading.Thread(
