Count what requests cost in one budget of all connections

What callers saw: heads of legal size made of short lines, bodies of up to 64 KiB and many small requests behind each other took a node over the 200 MB of a machine, which ends it with everything that it serves; beside 600,000 requests on 1,500 connections nobody else was answered. Cause: each limit held for one request and counted bytes. A line of a head that was never completed was two objects, each request of one read (5,700 in 256 KiB) became a task, small bodies were counted nowhere, and a pipeline of refused requests kept the event loop to itself. Now everything is entered with what it costs in one budget, 0.35 of the machine's memory; lines are kept as text until the head is complete; received bytes are parsed in slices until 16 requests wait; when the budget is exceeded, the connections that hold most give up what was not passed on (503, not run). Connections that keep more back share a rate and take turns.

--- a/merlintrail/node/_gauges.py
+++ b/merlintrail/node/_gauges.py
@@ -18,7 +18,7 @@
     MemberTable,
     Quarantine,
 )
-from merlintrail.transport import BodyBudget
+from merlintrail.transport import MemoryBudget
 
 
 class _GateGauge(NamedTuple):
@@ -127,7 +127,7 @@
     confirmations: ConfirmationRecord,
     repeats: RepeatLimits,
     calls: CallTable,
-    bodies: BodyBudget,
+    budget: MemoryBudget,
 ) -> None:
     """Register the gauges of what a node shares with the others."""
     metrics.register_gauge(
@@ -155,16 +155,22 @@
         lambda: [GaugePoint(calls.unknown_inquiries)],
     )
     metrics.register_gauge(
-        'merlintrail.body_bytes',
+        'merlintrail.held_bytes',
         'By',
-        'Memory of request bodies above 64 KiB that are in progress.',
-        lambda: [GaugePoint(bodies.taken_bytes)],
+        'Memory that connections, requests and answers hold.',
+        lambda: [GaugePoint(budget.taken_bytes)],
     )
     metrics.register_gauge(
-        'merlintrail.body_refusals',
+        'merlintrail.held_bytes_limit',
+        'By',
+        'Memory that they may hold together.',
+        lambda: [GaugePoint(budget.limit_bytes)],
+    )
+    metrics.register_gauge(
+        'merlintrail.room_refusals',
         '{request}',
-        'Requests refused for want of room for their bodies, since the start.',
-        lambda: [GaugePoint(bodies.refusals)],
+        'Requests refused for want of memory, since the start.',
+        lambda: [GaugePoint(budget.refusals)],
     )
     metrics.register_gauge(
         'merlintrail.repeat_room',
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -58,7 +58,11 @@
     ServiceOffer,
 )
 from merlintrail.state.repeats import SlotRight
-from merlintrail.transport import start_server
+from merlintrail.transport import (
+    MemoryBudget,
+    create_memory,
+    start_server,
+)
 
 #: Seconds between checks of the backend servers' readiness and of the member
 #: table.
@@ -114,9 +118,9 @@
             self.membership.confirmations,
             self._repeats,
             self.calls,
-            self._servers.memory.bodies,
+            self.servers.memory.budget,
         )
-        register_connection_gauges(self.metrics, self._servers)
+        register_connection_gauges(self.metrics, self.servers)
         self.holder.add_listener(self._apply_configuration)
         self.table.add_listener(self.routing.update_member)
         self.table.add_listener(self.dispatcher.notices.record_member)
@@ -137,25 +141,25 @@
         host, port = split_host_port(
             self.settings.peer_listen_address or self.settings.peer_address
         )
-        self._servers.peers.append(
+        self.servers.peers.append(
             await start_server(
                 self.peer_service.handle,
                 host,
                 port,
                 limits=PEER_LIMITS,
-                memory=self._servers.memory,
-                reports=self._servers.build_peer_reports(),
+                memory=self.servers.memory,
+                reports=self.servers.build_peer_reports(),
             )
         )
         host, port = split_host_port(self.settings.call_address)
-        self._servers.callers.append(
+        self.servers.callers.append(
             await start_server(
                 self.local_service.handle,
                 host,
                 port,
                 listener=call_listener,
-                memory=self._servers.memory,
-                reports=self._servers.build_caller_reports(),
+                memory=self.servers.memory,
+                reports=self.servers.build_caller_reports(),
             )
         )
         self.start_task('join', self.join)
@@ -189,7 +193,7 @@
                     'tasks did not end in time',
                     extra={'tasks': len(unfinished)},
                 )
-        self._servers.close()
+        self.servers.close()
         self._pool.close()
         self._peer_pool.close()
         _LOG.info('node stopped', extra={'instance': self.settings.instance})
@@ -362,7 +366,7 @@
         self._repeats = path.repeats
         self.routing = path.routing
         self.calls = path.calls
-        self.suspect_quarantine = path.suspect_quarantine
+        self._suspect_quarantine = path.suspect_quarantine
         self.contexts = path.contexts
         self.gateway = path.gateway
         self.dispatcher = path.dispatcher
@@ -371,7 +375,8 @@
 
     def _create_services(self) -> None:
         settings = self.settings
-        self._servers = NodeServers(self.ingress)
+        budget = MemoryBudget(settings.connection_limits.memory_bytes)
+        self.servers = NodeServers(self.ingress, create_memory(budget))
         self.lifecycle = Lifecycle(
             LifecycleDependencies(
                 settings.instance,
@@ -381,7 +386,7 @@
                 self.heartbeats,
                 self.gateway,
                 self.ingress,
-                self._servers,
+                self.servers,
                 self._clock,
                 self._wall_clock,
             )
@@ -423,7 +428,7 @@
         self.keyed.ledger.update_settings(configuration.ledger)
         self._update_links(configuration)
         self._usage.configure(configuration.customers)
-        self._servers.apply_limits(configuration.caller_limits)
+        self.servers.apply_limits(configuration.caller_limits)
         _LOG.info(
             'configuration in force',
             extra={
--- a/merlintrail/node/_settings.py
+++ b/merlintrail/node/_settings.py
@@ -14,6 +14,12 @@
     parse_json_object,
 )
 
+#: Memory in megabytes of a machine whose settings do not tell it.
+DEFAULT_MEMORY_MB: Final = 200
+#: Share of the machine's memory that connections may take. The rest is for
+#: the program, what it knows of the fleet, and copies that are being made.
+CONNECTION_MEMORY_SHARE: Final = 0.35
+_BYTES_PER_MB: Final = 1_000_000
 _SCHEMA_NAME: Final = 'settings.schema.json'
 
 
@@ -41,6 +47,13 @@
     retry_window_s: float
 
 
+class ConnectionLimits(NamedTuple):
+    """Limits on what the connections of a node may take together."""
+
+    #: Bytes of memory of all connections, requests and answers.
+    memory_bytes: int = 70_000_000
+
+
 class Settings(NamedTuple):
     """Settings that a node process reads at startup.
 
@@ -76,6 +89,7 @@
     #: ``host:port`` to listen on for nodes, if not ``peer_address``.
     peer_listen_address: str | None = None
     platform: PlatformSettings | None = None
+    connection_limits: ConnectionLimits = ConnectionLimits()
 
 
 class InvalidSettings(NamedTuple):
@@ -120,6 +134,22 @@
         document.get('metrics', {}).get('otlp_endpoint'),
         document.get('peer_listen_address'),
         _build_platform(document.get('platform')),
+        _build_connection_limits(
+            document.get('machine', {}), document.get('connections', {})
+        ),
+    )
+
+
+def _build_connection_limits(
+    machine: Mapping[str, Any], limits: Mapping[str, Any]
+) -> ConnectionLimits:
+    """Build the limits; those that are not set follow from the machine."""
+    memory_mb = machine.get('memory_mb', DEFAULT_MEMORY_MB)
+    return ConnectionLimits(
+        int(
+            limits.get('memory_mb', memory_mb * CONNECTION_MEMORY_SHARE)
+            * _BYTES_PER_MB
+        ),
     )
 
 
--- a/merlintrail/node/serving/_connections.py
+++ b/merlintrail/node/serving/_connections.py
@@ -19,9 +19,9 @@
     HttpResponse,
     HttpServer,
     ServerLimits,
+    ServerMemory,
     ServerReports,
     build_failure,
-    create_memory,
 )
 
 #: Bytes that nodes may add to the headers of a call.
@@ -64,11 +64,14 @@
 class NodeServers:
     """Servers for callers, the backend server and other nodes."""
 
-    def __init__(self, caller_answers: CallerAnswers) -> None:
+    def __init__(
+        self, caller_answers: CallerAnswers, memory: ServerMemory
+    ) -> None:
         """Initialize without servers.
 
         :param caller_answers: answers to callers whose requests are not
             served to their end.
+        :param memory: memory of what all connections hold.
         """
         self._caller_answers = caller_answers
         #: Servers for callers and the backend server.
@@ -76,7 +79,7 @@
         #: Servers for other nodes.
         self.peers: list[HttpServer] = []
         #: Memory of the requests and answers on all connections.
-        self.memory = create_memory()
+        self.memory = memory
         self.caller_ends = ConnectionEnds(
             'caller', caller_answers.read_request_id
         )
--- a/merlintrail/platform/_adapter.py
+++ b/merlintrail/platform/_adapter.py
@@ -46,7 +46,14 @@
             (self._settings.announce_address, self._heartbeats.handle),
         ):
             host, port = split_host_port(address)
-            self._servers.append(await start_server(handler, host, port))
+            self._servers.append(
+                await start_server(
+                    handler,
+                    host,
+                    port,
+                    memory=self._node.servers.memory,
+                )
+            )
 
     def update_settings(self, settings: PlatformSettings) -> None:
         """Replace the settings; the listeners keep their addresses."""
--- a/merlintrail/transport/__init__.py
+++ b/merlintrail/transport/__init__.py
@@ -2,7 +2,6 @@
 
 from merlintrail.transport._address import Address, parse_address
 from merlintrail.transport._bad_request import BadRequest
-from merlintrail.transport._body_budget import BodyBudget
 from merlintrail.transport._client import (
     TIMEOUT,
     ClientConnection,
@@ -18,6 +17,7 @@
     ServerReports,
 )
 from merlintrail.transport._failure import FailureStage, TransportFailure
+from merlintrail.transport._memory_budget import MemoryBudget
 from merlintrail.transport._message import (
     HeaderList,
     HttpRequest,
@@ -36,7 +36,6 @@
     'TIMEOUT',
     'Address',
     'BadRequest',
-    'BodyBudget',
     'ClientConnection',
     'ConnectionEnd',
     'ConnectionPool',
@@ -48,6 +47,7 @@
     'HttpRequest',
     'HttpResponse',
     'HttpServer',
+    'MemoryBudget',
     'RequestHandler',
     'ServerLimits',
     'ServerMemory',
--- a/merlintrail/transport/_connection_group.py
+++ b/merlintrail/transport/_connection_group.py
@@ -1,18 +1,25 @@
 """What the connections of one server have in common."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING, NamedTuple, TypeAlias
+from typing import TYPE_CHECKING, Final, NamedTuple, TypeAlias
 
 from merlintrail.transport._bad_request import BadRequest
 from merlintrail.transport._connection_end import ConnectionEnd
 from merlintrail.transport._message import HttpRequest, HttpResponse
 from merlintrail.transport._own_answers import build_failure
+from merlintrail.transport._pending_request import await_answer
 from merlintrail.transport._request_parser import ServerLimits
 from merlintrail.transport._server_memory import ServerMemory
 
 if TYPE_CHECKING:
     from merlintrail.transport._server_connection import ServerConnection
 
+#: Requests of all connections that are served beside others of their own.
+MAX_EARLY_REQUESTS: Final = 256
+#: Requests a second of all connections that keep others back.
+MAX_DEEP_REQUESTS_PER_S: Final = 250
+
 RequestHandler: TypeAlias = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
 
@@ -51,12 +58,54 @@
         self.handler = handler
         #: Limits on requests, which may be replaced.
         self.limits = limits
-        #: Room for the bodies of all requests.
-        self.budget = memory.bodies
+        #: Room for what all connections hold.
+        self.budget = memory.budget
         #: What callers have not taken of their answers.
         self.untaken = memory.answers
         self.reports = reports
         #: The open connections.
         self.connections: 'set[ServerConnection]' = set()
+        #: Tasks of requests that are served beside others of their connection.
+        self._early: set[asyncio.Task[HttpResponse]] = set()
+        #: Connections that keep requests back.
+        self._deep: set[ServerConnection] = set()
         #: Whether each connection is closed after its next answer.
         self.is_closing = False
+
+    def begin_early(
+        self, request: HttpRequest
+    ) -> 'asyncio.Task[HttpResponse] | None':
+        """Serve a request beside others of its connection.
+
+        :returns: ``None`` if it is to be served in its turn, since memory is
+            short or many requests are served so.
+        """
+        if not self.budget.is_calm or len(self._early) >= MAX_EARLY_REQUESTS:
+            return None
+        task: asyncio.Task[HttpResponse] = (
+            asyncio.get_running_loop().create_task(
+                await_answer(self.handler(request))
+            )
+        )
+        self._early.add(task)
+        task.add_done_callback(self._early.discard)
+        return task
+
+    def remove(self, connection: 'ServerConnection') -> None:
+        """Forget a connection that has ended."""
+        self.connections.discard(connection)
+        self._deep.discard(connection)
+
+    def compute_pause(
+        self, connection: 'ServerConnection', *, has_backlog: bool
+    ) -> float:
+        """Return the seconds that a connection waits before its next request.
+
+        Those that keep more requests back than may wait share a rate, so that
+        they leave time to the others.
+        """
+        if not has_backlog:
+            self._deep.discard(connection)
+            return 0.0
+        self._deep.add(connection)
+        return len(self._deep) / MAX_DEEP_REQUESTS_PER_S
--- /dev/null
+++ b/merlintrail/transport/_memory_budget.py
@@ -0,0 +1,147 @@
+"""Memory that the connections of a node may take together.
+
+What is counted is an estimate of what an object costs the process, not only
+the bytes that were received: a header line of five bytes is kept in several
+objects.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+from merlintrail.transport._memory_costs import SMALL_BYTES
+
+#: Default limit in bytes; fits a machine with 200 MB.
+DEFAULT_MEMORY_BYTES: Final = 70_000_000
+#: Share of the limit that large objects may take; the rest is left to
+#: ordinary requests.
+LARGE_SHARE: Final = 0.75
+#: Share of the limit up to which memory is plentiful. One object of any size
+#: has room then.
+CALM_SHARE: Final = 0.25
+#: Share of the limit to which memory is freed once it is exceeded.
+_FREED_SHARE: Final = 0.6
+#: Bytes that a connection must hold so that freeing them is worthwhile.
+_MIN_FREED_BYTES: Final = 16384
+#: Share of the limit that has to be taken in addition, after nothing could be
+#: freed, before that is tried again.
+_RETRY_SHARE: Final = 0.03125
+
+
+def _ignore() -> None:
+    """Do nothing."""
+
+
+class MemoryAccount:
+    """Memory that one connection takes of the budget."""
+
+    __slots__ = ('_budget', '_is_open', 'free', 'held_bytes')
+
+    def __init__(
+        self, budget: 'MemoryBudget', free: Callable[[], None]
+    ) -> None:
+        self._budget = budget
+        self._is_open = True
+        #: Called to free what can be given up, when memory is exceeded.
+        self.free = free
+        #: Bytes that the connection takes.
+        self.held_bytes = 0
+
+    def add(self, count: int) -> None:
+        """Take some bytes, or give them back if the number is negative.
+
+        Nothing changes once the account is closed.
+        """
+        if self._is_open:
+            self.held_bytes += count
+            self._budget.add(count)
+
+    def close(self) -> None:
+        """Give back everything, for good."""
+        self._budget.remove_account(self)
+        self.add(-self.held_bytes)
+        self._is_open = False
+        self.free = _ignore
+
+
+class MemoryBudget:
+    """Counts the memory of all connections, and frees some above its limit."""
+
+    def __init__(self, limit_bytes: int = DEFAULT_MEMORY_BYTES) -> None:
+        self.limit_bytes = limit_bytes
+        #: Bytes that are taken.
+        self.taken_bytes = 0
+        #: Requests that were refused for want of room.
+        self.refusals = 0
+        self._accounts: set[MemoryAccount] = set()
+        #: Bytes that are left once memory was freed.
+        self._goal_bytes = limit_bytes * _FREED_SHARE
+        #: Bytes above which freeing is tried, after it was not enough.
+        self._free_above_bytes = 0.0
+
+    @property
+    def is_calm(self) -> bool:
+        """Whether memory is plentiful."""
+        return self.taken_bytes <= self.limit_bytes * CALM_SHARE
+
+    def open_account(self, free: Callable[[], None]) -> MemoryAccount:
+        """Open the account of a connection.
+
+        :param free: called to free what can be given up, when memory is
+            exceeded.
+        """
+        account = MemoryAccount(self, free)
+        self._accounts.add(account)
+        return account
+
+    def remove_account(self, account: MemoryAccount) -> None:
+        """Forget the account of a connection that has ended."""
+        self._accounts.discard(account)
+
+    def add(self, count: int) -> None:
+        """Take some bytes, or give them back if the number is negative."""
+        self.taken_bytes += count
+        if count >= 0:
+            return
+        if self.taken_bytes <= self._goal_bytes:
+            self._free_above_bytes = 0.0
+
+    def has_room(self, count: int) -> bool:
+        """Return whether there is room for some bytes."""
+        if self.is_calm:
+            return True
+        share = 1.0 if count <= SMALL_BYTES else LARGE_SHARE
+        return self.taken_bytes + count <= self.limit_bytes * share
+
+    def make_room(self, count: int) -> bool:
+        """Return whether there is room, after memory was freed if needed.
+
+        A request without room counts as refused.
+        """
+        if self.has_room(count):
+            return True
+        self._free()
+        if self.has_room(count):
+            return True
+        self.refusals += 1
+        return False
+
+    def enforce(self) -> None:
+        """Free memory if more is taken than the limit."""
+        if self.taken_bytes > self.limit_bytes:
+            self._free()
+
+    def _free(self) -> None:
+        """Let those connections that hold most free what they can."""
+        if self.taken_bytes <= self._free_above_bytes:
+            return
+        accounts = sorted(
+            self._accounts, key=lambda account: -account.held_bytes
+        )
+        for account in accounts:
+            is_enough = self.taken_bytes <= self._goal_bytes
+            if is_enough or account.held_bytes < _MIN_FREED_BYTES:
+                break
+            account.free()
+        if self.taken_bytes > self._goal_bytes:
+            retry_bytes = self.limit_bytes * _RETRY_SHARE
+            self._free_above_bytes = self.taken_bytes + retry_bytes
--- a/merlintrail/transport/_message.py
+++ b/merlintrail/transport/_message.py
@@ -28,7 +28,7 @@
     remote_host: str = ''
     #: Whether the sender keeps the connection open after the answer.
     keeps_alive: bool = True
-    #: Bytes that the body has taken of the server's room for bodies.
+    #: Memory in bytes that it takes of the account of its connection.
     taken_bytes: int = 0
 
 
@@ -77,11 +77,20 @@
     body: bytes,
 ) -> bytes:
     """Encode a request and add its Content-Length."""
-    head = (
+    return encode_request_head(method, target, headers, len(body)) + body
+
+
+def encode_request_head(
+    method: str, target: str, headers: HeaderList, length: int
+) -> bytes:
+    """Encode the head of a request.
+
+    :param length: bytes of its body.
+    """
+    return _encode_head(
         f'{method} {target} HTTP/1.1\r\n{_encode_headers(headers)}'
-        f'content-length: {len(body)}\r\n\r\n'
+        f'content-length: {length}\r\n\r\n'
     )
-    return _encode_head(head) + body
 
 
 def encode_response(response: HttpResponse, *, with_body: bool = True) -> bytes:
@@ -89,12 +98,16 @@
 
     :param with_body: ``False`` for the answer to a HEAD request.
     """
+    head = encode_response_head(response)
+    return head + response.body if with_body else head
+
+
+def encode_response_head(response: HttpResponse) -> bytes:
+    """Encode the head of an answer with its Content-Length."""
     line = _STATUS_LINES.get(response.status)
     if line is None:
         line = f'HTTP/1.1 {response.status} Unknown\r\n'
-    head = (
+    return _encode_head(
         f'{line}{_encode_headers(response.headers)}'
         f'content-length: {len(response.body)}\r\n\r\n'
     )
-    encoded = _encode_head(head)
-    return encoded + response.body if with_body else encoded
--- a/merlintrail/transport/_pending_request.py
+++ b/merlintrail/transport/_pending_request.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from merlintrail.transport._bad_request import BadRequest
-from merlintrail.transport._body_budget import BodyBudget
+from merlintrail.transport._memory_budget import MemoryAccount
 from merlintrail.transport._message import HttpRequest, HttpResponse
 from merlintrail.transport._own_answers import AnswerBuilder, build_refusal
 
@@ -30,16 +30,21 @@
         request = self.request
         return isinstance(request, BadRequest) or request.method != 'HEAD'
 
-    def drop(self, budget: BodyBudget) -> None:
-        """Cancel its task, and give back the room that its body has taken.
+    @property
+    def has_begun(self) -> bool:
+        """Whether it is being served, or refused already."""
+        return self.task is not None or isinstance(self.request, BadRequest)
+
+    def drop(self, account: MemoryAccount) -> None:
+        """Cancel its task, and give back the memory that it has taken.
 
-        :param budget: room for the bodies of all requests.
+        :param account: that of its connection.
         """
         if self.task is not None and not self.task.cancel():
             _take_exception(self.task)
         request = self.request
         if isinstance(request, HttpRequest) and request.taken_bytes:
-            budget.give_back(request.taken_bytes)
+            account.add(-request.taken_bytes)
 
     def find_answer(self, build_answer: AnswerBuilder) -> HttpResponse:
         """Return the answer if it is known, or build one.
--- a/merlintrail/transport/_request_parser.py
+++ b/merlintrail/transport/_request_parser.py
@@ -8,18 +8,24 @@
 
 from merlintrail.transport._bad_request import BadRequest
 from merlintrail.transport._body import BodyBuffer
-from merlintrail.transport._body_budget import (
-    BODY_STEP_BYTES,
-    SMALL_BODY_BYTES,
-    BodyBudget,
-)
 from merlintrail.transport._framing import FramingAllowance
+from merlintrail.transport._header_lines import HeaderLines
+from merlintrail.transport._memory_budget import MemoryAccount, MemoryBudget
 from merlintrail.transport._message import HttpRequest
+from merlintrail.transport._request_room import RequestRoom
 from merlintrail.transport._request_target import parse_target
 
 _VERSIONS: Final = frozenset(('1.0', '1.1'))
 #: Bytes of a header line besides name and value: colon, space and CRLF.
 _HEADER_OVERHEAD_BYTES: Final = 4
+#: End of a head, and of a body in chunks.
+_BLANK_LINE: Final = b'\r\n\r\n'
+#: Least size in bytes of the slices in which received bytes are parsed, unless
+#: fewer are left. Few requests fit into it.
+_MIN_SLICE_BYTES: Final = 64
+#: Reasons of refusals for want of memory.
+NO_ROOM: Final = 'no-room'
+NO_ROOM_FOR_BODY: Final = 'no-room-for-body'
 
 
 class ServerLimits(NamedTuple):
@@ -47,22 +53,28 @@
     """
 
     def __init__(
-        self, limits: ServerLimits, budget: BodyBudget | None = None
+        self,
+        limits: ServerLimits,
+        budget: MemoryBudget | None = None,
+        account: MemoryAccount | None = None,
     ) -> None:
         """Initialize the parser.
 
-        :param budget: room for bodies; unlimited by default.
+        :param budget: room for requests; unlimited by default.
+        :param account: takes that room; one of its own by default.
         """
         #: Limits of the request that is being received.
         self.limits = limits
-        self._budget = budget or BodyBudget(sys.maxsize)
-        #: Bytes of the budget that the body being received has taken.
-        self._taken_bytes = 0
+        #: Memory of the request that is being received.
+        self._room = RequestRoom(budget or MemoryBudget(sys.maxsize), account)
         self._parser = httptools.HttpRequestParser(self)
         self._parsed: list[HttpRequest | BadRequest] = []
         self._fault: BadRequest | None = None
         self._in_headers = True
+        self._lines = HeaderLines()
         self._body = BodyBuffer()
+        #: Announced length of the body, ``None`` if it has none.
+        self._length: int | None = None
         #: Allowance for what follows the headers: chunk framing and trailers.
         self._framing = FramingAllowance(limits.max_header_bytes)
         #: Body bytes parsed from the bytes received last.
@@ -97,10 +109,30 @@
         parsed = self._parsed
         self._parsed = []
         if self._fault is not None:
-            self.is_receiving = False
+            self.discard()
             parsed.append(self._fault)
+        elif self.is_receiving and self._in_headers:
+            self._room.take_partial_head(self._fed_bytes)
         return parsed
 
+    def find_end(self, received: bytes, start: int) -> int:
+        """Return the end of the bytes to be parsed next.
+
+        Few requests end in them, so that what follows can be kept back.
+
+        :param start: where those bytes begin.
+        """
+        if self._length is not None and self.is_receiving:
+            end = start + self._length - self._body.size
+            return min(len(received), max(end, start + 1))
+        found = received.find(_BLANK_LINE, start + _MIN_SLICE_BYTES)
+        return len(received) if found < 0 else found + len(_BLANK_LINE)
+
+    def discard(self) -> None:
+        """Give up the request that is being received."""
+        self.is_receiving = False
+        self._reset_message()
+
     def close(self) -> None:
         """Free the parser, which refers to this object, and what it holds.
 
@@ -123,32 +155,30 @@
         self._header_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: WPS110
-        """Store a header; join the values of a repeated one with commas.
-
-        A trailer, which follows the body, is ignored.
-        """
+        """Store a header; a trailer, which follows the body, is ignored."""
         if not self._in_headers:
             return
-        key = name.decode('latin-1').lower()
-        text = value.decode('latin-1').strip()
         self._header_bytes += len(name) + len(value) + _HEADER_OVERHEAD_BYTES
-        previous = self._headers.get(key)
-        if previous is None:
-            self._headers[key] = text
-        elif key == 'host':
-            self._record_fault(400, 'several-hosts')
-        else:
-            self._headers[key] = f'{previous}, {text}'
+        self._lines.append(name, value)
 
     def on_headers_complete(self) -> None:
         """Check version, host and sizes, and detect ``100-continue``."""
         self._in_headers = False
         self._framing.reset()
+        if self._header_bytes > self.limits.max_header_bytes:
+            self._record_fault(431, 'headers-too-large')
+            return
+        if not self._room.take_head(self._lines, self._target):
+            self._record_fault(503, NO_ROOM)
+            return
+        self._store_headers()
         for fault in self._list_header_faults():
             self._record_fault(fault.status, fault.reason)
         length = self._read_length()
-        if length > SMALL_BODY_BYTES and self._fault is None:
-            self._take_room(length)
+        if 'content-length' in self._headers:
+            self._length = length
+        if self._fault is None and not self._room.announce_body(length):
+            self._record_fault(503, NO_ROOM_FOR_BODY)
         if self._headers.get('expect', '').lower() == '100-continue':
             self.is_expecting_continue = self._fault is None
 
@@ -161,8 +191,8 @@
         size = self._body.size
         if size > self.limits.max_body_bytes:
             self._record_fault(413, 'body-too-large')
-        elif size > max(self._taken_bytes, SMALL_BODY_BYTES):
-            self._take_room(self._taken_bytes + BODY_STEP_BYTES)
+        elif not self._room.grow_body(size):
+            self._record_fault(503, NO_ROOM_FOR_BODY)
 
     def on_message_complete(self) -> None:
         """Append the complete request to the parsed ones."""
@@ -189,10 +219,10 @@
                 self.remote_host,
                 # What follows CONNECT is no request.
                 self._parser.should_keep_alive() and method != 'CONNECT',
-                self._taken_bytes,
+                self._room.hand_over(),
             )
         )
-        self._taken_bytes = 0
+        self._length = None
 
     @property
     def received_body_bytes(self) -> int:
@@ -207,12 +237,20 @@
     def _read_length(self) -> int:
         return int(self._headers.get('content-length', '0'))
 
-    def _take_room(self, size: int) -> None:
-        """Take room for a body of some size, beyond what it has already."""
-        if self._budget.take(size - self._taken_bytes):
-            self._taken_bytes = size
-        else:
-            self._record_fault(503, 'no-room-for-body')
+    def _store_headers(self) -> None:
+        """Store the headers; join the values of a repeated one with commas."""
+        repeated: dict[str, list[str]] = {}
+        for name, text in self._lines.decode():
+            if name in self._headers:
+                texts = repeated.setdefault(name, [self._headers[name]])
+                texts.append(text)
+            else:
+                self._headers[name] = text
+        if 'host' in repeated:
+            self._record_fault(400, 'several-hosts')
+        for repeated_name, texts in repeated.items():
+            self._headers[repeated_name] = ', '.join(texts)
+        self._lines.clear()
 
     def _feed_parser(self, chunk: bytes) -> None:
         """Parse bytes; an upgrade that a request asks for is ignored.
@@ -262,8 +300,6 @@
         if 'upgrade' in self._headers and self._has_body():
             # The parser takes such a body for the other protocol.
             yield BadRequest(400, 'upgrade-not-supported')
-        if self._header_bytes > limits.max_header_bytes:
-            yield BadRequest(431, 'headers-too-large')
         if self._read_length() > limits.max_body_bytes:
             yield BadRequest(413, 'body-too-large')
         if 'host' not in self._headers and version == '1.1':
@@ -278,9 +314,9 @@
             self._fault = BadRequest(status, reason)
 
     def _reset_message(self) -> None:
-        if self._taken_bytes:
-            self._budget.give_back(self._taken_bytes)
-            self._taken_bytes = 0
+        self._room.give_back()
+        self._length = None
+        self._lines.clear()
         self._target = b''
         self._headers: dict[str, str] = {}
         self._header_bytes = 0
--- a/merlintrail/transport/_server_connection.py
+++ b/merlintrail/transport/_server_connection.py
@@ -4,6 +4,8 @@
 from collections import deque
 from typing import Final, cast
 
+from merlintrail.transport._answer_writer import AnswerWriter
+from merlintrail.transport._backlog import Backlog
 from merlintrail.transport._bad_request import BadRequest
 from merlintrail.transport._connection_end import ConnectionEnd, EndCause
 from merlintrail.transport._connection_group import ConnectionGroup
@@ -14,30 +16,25 @@
 )
 from merlintrail.transport._hand_over import HandOver
 from merlintrail.transport._idle_timer import IdleTimer
+from merlintrail.transport._memory_costs import CONNECTION_BYTES
 from merlintrail.transport._message import (
     HttpRequest,
     HttpResponse,
-    encode_response,
 )
 from merlintrail.transport._own_answers import (
     AnswerBuilder,
     announce_close,
     build_refusal,
 )
-from merlintrail.transport._pending_request import (
-    PendingRequest,
-    await_answer,
-)
+from merlintrail.transport._pending_request import PendingRequest
 from merlintrail.transport._receive_timer import ReceiveTimer
-from merlintrail.transport._request_parser import RequestParser
+from merlintrail.transport._request_parser import NO_ROOM, RequestParser
 from merlintrail.transport._send_queue import count_untaken_bytes
 
 #: Number of waiting requests at which a connection stops parsing.
 MAX_PIPELINED: Final = 16
-#: Bytes that a connection reads beyond those, so that it notices the end of
-#: the caller.
-MAX_BACKLOG_BYTES: Final = 262144
 _UNAVAILABLE_STATUS: Final = 503
+_NO_ROOM: Final = BadRequest(_UNAVAILABLE_STATUS, NO_ROOM)
 _CONTINUE_RESPONSE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -55,23 +52,27 @@
         )
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
-        self._parser = RequestParser(server.limits, server.budget)
+        self._account = server.budget.open_account(self._free_memory)
+        self._account.add(CONNECTION_BYTES)
+        self._parser = RequestParser(
+            server.limits, server.budget, self._account
+        )
+        self._is_parsing = False
+        self._writer = AnswerWriter()
         #: Wakes the task that waits for a request, ``None`` while it serves.
         self._waiter: asyncio.Future[None] | None = None
-        #: Resolved when writing resumes, ``None`` while it is not paused.
-        self._drained: asyncio.Future[None] | None = None
         self._pending: deque[PendingRequest] = deque()
         #: The request that is served, and its answer while that waits for
         #: room to be written.
         self._current: PendingRequest | None = None
         self._answer: HttpResponse | None = None
         #: Bytes received while too many requests were waiting.
-        self._backlog = bytearray()
+        self._backlog = Backlog(self._account)
         self._receive_timer = ReceiveTimer(
             self._loop, self._parser, self._enqueue
         )
         self.hand_over = HandOver(self._state, server.untaken)
-        self._idle_timer = IdleTimer(
+        self.idle_timer = IdleTimer(
             server,
             self._state,
             self._parser,
@@ -91,23 +92,27 @@
         self.hand_over.transport = transport
         peer = transport.get_extra_info('peername')
         self._parser.remote_host = str(peer[0]) if peer else ''
-        self._server.connections.add(self)
+        self._writer.open(transport)
         self._task = self._loop.create_task(self._serve())
+        self._server.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests of a caller that disconnected."""
         if self._state.phase == ConnectionPhase.CLOSED:
             self._end_cause = EndCause.STALLED
         self.report_end(self._end_cause or EndCause.RESET)
-        self._server.connections.discard(self)
+        self._server.remove(self)
         self._state.close()
         self._receive_timer.close()
-        self._idle_timer.close()
+        self.idle_timer.close()
         self.hand_over.close()
         if self._task is not None:
             self._task.cancel()
             self._task = None
         self._parser.close()
+        self._backlog.clear()
+        self._writer.close()
+        self._account.close()
         self._transport = None
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
@@ -116,12 +121,14 @@
         Bytes are kept while too many requests wait, and ignored behind one
         that ends the connection.
         """
-        if self._state.is_open and len(self._pending) < MAX_PIPELINED:
+        may_read_on = True
+        is_full = len(self._backlog) or len(self._pending) >= MAX_PIPELINED
+        if self._state.is_open and is_full:
+            self._backlog.append(data)
+            may_read_on = not self._backlog.is_full
+        elif self._state.is_open:
             self._parse(data)
-            return
-        if self._state.is_open:
-            self._backlog += data
-            may_read_on = len(self._backlog) <= MAX_BACKLOG_BYTES
+            self._server.budget.enforce()
         else:
             may_read_on = self._state.ignore_input(len(data), self._loop.time())
         if not may_read_on and self._transport is not None:
@@ -145,14 +152,12 @@
 
     def pause_writing(self) -> None:
         """Hold back answers while the caller does not read."""
-        self._drained = self._loop.create_future()
+        self._writer.pause()
         self.hand_over.watch()
 
     def resume_writing(self) -> None:
         """Continue to send answers."""
-        if self._drained is not None and not self._drained.done():
-            self._drained.set_result(None)
-        self._drained = None
+        self._writer.resume()
 
     # Request handling
 
@@ -197,13 +202,30 @@
             answer = held or pending.find_answer(build_answer)
             held = None
             self._write_answer(pending, answer, is_stopping=True)
-            pending.drop(self._server.budget)
+            pending.drop(self._account)
 
     def refuse_incomplete(self, reason: str) -> None:
         """Refuse a request that has not arrived whole."""
         if self._parser.is_receiving:
             self._enqueue(BadRequest(_UNAVAILABLE_STATUS, reason))
 
+    def _free_memory(self) -> None:
+        """Refuse what has not been passed on yet.
+
+        That is the requests that wait behind others, what was kept back, and
+        the request that is being received.
+        """
+        for index, pending in enumerate(self._pending):
+            if not pending.has_begun:
+                pending.drop(self._account)
+                self._pending[index] = PendingRequest(_NO_ROOM)
+        is_partial = len(self._backlog) or self._parser.is_receiving
+        if self._is_parsing or not is_partial or not self._state.is_open:
+            return
+        self._backlog.clear()
+        self._parser.discard()
+        self._enqueue(_NO_ROOM)
+
     def _list_unanswered(self) -> list[PendingRequest]:
         if self._current is None:
             return list(self._pending)
@@ -215,7 +237,7 @@
             await self._serve_requests()
         finally:
             for pending in self._list_unanswered():
-                pending.drop(self._server.budget)
+                pending.drop(self._account)
             if not self._state.is_ending:
                 self.close()
 
@@ -229,17 +251,24 @@
             self._current = self._pending.popleft()
             self._parse_backlog()
             self._answer = await self._respond(self._current)
-            while self._drained is not None:
-                await self._drained
+            await self._writer.wait()
             answer = self._answer
             self._answer = None
             self._write_answer(
                 self._current, answer, is_stopping=self._server.is_closing
             )
-            self._current.drop(self._server.budget)
+            self._current.drop(self._account)
             # An idle connection does not keep the last messages.
             del answer
             self._current = None
+            if self._pending:
+                # Each connection answers one request in its turn, also if no
+                # handler had to wait.
+                await asyncio.sleep(
+                    self._server.compute_pause(
+                        self, has_backlog=len(self._backlog) > 0
+                    )
+                )
 
     async def _respond(self, pending: PendingRequest) -> HttpResponse:
         """Await the answer; a handler that fails costs this request alone."""
@@ -264,7 +293,7 @@
         if self._pending:
             return
         self._waiter = self._loop.create_future()
-        self._idle_timer.start()
+        self.idle_timer.start()
         try:
             await self._waiter
         finally:
@@ -283,7 +312,7 @@
         )
         if is_last:
             answer = announce_close(answer)
-        self._write(encode_response(answer, with_body=pending.wants_body))
+        self._writer.write_answer(answer, with_body=pending.wants_body)
         if is_last:
             self._end()
 
@@ -295,37 +324,43 @@
         pending = PendingRequest(request)
         has_others = self._state.unanswered > 0
         if not self._state.take_request(keeps_alive=pending.keeps_alive):
-            pending.drop(self._server.budget)
+            pending.drop(self._account)
             return
         task: asyncio.Task[HttpResponse] | None = None
         if isinstance(request, BadRequest):
             self._receive_timer.stop()
         elif has_others:
-            task = self._loop.create_task(
-                await_answer(self._server.handler(request))
-            )
+            task = self._server.begin_early(request)
         self._pending.append(PendingRequest(request, task))
         self._wake()
 
     def _parse_backlog(self) -> None:
-        """Parse the bytes that were kept back."""
-        is_full = len(self._pending) >= MAX_PIPELINED
+        """Parse the bytes that were kept back, once few requests wait."""
+        is_full = len(self._pending) > MAX_PIPELINED // 2
         if is_full or not self._backlog or self._transport is None:
             return
-        received = bytes(self._backlog)
-        self._backlog.clear()
         self._transport.resume_reading()
-        self._parse(received)
+        self._parse(self._backlog.take())
 
     def _parse(self, received: bytes) -> None:
-        if not self._state.is_open:
-            return
+        """Parse bytes up to the requests that may wait; keep back the rest."""
         self._parser.limits = self._server.limits
-        for request in self._parser.feed(received):
-            self._enqueue(request)
+        self._is_parsing = True
+        start = 0
+        while start < len(received) and self._state.is_open:
+            if len(self._pending) >= MAX_PIPELINED:
+                self._backlog.append(received[start:])
+                break
+            end = self._parser.find_end(received, start)
+            is_whole = end - start == len(received)
+            part = received if is_whole else received[start:end]
+            for request in self._parser.feed(part):
+                self._enqueue(request)
+            start = end
+        self._is_parsing = False
         if self._parser.is_expecting_continue:
             self._parser.is_expecting_continue = False
-            self._write(_CONTINUE_RESPONSE)
+            self._writer.write(_CONTINUE_RESPONSE)
         if self._state.is_open:
             self._receive_timer.update()
 
@@ -346,7 +381,3 @@
             transport.resume_reading()
         transport.write_eof()
         self.hand_over.start()
-
-    def _write(self, payload: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(payload)
