Let answers wait for memory before they are read

What callers saw: 60 of them with 8 answers of 2 MB each took a node to 922 MB, 15 long answers behind a slow one on 20 connections to 677 MB, heads of 12,000 short lines to 685 MB; the process ends with all its requests. Cause: an answer was read whole as soon as its server sent it, however many others waited for their callers, and its lines became objects at once; what a socket had not taken counted only after a caller had stalled. Now an answer is entered in the budget of the node before its body is read and its lines are decoded; without room the node stops reading from the server, and takes answers in their order as others leave. An answer counts until the socket has taken it, one of a connection at a time, and its body is not copied behind its head. While answers wait, callers that have not taken theirs within 3 s are dropped; otherwise slow callers are left alone.

--- a/merlintrail/node/_calls.py
+++ b/merlintrail/node/_calls.py
@@ -118,7 +118,7 @@
     else:
         headers = list_returned_headers(answer)
     headers.append((REPORT_HEADER, encode_header_record(gateway_result.report)))
-    return HttpResponse(answer.status, headers, answer.body)
+    return HttpResponse(answer.status, headers, answer.body, answer.hold)
 
 
 def build_call_headers(
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -376,6 +376,8 @@
     def _create_services(self) -> None:
         settings = self.settings
         budget = MemoryBudget(settings.connection_limits.memory_bytes)
+        for pool in (self._pool, self._peer_pool):
+            pool.budget = budget
         self.servers = NodeServers(self.ingress, create_memory(budget))
         self.lifecycle = Lifecycle(
             LifecycleDependencies(
--- a/merlintrail/node/calling/_answers.py
+++ b/merlintrail/node/calling/_answers.py
@@ -62,7 +62,10 @@
         seconds = _read_seconds(answer.find_header('retry-after'))
         return GatewayResult(refusal._replace(retry_after_s=seconds), report)
     stripped = HttpResponse(
-        answer.status, list_returned_headers(answer), answer.body
+        answer.status,
+        list_returned_headers(answer),
+        answer.body,
+        answer.hold,
     )
     return GatewayResult(stripped, report)
 
--- a/merlintrail/platform/_dialect.py
+++ b/merlintrail/platform/_dialect.py
@@ -186,7 +186,7 @@
             for name, text in answer.headers
             if _is_forwarded(name) and name not in _NODE_ONLY_HEADERS
         ]
-        return HttpResponse(answer.status, headers, answer.body)
+        return HttpResponse(answer.status, headers, answer.body, answer.hold)
 
     def build_refusal(self, refusal: Refusal, request_id: str) -> HttpResponse:
         """Build a refusal whose status tells whether the request may have run.
--- a/merlintrail/protocol/_dialect.py
+++ b/merlintrail/protocol/_dialect.py
@@ -214,7 +214,7 @@
         headers = list_returned_headers(answer)
         headers.append((OUTCOME_HEADER, Outcome.COMPLETED.value))
         headers.append((REQUEST_ID_HEADER, request_id))
-        return HttpResponse(answer.status, headers, answer.body)
+        return HttpResponse(answer.status, headers, answer.body, answer.hold)
 
     def build_refusal(self, refusal: Refusal, request_id: str) -> HttpResponse:
         """Report outcome and reason in headers and body."""
--- a/merlintrail/transport/__init__.py
+++ b/merlintrail/transport/__init__.py
@@ -17,7 +17,7 @@
     ServerReports,
 )
 from merlintrail.transport._failure import FailureStage, TransportFailure
-from merlintrail.transport._memory_budget import MemoryBudget
+from merlintrail.transport._memory_budget import MemoryBudget, MemoryHold
 from merlintrail.transport._message import (
     HeaderList,
     HttpRequest,
@@ -48,6 +48,7 @@
     'HttpResponse',
     'HttpServer',
     'MemoryBudget',
+    'MemoryHold',
     'RequestHandler',
     'ServerLimits',
     'ServerMemory',
--- a/merlintrail/transport/_answer_writer.py
+++ b/merlintrail/transport/_answer_writer.py
@@ -2,20 +2,26 @@
 
 import asyncio
 
+from merlintrail.transport._memory_budget import MemoryHold
 from merlintrail.transport._memory_costs import SMALL_BYTES
 from merlintrail.transport._message import HttpResponse, encode_response_head
 
 
 class AnswerWriter:
-    """Writes one answer after the other, each when the last one has left."""
+    """Writes one answer after the other, each when the last one has left.
 
-    __slots__ = ('_drained', 'transport')
+    The memory of an answer counts until the socket has taken it.
+    """
+
+    __slots__ = ('_drained', '_unsent', 'transport')
 
     def __init__(self) -> None:
         #: Transport of the connection while it is open.
         self.transport: asyncio.Transport | None = None
         #: Resolved when writing resumes, ``None`` while it is not paused.
         self._drained: asyncio.Future[None] | None = None
+        #: Memory of the answer that the socket has not taken.
+        self._unsent: MemoryHold | None = None
 
     def open(self, transport: asyncio.Transport) -> None:
         """Write to a transport, which tells when the socket takes no more."""
@@ -25,6 +31,7 @@
     def close(self) -> None:
         """Write no more."""
         self.transport = None
+        self._unsent = None
 
     def pause(self) -> None:
         """Wait for the socket to take what is written."""
@@ -35,6 +42,7 @@
         if self._drained is not None and not self._drained.done():
             self._drained.set_result(None)
         self._drained = None
+        self._unsent = None
 
     async def wait(self) -> None:
         """Wait until the socket has taken what is written."""
@@ -48,11 +56,14 @@
         """
         body = answer.body if with_body else b''
         head = encode_response_head(answer)
+        self._unsent = answer.hold
         if len(body) > SMALL_BYTES:
             self.write(head)
             self.write(body)
         else:
             self.write(head + body)
+        if self._drained is None:
+            self._unsent = None
 
     def write(self, payload: bytes) -> None:
         """Write bytes unless the connection is closed."""
--- a/merlintrail/transport/_client.py
+++ b/merlintrail/transport/_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+import sys
 from collections.abc import Callable
 from typing import Final, NamedTuple, cast
 
@@ -10,6 +11,9 @@
 from merlintrail.transport._body import BodyBuffer
 from merlintrail.transport._failure import FailureStage, TransportFailure
 from merlintrail.transport._framing import FramingAllowance
+from merlintrail.transport._header_lines import HeaderLines
+from merlintrail.transport._memory_budget import MemoryBudget, MemoryHold
+from merlintrail.transport._memory_costs import SMALL_BYTES
 from merlintrail.transport._message import HttpResponse
 from merlintrail.transport._socket_options import set_socket_options
 from merlintrail.transport._timers import Timer, TimerQueue
@@ -21,10 +25,13 @@
 MAX_FRAMING_BYTES: Final = 65536
 #: Maximum number of interim answers before an answer.
 MAX_INTERIM_ANSWERS: Final = 16
+#: Steps in bytes in which an answer of unknown length takes its room.
+_BODY_STEP_BYTES: Final = 262144
+_LENGTH_HEADERS: Final = frozenset((b'content-length', b'transfer-encoding'))
 _BODILESS_STATUSES: Final = frozenset((204, 304))
 _FIRST_FINAL_STATUS: Final = 200
 #: Parameter of a ``Keep-Alive`` header.
-_KEEP_ALIVE_TIMEOUT: Final = re.compile('timeout *= *([0-9]{1,6})')
+_KEEP_ALIVE_TIMEOUT: Final = re.compile(b'timeout *= *([0-9]{1,6})')
 
 
 def _ignore_slow_exchange(connection: object) -> None:
@@ -55,7 +62,18 @@
         loop: asyncio.AbstractEventLoop,
         timers: TimerQueue,
         max_body_bytes: int,
+        budget: MemoryBudget | None = None,
     ) -> None:
+        """Initialize without a connection.
+
+        :param budget: room for answers; unlimited by default.
+        """
+        self._budget = budget or MemoryBudget(sys.maxsize)
+        #: Memory of the answer that is being received.
+        self._hold = MemoryHold(self._budget)
+        self._lines = HeaderLines()
+        #: Status of a complete answer that waits for room.
+        self._waiting_status: int | None = None
         self._loop = loop
         self._timers = timers
         self._max_body_bytes = max_body_bytes
@@ -81,11 +99,17 @@
         self._reset_message()
 
     async def exchange(
-        self, method: str, payload: bytes, timeouts: ExchangeTimeouts
+        self,
+        method: str,
+        payload: bytes,
+        timeouts: ExchangeTimeouts,
+        body: bytes = b'',
     ) -> HttpResponse | TransportFailure:
         """Send an encoded request and await the complete answer.
 
         Cancelling the exchange closes the connection.
+
+        :param body: what is sent behind the payload, without being copied.
         """
         if self._transport is None or self._transport.is_closing():
             return TransportFailure(FailureStage.CONNECT, 'connection closed')
@@ -95,6 +119,8 @@
         self._reset_message()
         self._answer = self._loop.create_future()
         self._transport.write(payload)
+        if body:
+            self._transport.write(body)
         timer = self._start_timer(timeouts)
         try:
             return await self._answer
@@ -104,7 +130,7 @@
         finally:
             if timer is not None:
                 timer.cancel()
-            self._answer = None
+            self._end_exchange()
 
     def mark_idle(self) -> None:
         """Record that the connection became idle."""
@@ -143,12 +169,13 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange in progress."""
         self.is_reusable = False
-        end = 'closed' if exc is None else f'lost: {exc}'
-        self._fail(f'connection {end} before the whole answer')
         # The parser refers to this object and would keep what it holds.
-        self._reset_message()
         del self._parser
         self._transport = None
+        if self._waiting_status is None:
+            end = 'closed' if exc is None else f'lost: {exc}'
+            self._fail(f'connection {end} before the whole answer')
+            self._reset_message()
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
         """Parse received bytes; unsolicited ones close the connection."""
@@ -176,25 +203,30 @@
         """Append a header; a trailer, which follows the body, is ignored."""
         if self._has_headers:
             return
-        self._headers.append(
-            (
-                name.decode('latin-1').lower(),
-                value.decode('latin-1').strip(),
-            )
-        )
+        self._lines.append(name, value)
+        key = name.lower()
+        if key in _LENGTH_HEADERS:
+            self._has_framing = True
+        if key == b'content-length' and value.strip().isdigit():
+            self._length = int(value)
+        elif key == b'keep-alive':
+            match = _KEEP_ALIVE_TIMEOUT.search(value)
+            self.keep_alive_timeout_s = float(match.group(1)) if match else None
 
     def on_headers_complete(self) -> None:
         """Determine what delimits the body of the answer."""
         self._has_headers = True
         status = self._parser.get_status_code()
-        if self._method == 'HEAD' and status >= _FIRST_FINAL_STATUS:
+        if status < _FIRST_FINAL_STATUS:
+            return
+        is_bodiless = self._method == 'HEAD' or status in _BODILESS_STATUSES
+        self._hold.add(self._lines.size)
+        self._request_room(0 if is_bodiless else self._length)
+        if self._method == 'HEAD':
             self._finish(status)
             self.close()
-        elif status >= _FIRST_FINAL_STATUS:
-            self._is_close_delimited = (
-                status not in _BODILESS_STATUSES and not self._has_framing()
-            )
-            self._read_keep_alive_timeout()
+        else:
+            self._is_close_delimited = not (is_bodiless or self._has_framing)
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
@@ -203,6 +235,10 @@
         if self._body.size > self._max_body_bytes:
             self._fail('answer too large')
             self.close()
+        elif self._body.size > self._length:
+            self._length = self._body.size
+            if self._body.size > self._room_bytes:
+                self._request_room(self._body.size + _BODY_STEP_BYTES)
 
     def on_message_complete(self) -> None:
         """Deliver the complete answer; ignore an interim one."""
@@ -232,25 +268,48 @@
             )
         return None
 
-    def _has_framing(self) -> bool:
-        return any(
-            name in {'content-length', 'transfer-encoding'}
-            for name, _ in self._headers
-        )
+    def _end_exchange(self) -> None:
+        """Give back the memory of an answer that nobody awaits any more."""
+        self._answer = None
+        self._hold.release()
+
+    def _request_room(self, body_bytes: int) -> None:
+        """Take room for the answer, and read on once there is some.
 
-    def _read_keep_alive_timeout(self) -> None:
-        for name, text in self._headers:
-            if name == 'keep-alive':
-                match = _KEEP_ALIVE_TIMEOUT.search(text)
-                self.keep_alive_timeout_s = (
-                    float(match.group(1)) if match else None
-                )
+        :param body_bytes: bytes that its body has at least.
+        """
+        self._room_bytes = min(body_bytes, self._max_body_bytes)
+        size = self._room_bytes + self._lines.memory_bytes
+        if size <= SMALL_BYTES:
+            self._hold.add(max(0, size - self._hold.size))
+        elif not self._hold.is_waiting and not self._hold.request(
+            size, self._read_on
+        ):
+            assert self._transport is not None
+            self._transport.pause_reading()
+
+    def _read_on(self) -> None:
+        """Read on, or deliver the answer that waited for room."""
+        status = self._waiting_status
+        if status is not None:
+            self._waiting_status = None
+            self._finish(status)
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
 
     def _finish(self, status: int) -> None:
-        if self._answer is not None and not self._answer.done():
-            self._answer.set_result(
-                HttpResponse(status, self._headers, self._body.take())
-            )
+        if self._answer is None or self._answer.done():
+            return
+        if self._hold.is_waiting:
+            self._waiting_status = status
+            return
+        headers = list(self._lines.decode())
+        self._lines.clear()
+        hold = self._hold
+        self._hold = MemoryHold(self._budget)
+        self._answer.set_result(
+            HttpResponse(status, headers, self._body.take(), hold)
+        )
 
     def _fail(self, reason: str) -> None:
         self.is_reusable = False
@@ -260,7 +319,14 @@
             )
 
     def _reset_message(self) -> None:
-        self._headers: list[tuple[str, str]] = []
+        self._lines.clear()
+        self._has_framing = False
+        #: Announced length of the body, or what has arrived beyond it.
+        self._length = 0
+        #: Bytes of the body for which room was requested.
+        self._room_bytes = 0
+        self._waiting_status = None
+        self._hold.release()
         self._has_headers = False
         self._body.clear()
         self._is_close_delimited = False
--- a/merlintrail/transport/_connection_state.py
+++ b/merlintrail/transport/_connection_state.py
@@ -66,6 +66,7 @@
         '_limits',
         '_progress_at',
         '_untaken_bytes',
+        '_untaken_since',
         'ending_since',
         'idle_since',
         'ignored_bytes',
@@ -86,6 +87,8 @@
         self._untaken_bytes = 0
         #: Time at which those bytes changed.
         self._progress_at = now
+        #: Time since which there have been some.
+        self._untaken_since = now
         #: Time from which the caller's close is awaited.
         self._awaiting_since = now
         self._input_at = now
@@ -130,6 +133,8 @@
         """
         self.unanswered -= 1
         self._progress_at = now
+        if not self._untaken_bytes:
+            self._untaken_since = now
         if self.unanswered:
             return False
         self.idle_since = now
@@ -171,6 +176,8 @@
 
         :param is_pressed: whether callers hold too many bytes together.
         """
+        if not untaken_bytes:
+            self._untaken_since = now
         if untaken_bytes != self._untaken_bytes:
             self._untaken_bytes = untaken_bytes
             self._progress_at = now
@@ -181,6 +188,16 @@
         elif self.phase == ConnectionPhase.HANDING_OVER:
             self._await_close(now)
 
+    def record_shortage(self, now: float) -> None:
+        """Record that other answers wait for memory that this one takes.
+
+        It ends the connection if its caller has not taken everything in the
+        short time.
+        """
+        waited_s = now - self._untaken_since
+        if self._untaken_bytes and waited_s >= self._limits.short_stall_s:
+            self.close()
+
     def close(self) -> None:
         """Record that the connection has ended."""
         self.phase = ConnectionPhase.CLOSED
--- a/merlintrail/transport/_hand_over.py
+++ b/merlintrail/transport/_hand_over.py
@@ -1,6 +1,7 @@
 """Checks of what the caller of a connection has taken."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 
 from merlintrail.transport._connection_end import EndingConnection
@@ -27,6 +28,7 @@
     __slots__ = (
         '_counted_bytes',
         '_interval_s',
+        '_is_exhausted',
         '_loop',
         '_state',
         '_timer',
@@ -34,12 +36,19 @@
         'transport',
     )
 
-    def __init__(self, state: ConnectionState, untaken: UntakenAnswers) -> None:
+    def __init__(
+        self,
+        state: ConnectionState,
+        untaken: UntakenAnswers,
+        is_exhausted: Callable[[], bool],
+    ) -> None:
         """Initialize without a connection.
 
         :param untaken: what all callers hold together.
+        :param is_exhausted: whether other answers wait for memory.
         """
         self._untaken = untaken
+        self._is_exhausted = is_exhausted
         #: Bytes of this connection in that sum.
         self._counted_bytes = 0
         self._loop = asyncio.get_running_loop()
@@ -95,6 +104,8 @@
             self._loop.time(),
             is_pressed=self._untaken.is_above_limit,
         )
+        if self._is_exhausted():
+            self._state.record_shortage(self._loop.time())
         if self._state.phase == ConnectionPhase.CLOSED:
             self.transport.abort()
         elif untaken_bytes or self._state.is_ending:
--- a/merlintrail/transport/_memory_budget.py
+++ b/merlintrail/transport/_memory_budget.py
@@ -5,6 +5,7 @@
 objects.
 """
 
+from collections import deque
 from collections.abc import Callable
 from typing import Final
 
@@ -63,6 +64,68 @@
         self.free = _ignore
 
 
+class MemoryHold:
+    """Memory of one answer, held until the last reference to it is dropped."""
+
+    __slots__ = ('_budget', '_on_room', '_waits_for_bytes', 'size')
+
+    def __init__(self, budget: 'MemoryBudget') -> None:
+        self._budget = budget
+        #: Bytes that are held.
+        self.size = 0
+        #: Called when there is room, ``None`` while nothing waits for it.
+        self._on_room: Callable[[], None] | None = None
+        self._waits_for_bytes = 0
+
+    def __del__(self) -> None:  # noqa: WPS603
+        """Give the memory back."""
+        self.release()
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the hold waits for room."""
+        return self._on_room is not None
+
+    def add(self, count: int) -> None:
+        """Hold more bytes, whether there is room or not."""
+        self.size += count
+        self._budget.add(count)
+
+    def request(self, size: int, on_room: Callable[[], None]) -> bool:
+        """Hold some bytes altogether, now or once there is room for them.
+
+        :param on_room: called when there is room, unless there is now.
+        :returns: whether they are held now.
+        """
+        count = max(0, size - self.size)
+        if self._budget.has_room(count):
+            self.add(count)
+            return True
+        self._on_room = on_room
+        self._waits_for_bytes = count
+        self._budget.waiting.append(self)
+        return False
+
+    def grant(self) -> bool:
+        """Hold the bytes that were requested if there is room for them."""
+        on_room = self._on_room
+        if on_room is None:
+            return True
+        if not self._budget.has_room(self._waits_for_bytes):
+            return False
+        self._on_room = None
+        self.add(self._waits_for_bytes)
+        on_room()
+        return True
+
+    def release(self) -> None:
+        """Give the memory back, and wait no longer."""
+        self._on_room = None
+        count = self.size
+        self.size = 0
+        self._budget.add(-count)
+
+
 class MemoryBudget:
     """Counts the memory of all connections, and frees some above its limit."""
 
@@ -72,17 +135,25 @@
         self.taken_bytes = 0
         #: Requests that were refused for want of room.
         self.refusals = 0
+        #: Answers that wait for room, in their order.
+        self.waiting: deque[MemoryHold] = deque()
         self._accounts: set[MemoryAccount] = set()
         #: Bytes that are left once memory was freed.
         self._goal_bytes = limit_bytes * _FREED_SHARE
         #: Bytes above which freeing is tried, after it was not enough.
         self._free_above_bytes = 0.0
+        self._is_granting = False
 
     @property
     def is_calm(self) -> bool:
         """Whether memory is plentiful."""
         return self.taken_bytes <= self.limit_bytes * CALM_SHARE
 
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether answers wait for room."""
+        return any(hold.is_waiting for hold in self.waiting)
+
     def open_account(self, free: Callable[[], None]) -> MemoryAccount:
         """Open the account of a connection.
 
@@ -104,6 +175,8 @@
             return
         if self.taken_bytes <= self._goal_bytes:
             self._free_above_bytes = 0.0
+        if self.waiting:
+            self._grant()
 
     def has_room(self, count: int) -> bool:
         """Return whether there is room for some bytes."""
@@ -145,3 +218,11 @@
         if self.taken_bytes > self._goal_bytes:
             retry_bytes = self.limit_bytes * _RETRY_SHARE
             self._free_above_bytes = self.taken_bytes + retry_bytes
+
+    def _grant(self) -> None:
+        if self._is_granting:
+            return
+        self._is_granting = True
+        while self.waiting and self.waiting[0].grant():
+            self.waiting.popleft()
+        self._is_granting = False
--- a/merlintrail/transport/_message.py
+++ b/merlintrail/transport/_message.py
@@ -4,6 +4,8 @@
 from collections.abc import Mapping, Sequence
 from typing import Final, NamedTuple, TypeAlias
 
+from merlintrail.transport._memory_budget import MemoryHold
+
 HeaderList: TypeAlias = Sequence[tuple[str, str]]
 
 _STATUS_LINES: Final = {
@@ -39,6 +41,8 @@
     #: Header names are in lower case.
     headers: HeaderList
     body: bytes
+    #: Memory that the answer takes, if it is counted.
+    hold: MemoryHold | None = None
 
     def find_header(self, name: str) -> str | None:
         """Return the first value of the header with a lower-case name."""
--- a/merlintrail/transport/_pool.py
+++ b/merlintrail/transport/_pool.py
@@ -1,6 +1,7 @@
 """Pools of client connections, with idle connections kept by address."""
 
 import asyncio
+import sys
 from collections import defaultdict
 from collections.abc import Callable
 from typing import Final
@@ -8,10 +9,12 @@
 from merlintrail.transport._address import parse_address
 from merlintrail.transport._client import ClientConnection, ExchangeTimeouts
 from merlintrail.transport._failure import FailureStage, TransportFailure
+from merlintrail.transport._memory_budget import MemoryBudget
+from merlintrail.transport._memory_costs import SMALL_BYTES
 from merlintrail.transport._message import (
     HeaderList,
     HttpResponse,
-    encode_request,
+    encode_request_head,
 )
 from merlintrail.transport._timers import TimerQueue
 
@@ -38,6 +41,8 @@
         self._idle: defaultdict[str, list[ClientConnection]]
         self._idle = defaultdict(list)
         self._timers: TimerQueue | None = None
+        #: Room for answers, which others may share.
+        self.budget = MemoryBudget(sys.maxsize)
         #: Bytes of requests sent, for measurements of control traffic.
         self.bytes_sent = 0
         #: Bytes of answer bodies received.
@@ -74,11 +79,14 @@
             if isinstance(connected, TransportFailure):
                 return connected
             connection = connected
-        payload = encode_request(
-            method, target, _add_host(headers, address), body
+        payload = encode_request_head(
+            method, target, _add_host(headers, address), len(body)
         )
-        self.bytes_sent += len(payload)
-        answer = await connection.exchange(method, payload, timeouts)
+        self.bytes_sent += len(payload) + len(body)
+        if len(body) <= SMALL_BYTES:
+            payload += body
+            body = b''
+        answer = await connection.exchange(method, payload, timeouts, body)
         if isinstance(answer, HttpResponse):
             self.bytes_received += len(answer.body)
             if accepts is not None and not accepts(answer):
@@ -127,7 +135,7 @@
             async with asyncio.timeout(limit_s):
                 _, connection = await loop.create_connection(
                     lambda: ClientConnection(
-                        loop, timers, self._max_answer_bytes
+                        loop, timers, self._max_answer_bytes, self.budget
                     ),
                     parsed.host,
                     parsed.port,
--- a/merlintrail/transport/_server_connection.py
+++ b/merlintrail/transport/_server_connection.py
@@ -71,7 +71,9 @@
         self._receive_timer = ReceiveTimer(
             self._loop, self._parser, self._enqueue
         )
-        self.hand_over = HandOver(self._state, server.untaken)
+        self.hand_over = HandOver(
+            self._state, server.untaken, lambda: server.budget.is_exhausted
+        )
         self.idle_timer = IdleTimer(
             server,
             self._state,
--- a/merlintrail/transport/tests/connection_model.py
+++ b/merlintrail/transport/tests/connection_model.py
@@ -115,6 +115,18 @@
             self.taken_at = self.now
         self._check()
 
+    @precondition(lambda model: model.untaken > 1 and not model.is_closed)
+    @rule(rounds=strategies.integers(1, 4))
+    def read_slowly(self, rounds: int) -> None:
+        """Let the caller take a byte every three seconds, then the rest."""
+        for _ in range(rounds):
+            self.wait(6)
+            if self.is_closed:
+                return
+            self.read(1)
+        self.read(self.untaken)
+        self.wait(3)
+
     @rule(steps=strategies.integers(1, 12))
     def wait(self, steps: int) -> None:
         """Let time pass, with the checks that a connection makes in it."""
