Count heads of the answers that are kept for inquiries

What callers saw: a server whose answers have heads of 60,000 bytes in short lines took the node beside it to 564 MB, with callers that read at once. Cause: answers are kept for 15 s within 4 MiB of their bodies; heads counted nothing, and cost 3 MB each. Now an answer counts with what its objects cost, within 8 MiB, as small answers with ordinary heads count too; a kept one takes nothing of the budget of connections.

--- a/merlintrail/state/_call_table.py
+++ b/merlintrail/state/_call_table.py
@@ -6,7 +6,7 @@
 from typing import Final, NamedTuple
 
 from merlintrail.protocol import InquiryState
-from merlintrail.transport import HttpResponse
+from merlintrail.transport import HttpResponse, estimate_head_bytes
 
 #: Seconds beyond a call's deadline for which an inquiry about it may arrive.
 INQUIRY_MARGIN_S: Final = 5.0
@@ -14,9 +14,9 @@
 ANSWER_RETENTION_S: Final = 15.0
 #: Seconds for which a call is rejected after an inquiry that preceded it.
 TOMBSTONE_RETENTION_S: Final = 120.0
-#: Largest total size in bytes of the kept answers; the oldest are dropped
-#: first.
-MAX_ANSWER_BYTES: Final = 4194304
+#: Largest total memory in bytes of the kept answers, heads included; the
+#: oldest are dropped first.
+MAX_ANSWER_BYTES: Final = 8388608
 #: Largest number of finished calls that are remembered, and of tombstones.
 MAX_CALLS: Final = 20000
 
@@ -34,6 +34,16 @@
 
     answer: HttpResponse
     kept_at: float
+    #: Memory in bytes that it takes.
+    size: int
+
+
+def _estimate_bytes(answer: HttpResponse) -> int:
+    """Estimate the memory of an answer, whose head may cost more than its body."""
+    head_bytes = sum(len(name) + len(text) for name, text in answer.headers)
+    return len(answer.body) + estimate_head_bytes(
+        len(answer.headers), head_bytes
+    )
 
 
 _RUNNING: Final = CallRecord(InquiryState.RUNNING)
@@ -94,10 +104,13 @@
     def finish(self, call_id: str, answer: HttpResponse) -> None:
         """Record the answer to a running call for later inquiries."""
         self.abandon(call_id)
-        if len(answer.body) > MAX_ANSWER_BYTES:
+        kept = _KeptAnswer(answer, self._clock(), _estimate_bytes(answer))
+        if kept.size > MAX_ANSWER_BYTES:
             return
-        self._answers[call_id] = _KeptAnswer(answer, self._clock())
-        self._answer_bytes += len(answer.body)
+        # What is kept has a limit of its own.
+        kept = kept._replace(answer=answer._replace(hold=None))
+        self._answers[call_id] = kept
+        self._answer_bytes += kept.size
         self._drop_answers()
 
     def abandon(self, call_id: str) -> None:
@@ -148,7 +161,7 @@
             if first.kept_at >= oldest and not is_full:
                 return
             del self._answers[first_id]
-            self._answer_bytes -= len(first.answer.body)
+            self._answer_bytes -= first.size
 
     def _remove_expired_tombstones(self) -> None:
         oldest = self._clock() - TOMBSTONE_RETENTION_S
