Bound the connections that a node accepts

What callers saw: 4,300 connections that send nothing, begin a request or never close took every descriptor (4,281 to 4,706 open, 4,100 of the machine): nobody else was accepted, and the node reached neither its server nor others. Cause: nothing bounded the connections of an address. Now half of the machine's descriptors are for callers, a quarter for other nodes, 128 for each address of the platform. Beyond that a sixteenth of them is closed at once: those whose last answer was taken, silent, idle, then those with an incomplete request, each from the longest. One whose request is served is kept. The platform's addresses share the budget of the node's connections.

--- a/merlintrail/node/_gauges.py
+++ b/merlintrail/node/_gauges.py
@@ -199,6 +199,19 @@
         lambda: [GaugePoint(servers.caller_ends.left + servers.peer_ends.left)],
     )
 
+    metrics.register_gauge(
+        'merlintrail.connections_open',
+        '{connection}',
+        'Accepted connections that are open.',
+        lambda: [GaugePoint(servers.count_open())],
+    )
+    metrics.register_gauge(
+        'merlintrail.connections_displaced',
+        '{connection}',
+        'Connections that were closed to make room for others, since the '
+        'start.',
+        lambda: [GaugePoint(servers.count_displaced())],
+    )
     metrics.register_gauge(
         'merlintrail.untaken_bytes',
         'By',
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -138,6 +138,7 @@
         :raises OSError: if an address cannot be bound.
         """
         self.dispatcher.startup.begin()
+        limits = self.settings.connection_limits
         host, port = split_host_port(
             self.settings.peer_listen_address or self.settings.peer_address
         )
@@ -147,7 +148,9 @@
                 host,
                 port,
                 limits=PEER_LIMITS,
-                memory=self.servers.memory,
+                memory=self.servers.memory._replace(
+                    max_connections=limits.peer_connections
+                ),
                 reports=self.servers.build_peer_reports(),
             )
         )
@@ -158,7 +161,9 @@
                 host,
                 port,
                 listener=call_listener,
-                memory=self.servers.memory,
+                memory=self.servers.memory._replace(
+                    max_connections=limits.caller_connections
+                ),
                 reports=self.servers.build_caller_reports(),
             )
         )
--- a/merlintrail/node/_settings.py
+++ b/merlintrail/node/_settings.py
@@ -16,9 +16,15 @@
 
 #: Memory in megabytes of a machine whose settings do not tell it.
 DEFAULT_MEMORY_MB: Final = 200
+#: Descriptors of a machine whose settings do not tell them.
+DEFAULT_DESCRIPTORS: Final = 4100
 #: Share of the machine's memory that connections may take. The rest is for
 #: the program, what it knows of the fleet, and copies that are being made.
 CONNECTION_MEMORY_SHARE: Final = 0.35
+#: Shares of the descriptors for accepted connections. The rest is for
+#: connections to backend servers, nodes and the store, and for files.
+CALLER_DESCRIPTOR_SHARE: Final = 0.5
+PEER_DESCRIPTOR_SHARE: Final = 0.25
 _BYTES_PER_MB: Final = 1_000_000
 _SCHEMA_NAME: Final = 'settings.schema.json'
 
@@ -52,6 +58,10 @@
 
     #: Bytes of memory of all connections, requests and answers.
     memory_bytes: int = 70_000_000
+    #: Connections of callers and the backend server.
+    caller_connections: int = 2050
+    #: Connections of other nodes.
+    peer_connections: int = 1025
 
 
 class Settings(NamedTuple):
@@ -145,11 +155,14 @@
 ) -> ConnectionLimits:
     """Build the limits; those that are not set follow from the machine."""
     memory_mb = machine.get('memory_mb', DEFAULT_MEMORY_MB)
+    descriptors = machine.get('descriptors', DEFAULT_DESCRIPTORS)
     return ConnectionLimits(
         int(
             limits.get('memory_mb', memory_mb * CONNECTION_MEMORY_SHARE)
             * _BYTES_PER_MB
         ),
+        limits.get('callers', int(descriptors * CALLER_DESCRIPTOR_SHARE)),
+        limits.get('nodes', int(descriptors * PEER_DESCRIPTOR_SHARE)),
     )
 
 
--- a/merlintrail/node/serving/_connections.py
+++ b/merlintrail/node/serving/_connections.py
@@ -110,6 +110,14 @@
         for server in self.peers:
             server.limits = build_peer_limits(caller_limits)
 
+    def count_open(self) -> int:
+        """Count the open connections."""
+        return sum(len(server.connections) for server in self._list_all())
+
+    def count_displaced(self) -> int:
+        """Count the connections that were closed to make room for others."""
+        return sum(server.displaced_connections for server in self._list_all())
+
     def count_busy(self) -> int:
         """Count the connections with an unfinished request or answer."""
         return sum(server.count_busy() for server in self._list_all())
--- a/merlintrail/platform/_adapter.py
+++ b/merlintrail/platform/_adapter.py
@@ -14,6 +14,8 @@
     start_server,
 )
 
+#: Connections at each of the two addresses.
+MAX_CONNECTIONS: Final = 128
 _READY_PATH: Final = '/ready'
 _READY: Final = HttpResponse(200, (), b'')
 _NOT_READY: Final = HttpResponse(503, (), b'')
@@ -51,7 +53,9 @@
                     handler,
                     host,
                     port,
-                    memory=self._node.servers.memory,
+                    memory=self._node.servers.memory._replace(
+                        max_connections=MAX_CONNECTIONS
+                    ),
                 )
             )
 
--- a/merlintrail/state/tests/test_call_table.py
+++ b/merlintrail/state/tests/test_call_table.py
@@ -196,8 +196,8 @@
             table.begin(call_id, 1.0)
             table.finish(call_id, HttpResponse(200, headers, b''))
         kept = [
-            number
-            for number in range(50)
-            if table.find_or_tombstone(f'c{number}').answer is not None
+            index
+            for index in range(50)
+            if table.find_or_tombstone(f'c{index}').answer is not None
         ]
         self.assertEqual(kept, [48, 49])
--- a/merlintrail/transport/_connection_group.py
+++ b/merlintrail/transport/_connection_group.py
@@ -15,6 +15,8 @@
 if TYPE_CHECKING:
     from merlintrail.transport._server_connection import ServerConnection
 
+#: Part of the open connections that are closed at once to make room.
+_DISPLACED_SHARE: Final = 16
 #: Requests of all connections that are served beside others of their own.
 MAX_EARLY_REQUESTS: Final = 256
 #: Requests a second of all connections that keep others back.
@@ -71,6 +73,10 @@
         self._deep: set[ServerConnection] = set()
         #: Whether each connection is closed after its next answer.
         self.is_closing = False
+        #: Connections that are open at the same time.
+        self.max_connections = memory.max_connections
+        #: Connections that were closed to make room for others.
+        self.displaced_connections = 0
 
     def begin_early(
         self, request: HttpRequest
@@ -109,3 +115,25 @@
             return 0.0
         self._deep.add(connection)
         return len(self._deep) / MAX_DEEP_REQUESTS_PER_S
+
+    def admit(self, connection: 'ServerConnection') -> None:
+        """Add a connection; close others if there are too many.
+
+        Those go first that nobody waits at: with nothing left to be taken,
+        silent, idle, then with an incomplete request, each from the longest.
+        Connections with a request that is served are kept, and the new one is
+        refused if there are no others.
+        """
+        self.connections.add(connection)
+        if len(self.connections) <= self.max_connections:
+            return
+        ranked = [
+            (rank, id(other), other)
+            for other in self.connections
+            if (rank := other.idle_timer.rank()) is not None
+        ]
+        count = 1 + self.max_connections // _DISPLACED_SHARE
+        for _, _, other in sorted(ranked)[:count]:
+            self.connections.discard(other)
+            other.close()
+        self.displaced_connections += min(count, len(ranked))
--- a/merlintrail/transport/_connection_state.py
+++ b/merlintrail/transport/_connection_state.py
@@ -68,6 +68,7 @@
         '_untaken_bytes',
         '_untaken_since',
         'ending_since',
+        'has_received',
         'idle_since',
         'ignored_bytes',
         'phase',
@@ -93,6 +94,8 @@
         self._awaiting_since = now
         self._input_at = now
         self._has_caller_ended = False
+        #: Whether a request has been taken.
+        self.has_received = False
         #: Time at which the last answer was written, ``None`` before.
         self.ending_since: float | None = None
 
@@ -120,6 +123,7 @@
         if not self.is_open:
             return False
         self.unanswered += 1
+        self.has_received = True
         self.phase = ConnectionPhase.ANSWERING
         if keeps_alive:
             self.phase = ConnectionPhase.SERVING
--- a/merlintrail/transport/_idle_timer.py
+++ b/merlintrail/transport/_idle_timer.py
@@ -5,7 +5,10 @@
 from typing import Final
 
 from merlintrail.transport._connection_group import ConnectionGroup
-from merlintrail.transport._connection_state import ConnectionState
+from merlintrail.transport._connection_state import (
+    ConnectionPhase,
+    ConnectionState,
+)
 from merlintrail.transport._request_parser import RequestParser
 
 #: Parts of the idle time at whose ends a caller is asked what it has taken.
@@ -59,6 +62,21 @@
         if self._timer is None:
             self._wait(self._server.limits.idle_timeout_s / CHECKS)
 
+    def rank(self) -> tuple[int, float] | None:
+        """Rank the connection among those that are closed to make room.
+
+        :returns: the lowest for those that go first; ``None`` for one whose
+            request is served, or whose answer is taken.
+        """
+        since = self._state.idle_since
+        if self._state.phase == ConnectionPhase.AWAITING_CLOSE:
+            return (0, since)
+        if self._state.phase != ConnectionPhase.RECEIVING:
+            return None
+        if self._parser.is_receiving:
+            return (3, since)
+        return (2 if self._state.has_received else 1, since)
+
     def close(self) -> None:
         """Stop for good, and drop the references to the connection."""
         if self._timer is not None:
--- a/merlintrail/transport/_server_connection.py
+++ b/merlintrail/transport/_server_connection.py
@@ -96,7 +96,7 @@
         self._parser.remote_host = str(peer[0]) if peer else ''
         self._writer.open(transport)
         self._task = self._loop.create_task(self._serve())
-        self._server.connections.add(self)
+        self._server.admit(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests of a caller that disconnected."""
--- a/merlintrail/transport/_server_memory.py
+++ b/merlintrail/transport/_server_memory.py
@@ -1,18 +1,24 @@
 """Memory that the servers of a node share."""
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from merlintrail.transport._memory_budget import MemoryBudget
 from merlintrail.transport._untaken_answers import UntakenAnswers
 
 
+#: Connections of a server that are open at the same time, by default.
+MAX_CONNECTIONS: Final = 2050
+
+
 class ServerMemory(NamedTuple):
-    """Memory of requests and answers on all connections."""
+    """Memory of requests and answers on all connections, and their number."""
 
     #: Room for everything that connections hold.
     budget: MemoryBudget
     #: What callers have not taken of their answers.
     answers: UntakenAnswers
+    #: Connections of a server that are open at the same time.
+    max_connections: int = MAX_CONNECTIONS
 
 
 def create_memory(
