Refuse answers whose status is none

What callers saw: a server in trouble answered 000 or 099, and its caller waited until its deadline (504); with an answer of 200 behind it on the same connection, the caller got that one, which may belong to another request; statuses of 600 and above were passed on. Cause: a status under 200 counted as interim, one above 599 as final, and so did statuses in what other nodes keep for inquiries and repeated keys. Now a status outside 100 to 599 ends the exchange and its connection at once: the request may have run (502, or another attempt of an idempotent one). Evidence: six cases of UpstreamEndsTest and the one of OtherVersionsTest failed before (timeout, the answer behind, status 600 and 999); an interim answer in front of a whole one still passes.

--- a/merlintrail/node/tests/test_other_versions.py
+++ b/merlintrail/node/tests/test_other_versions.py
@@ -6,6 +6,7 @@
 from merlintrail.node.calling._answers import read_peer_answer
 from merlintrail.node.keyed._keyed import _decode_recalled_answer
 from merlintrail.protocol import (
+    DecodeFailure,
     CallHeader,
     CallReport,
     Outcome,
@@ -63,6 +64,12 @@
         for document in documents:
             self.assertIsNone(_decode_recalled_answer(document), document)
 
+    def test_answer_without_a_final_status_is_restored(self) -> None:
+        """Another node took it from a server in trouble."""
+        for status in (0, 99, 103, 600):
+            answer = decode_answer(status, [], 'eA==')
+            self.assertIsInstance(answer, DecodeFailure, status)
+
     def test_answer_is_restored(self) -> None:
         """A readable one comes back as it was."""
         answer = decode_answer(200, [['a', 'b']], 'eA==')
--- a/merlintrail/protocol/_recorded_answer.py
+++ b/merlintrail/protocol/_recorded_answer.py
@@ -2,10 +2,13 @@
 
 import base64
 import binascii
+from typing import Final
 
 from merlintrail.protocol._codec import DecodeFailure
 from merlintrail.transport import HttpResponse
 
+_FINAL_STATUSES: Final = range(200, 600)
+
 
 def decode_answer(
     status: object, headers: object, body: object
@@ -17,6 +20,8 @@
     """
     if not isinstance(status, int) or not isinstance(body, str):
         return DecodeFailure('answer: no status or no body')
+    if status not in _FINAL_STATUSES:
+        return DecodeFailure(f'answer: {status} is no final status')
     if not isinstance(headers, list | tuple):
         return DecodeFailure('answer: headers are no list')
     try:
--- a/merlintrail/transport/_client.py
+++ b/merlintrail/transport/_client.py
@@ -29,7 +29,9 @@
 _BODY_STEP_BYTES: Final = 262144
 _LENGTH_HEADERS: Final = frozenset((b'content-length', b'transfer-encoding'))
 _BODILESS_STATUSES: Final = frozenset((204, 304))
+_FIRST_STATUS: Final = 100
 _FIRST_FINAL_STATUS: Final = 200
+_LAST_STATUS: Final = 599
 #: Parameter of a ``Keep-Alive`` header.
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(b'timeout *= *([0-9]{1,6})')
 
@@ -217,7 +219,10 @@
         """Determine what delimits the body of the answer."""
         self._has_headers = True
         status = self._parser.get_status_code()
-        if status < _FIRST_FINAL_STATUS:
+        if not _FIRST_STATUS <= status <= _LAST_STATUS:
+            # RFC 9110, section 15: neither an interim nor a final answer.
+            self.abort_exchange('invalid status of the answer')
+        if not _FIRST_FINAL_STATUS <= status <= _LAST_STATUS:
             return
         is_bodiless = self._method == 'HEAD' or status in _BODILESS_STATUSES
         self._hold.add(self._lines.size)
--- a/merlintrail/transport/tests/test_upstream_ends.py
+++ b/merlintrail/transport/tests/test_upstream_ends.py
@@ -22,6 +22,8 @@
 _CHUNKED: Final = (
     b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3e8\r\n' + _PART
 )
+_INVALID_UNTIL_CLOSE: Final = b'HTTP/1.1 600 Trouble\r\n\r\n' + _PART
+_INTERIM: Final = b'HTTP/1.1 103 Early Hints\r\n\r\n'
 _TIMEOUT_S: Final = 0.5
 _MAX_BYTES: Final = 3000
 _RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
@@ -45,6 +47,11 @@
     writer.close()
 
 
+def _build_status(status: str) -> bytes:
+    """Build an answer with a status and a body of two bytes."""
+    return f'HTTP/1.1 {status} Trouble\r\ncontent-length: 2\r\n\r\nhi'.encode()
+
+
 #: Name, what the server sends, how the connection ends, reason of the failure
 #: or nothing for a whole answer.
 _CASES: Final[tuple[tuple[str, bytes, Ending, str], ...]] = (
@@ -61,6 +68,18 @@
     ('reset behind the answer', _WHOLE, _reset, ''),
     ('does not go on', _CUT, _stay, TIMEOUT),
     ('malformed', b'none of HTTP\r\n\r\n', _stay, 'malformed answer'),
+    ('status 000', _build_status('000'), _stay, 'invalid status'),
+    ('status 099', _build_status('099'), _stay, 'invalid status'),
+    ('status 600', _build_status('600'), _stay, 'invalid status'),
+    ('status 999', _build_status('999'), _stay, 'invalid status'),
+    ('status 000 in front', _build_status('000') + _WHOLE, _stay, 'invalid'),
+    (
+        'status 600 until a close',
+        _INVALID_UNTIL_CLOSE,
+        _close,
+        'invalid status',
+    ),
+    ('interim answer in front', _INTERIM + _WHOLE, _stay, ''),
     ('too large', _UNTIL_CLOSE + 3 * _PART, _stay, 'answer too large'),
 )
 
