--- a/merlintrail/transport/_client.py
+++ b/merlintrail/transport/_client.py
@@ -12,7 +12,7 @@
 from merlintrail.transport._failure import FailureStage, TransportFailure
 from merlintrail.transport._framing import FramingAllowance
 from merlintrail.transport._header_lines import HeaderLines
-from merlintrail.transport._memory_budget import MemoryBudget, MemoryHold
+from merlintrail.transport._memory_budget import MemoryBudget
 from merlintrail.transport._memory_costs import SMALL_BYTES
 from merlintrail.transport._message import HttpResponse
 from merlintrail.transport._socket_options import set_socket_options
@@ -72,7 +72,7 @@
         """
         self._budget = budget or MemoryBudget(sys.maxsize)
         #: Memory of the answer that is being received.
-        self._hold = MemoryHold(self._budget)
+        self._hold = self._budget.open_hold()
         self._lines = HeaderLines()
         #: Status of a complete answer that waits for room.
         self._waiting_status: int | None = None
@@ -311,7 +311,7 @@
         headers = list(self._lines.decode())
         self._lines.clear()
         hold = self._hold
-        self._hold = MemoryHold(self._budget)
+        self._hold = self._budget.open_hold()
         self._answer.set_result(
             HttpResponse(status, headers, self._body.take(), hold)
         )
--- a/merlintrail/transport/_memory_budget.py
+++ b/merlintrail/transport/_memory_budget.py
@@ -164,6 +164,10 @@
         self._accounts.add(account)
         return account
 
+    def open_hold(self) -> MemoryHold:
+        """Open the hold of an answer."""
+        return MemoryHold(self)
+
     def remove_account(self, account: MemoryAccount) -> None:
         """Forget the account of a connection that has ended."""
         self._accounts.discard(account)
