Answer requests that wait behind a suspect in time

Cause: such requests run one at a time in a server, and the wait for this had no limit; a call from the node's own callers had nobody else to end it. Now one waits for half of its remaining time, as in any queue, and is refused then as not run (suspect-already-running, which existed without a use); the node of its caller tries another server or says when to come back.

--- a/merlintrail/node/backend/_backend_gateway.py
+++ b/merlintrail/node/backend/_backend_gateway.py
@@ -41,6 +41,8 @@
 )
 from merlintrail.transport import HttpResponse
 
+#: Share of its remaining time for which a suspected call waits for others.
+MAX_SUSPECT_WAIT_SHARE: Final = 0.5
 _MS_PER_S: Final = 1000
 _FIRST_SERVER_ERROR_STATUS: Final = 500
 #: Statuses of requests that a backend server did not take: 408 timeout, 413
@@ -161,12 +163,26 @@
         if self._deps.suspect_quarantine.find(call) is None:
             answer = await self._admit(gate, call, parent)
         else:
-            async with gate.suspect_lock:
-                answer = await self._admit(gate, call, parent)
+            answer = await self._run_suspect(gate, call, parent)
         if _has_completed(answer):
             self._deps.suspect_quarantine.clear_suspect(call)
         return answer
 
+    async def _run_suspect(
+        self, gate: AdmissionGate, call: OutgoingCall, parent: ParentCall
+    ) -> HttpResponse | Refusal:
+        """Run a suspected call when no other one runs in the backend server."""
+        remaining_s = parent.deadline - self._clock()
+        try:
+            async with asyncio.timeout(remaining_s * MAX_SUSPECT_WAIT_SHARE):
+                await gate.suspect_lock.acquire()
+        except TimeoutError:
+            return Refusal(Outcome.NOT_RUN, Reason.SUSPECT_ALREADY_RUNNING)
+        try:
+            return await self._admit(gate, call, parent)
+        finally:
+            gate.suspect_lock.release()
+
     async def _admit(
         self, gate: AdmissionGate, call: OutgoingCall, parent: ParentCall
     ) -> HttpResponse | Refusal:
--- a/merlintrail/node/tests/test_crashing_requests.py
+++ b/merlintrail/node/tests/test_crashing_requests.py
@@ -19,7 +19,12 @@
     Session,
     answer_after,
 )
-from merlintrail.protocol import REASON_HEADER, Reason
+from merlintrail.protocol import (
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    Outcome,
+    Reason,
+)
 from merlintrail.state import compute_digest
 from merlintrail.testing import run_virtually
 from merlintrail.transport import HttpRequest, HttpResponse
@@ -61,6 +66,16 @@
 }
 
 
+def suspect_all(session: Session, count: int) -> None:
+    """Let requests with the bodies 0, 1 and so on be suspects of a crash."""
+    digests = [
+        compute_digest('svc', 'POST', '/write', f'{number}'.encode())
+        for number in range(count)
+    ]
+    quarantine = session.nodes['one'].quarantine
+    quarantine.record_crash('crash', digests, EPOCH_S, 600.0)
+
+
 async def _fail(_: HttpRequest) -> HttpResponse:
     return HttpResponse(500, (), b'')
 
@@ -175,6 +190,34 @@
 
         run_virtually(scenario())
 
+    def test_requests_behind_a_suspect_get_no_answer_at_their_timeout(
+        self,
+    ) -> None:
+        """Six of them, of which one runs at a time, for 0.9 s."""
+
+        async def scenario() -> None:
+            session = Session(READ_AND_WRITE, ('one',))
+            session.add_backend('one', 'svc', answer_after(0.9))
+            suspect_all(session, 6)
+            loop = asyncio.get_running_loop()
+            began_at = loop.time()
+            answers = await asyncio.gather(
+                *(
+                    session.call('one', '/svc/write', f'{number}')
+                    for number in range(6)
+                )
+            )
+            self.assertLessEqual(loop.time() - began_at, 2.0)
+            statuses = [answer.status for answer in answers]
+            self.assertEqual(statuses.count(503) + statuses.count(200), 6)
+            for answer in answers:
+                if answer.status == 503:
+                    outcome = get_header(answer, OUTCOME_HEADER)
+                    self.assertEqual(outcome, Outcome.NOT_RUN.value)
+                    self.assertGreater(get_header(answer, 'retry-after'), '0')
+
+        run_virtually(scenario())
+
     def test_node_that_was_cut_off_never_learns_of_a_quarantine(self) -> None:
         """Nodes are cut off from the others one after the other."""
 
