Check a request again when its wait behind a suspect is over

Cause: draining, readiness, the deadline and the stop of the node were checked before the wait alone; those that wait for admission are refused when a server drains, those behind the lock were not. Now all of it is checked again behind the wait, and that the server is the one that was chosen.

--- a/merlintrail/node/backend/_backend_gateway.py
+++ b/merlintrail/node/backend/_backend_gateway.py
@@ -171,7 +171,10 @@
     async def _run_suspect(
         self, gate: AdmissionGate, call: OutgoingCall, parent: ParentCall
     ) -> HttpResponse | Refusal:
-        """Run a suspected call when no other one runs in the backend server."""
+        """Run a suspected call when no other one runs in the backend server.
+
+        What was checked before it waited is checked again behind the wait.
+        """
         remaining_s = parent.deadline - self._clock()
         try:
             async with asyncio.timeout(remaining_s * MAX_SUSPECT_WAIT_SHARE):
@@ -179,10 +182,22 @@
         except TimeoutError:
             return Refusal(Outcome.NOT_RUN, Reason.SUSPECT_ALREADY_RUNNING)
         try:
-            return await self._admit(gate, call, parent)
+            refusal = self._check_again(gate, parent)
+            return refusal or await self._admit(gate, call, parent)
         finally:
             gate.suspect_lock.release()
 
+    def _check_again(
+        self, gate: AdmissionGate, parent: ParentCall
+    ) -> Refusal | None:
+        header = parent.header
+        if self.gates.get(header.service) is not gate:
+            return Refusal(Outcome.NOT_RUN, Reason.NO_BACKEND_SERVER)
+        remaining_ms = (parent.deadline - self._clock()) * _MS_PER_S
+        return self._check(
+            header._replace(deadline_ms=max(0.0, remaining_ms)), gate
+        )
+
     async def _admit(
         self, gate: AdmissionGate, call: OutgoingCall, parent: ParentCall
     ) -> HttpResponse | Refusal:
--- a/merlintrail/node/tests/test_crashing_requests.py
+++ b/merlintrail/node/tests/test_crashing_requests.py
@@ -218,6 +218,35 @@
 
         run_virtually(scenario())
 
+    def test_request_behind_a_suspect_reaches_a_server_that_drains(
+        self,
+    ) -> None:
+        """The server announces it while the request waits."""
+
+        async def scenario() -> None:
+            session = Session(READ_AND_WRITE, ('one',))
+            bodies: list[bytes] = []
+
+            async def run(request: HttpRequest) -> HttpResponse:
+                bodies.append(request.body)
+                await asyncio.sleep(0.5)
+                return HttpResponse(200, (), b'')
+
+            session.add_backend('one', 'svc', run)
+            suspect_all(session, 2)
+            calls = asyncio.gather(
+                session.call('one', '/svc/write', '0'),
+                session.call('one', '/svc/write', '1'),
+            )
+            await asyncio.sleep(0.1)
+            registry = session.nodes['one'].gateway.registry
+            registry.announce(Announcement('svc', 'one:svc', 4, is_ready=False))
+            answers = await calls
+            self.assertEqual(bodies, [b'0'])
+            self.assertEqual([answer.status for answer in answers], [200, 503])
+
+        run_virtually(scenario())
+
     def test_node_that_was_cut_off_never_learns_of_a_quarantine(self) -> None:
         """Nodes are cut off from the others one after the other."""
 
