Refuse calls of a backend server that may not end before the process

Cause: requests of callers are refused when they may not end in time, calls of the backend server were not checked, whatever the time and their kind. Now both are: such a call is refused as not run, by the longest recent duration of its own kind, which calls of servers record too.

--- a/merlintrail/node/serving/_ingress.py
+++ b/merlintrail/node/serving/_ingress.py
@@ -201,7 +201,9 @@
             parent = self._deps.contexts.find(headers.context)
         if parent is not None:
             call = self._build_nested_call(received, resolution, parent)
-            return await self._serve_nested_call(call, parent)
+            return await self._serve_nested_call(
+                call, parent, resolution.kind.full_name
+            )
         if headers.context is not None and headers.must_resolve_context:
             return Refusal(
                 Outcome.NOT_RUN,
@@ -232,9 +234,7 @@
         call_result = await self._send(call)
         self._retries.record(call, call_result)
         answer = call_result.answer
-        if not isinstance(answer, Refusal):
-            now = self._clock()
-            self._durations.record(call.kind, now - begun_at, now)
+        self._record_duration(call.kind, begun_at, answer)
         if isinstance(answer, Refusal) and answer.outcome == Outcome.NOT_RUN:
             self._deps.customers.return_token(customer)
             return self._set_retry_after(answer, call.objective_ms)
@@ -271,36 +271,52 @@
         remaining_s = call.deadline - self._clock()
         if overlaps_planned_stop(stop, wall_time, remaining_s):
             return Refusal(Outcome.NOT_RUN, Reason.PLANNED_STOP)
-        if not self._can_end(call, remaining_s):
+        if not self._can_end(call, call.kind):
             return Refusal(
                 Outcome.NOT_RUN, Reason.DRAINING, 'it may not end in time'
             )
         return self._deps.suspect_quarantine.check(call)
 
-    def _can_end(self, call: OutgoingCall, remaining_s: float) -> bool:
+    def _can_end(self, call: OutgoingCall, kind: str) -> bool:
         """Return whether a call may be expected to end before the process.
 
         Idempotent calls need not: they can be sent again.
+
+        :param kind: its own kind, if it is a nested call.
         """
         if self.ends_at is None or call.is_idempotent:
             return True
         now = self._clock()
-        longest_s = self._durations.find(call.kind, now)
+        remaining_s = call.deadline - now
+        longest_s = self._durations.find(kind, now)
         if longest_s is not None:
             remaining_s = min(remaining_s, longest_s * DURATION_MARGIN)
         return now + remaining_s <= self.ends_at
 
+    def _record_duration(
+        self, kind: str, begun_at: float, answer: HttpResponse | Refusal
+    ) -> None:
+        """Record how long a call took that was answered by its server."""
+        if not isinstance(answer, Refusal):
+            now = self._clock()
+            self._durations.record(kind, now - begun_at, now)
+
     async def _serve_nested_call(
-        self, call: OutgoingCall, parent: ParentCall
+        self, call: OutgoingCall, parent: ParentCall, kind: str
     ) -> HttpResponse | Refusal:
         refusal = self._check_nested_call(call, parent)
+        if refusal is None and not self._can_end(call, kind):
+            refusal = Refusal(
+                Outcome.NOT_RUN, Reason.DRAINING, 'it may not end in time'
+            )
         if refusal is not None:
             parent.has_failed_nested_call = True
             self._log_refusal(call.request_id, call.kind, refusal)
             return refusal
         reserved_retries = parent.account.reserve_share()
         nested_call = call._replace(account=RetryAccount(reserved_retries))
-        parent.begin_nested_call(self._clock())
+        begun_at = self._clock()
+        parent.begin_nested_call(begun_at)
         try:
             call_result = await self._send(nested_call)
         except asyncio.CancelledError:
@@ -311,6 +327,7 @@
             return refusal
         finally:
             parent.end_nested_call(self._clock())
+        self._record_duration(kind, begun_at, call_result.answer)
         parent.account.refund(reserved_retries, nested_call.account.balance)
         parent.nested_calls += call_result.calls
         parent.downstream_levels = merge_levels(
--- a/merlintrail/node/tests/test_lifecycle.py
+++ b/merlintrail/node/tests/test_lifecycle.py
@@ -23,6 +23,13 @@
     {'svc': [build_kind('write', idempotent=False, deadline_ms=6000)]}
 )
 
+_NESTED_DOCUMENT = build_document(
+    {
+        'top': [build_kind('x', deadline_ms=5000)],
+        'deep': [build_kind('w', idempotent=False, deadline_ms=2000)],
+    }
+)
+
 
 def _create_session(service_s: float) -> Session:
     session = Session(_DOCUMENT, ('one', 'two'))
@@ -149,6 +156,36 @@
 
         run_virtually(scenario())
 
+    def test_calls_of_the_backend_server_are_cut_at_the_end(self) -> None:
+        """Those that may not be repeated are refused when they may not end."""
+
+        async def scenario() -> None:
+            session = Session(_NESTED_DOCUMENT, ('ingress', 'one', 'two'))
+            runs = {'two': 0}
+            statuses: list[int] = []
+
+            async def run_top(request: HttpRequest) -> HttpResponse:
+                while len(statuses) < 16 and set(statuses) <= {200}:
+                    target = f'/deep/w?{len(statuses)}'
+                    answer = await session.call_nested('one', request, target)
+                    statuses.append(answer.status)
+                return HttpResponse(200, (), b'')
+
+            async def run_deep(request: HttpRequest) -> HttpResponse:
+                runs['two'] += 1
+                return await answer_after(0.25)(request)
+
+            session.add_backend('one', 'top', run_top)
+            session.add_backend('two', 'deep', run_deep)
+            node = session.nodes['one']
+            node.lifecycle.start_shutdown('SIGTERM', _GRACE_S)
+            await asyncio.sleep(1.5)
+            await session.call('ingress', '/top/x')
+            self.assertEqual(statuses, [200] * runs['two'] + [503])
+            self.assertGreaterEqual(runs['two'], 10)
+
+        run_virtually(scenario())
+
     def test_process_ends_before_its_answers_are_sent(self) -> None:
         """It waits for connections that still have something to send."""
 
