Leave other nodes as many connections as callers

A quarter of the descriptors could be too few for a server that 120 nodes call: each keeps idle connections, and displacing these costs an inquiry a request that crosses the close (worked out, not seen). Now 0.4 each; what is over is for connections that the node opens. An error in a callback no longer stops answers from being granted room for good (by reading).

--- a/merlintrail/node/_settings.py
+++ b/merlintrail/node/_settings.py
@@ -23,8 +23,8 @@
 CONNECTION_MEMORY_SHARE: Final = 0.35
 #: Shares of the descriptors for accepted connections. The rest is for
 #: connections to backend servers, nodes and the store, and for files.
-CALLER_DESCRIPTOR_SHARE: Final = 0.5
-PEER_DESCRIPTOR_SHARE: Final = 0.25
+CALLER_DESCRIPTOR_SHARE: Final = 0.4
+PEER_DESCRIPTOR_SHARE: Final = 0.4
 _BYTES_PER_MB: Final = 1_000_000
 _SCHEMA_NAME: Final = 'settings.schema.json'
 
@@ -59,9 +59,9 @@
     #: Bytes of memory of all connections, requests and answers.
     memory_bytes: int = 70_000_000
     #: Connections of callers and the backend server.
-    caller_connections: int = 2050
+    caller_connections: int = 1640
     #: Connections of other nodes.
-    peer_connections: int = 1025
+    peer_connections: int = 1640
 
 
 class Settings(NamedTuple):
--- a/merlintrail/transport/_memory_budget.py
+++ b/merlintrail/transport/_memory_budget.py
@@ -227,6 +227,8 @@
         if self._is_granting:
             return
         self._is_granting = True
-        while self.waiting and self.waiting[0].grant():
-            self.waiting.popleft()
-        self._is_granting = False
+        try:
+            while self.waiting and self.waiting[0].grant():
+                self.waiting.popleft()
+        finally:
+            self._is_granting = False
--- a/merlintrail/transport/_server_memory.py
+++ b/merlintrail/transport/_server_memory.py
@@ -7,7 +7,7 @@
 
 
 #: Connections of a server that are open at the same time, by default.
-MAX_CONNECTIONS: Final = 2050
+MAX_CONNECTIONS: Final = 1640
 
 
 class ServerMemory(NamedTuple):
