Close connections that read nothing when there are too many

What callers saw: 1,640 connections that do not read their answers, each with too little to press the memory, keep everybody else out for 30 s, until they count as stalled (by reading; with four connections in the test). Cause: a connection with an answer on its way was never closed to make room, a new one was, and gave way to itself while it was silent. Now a connection whose caller has taken nothing for 3 s gives way, after those with an incomplete request, and a new one is refused only if there is none.

--- a/merlintrail/transport/_connection_group.py
+++ b/merlintrail/transport/_connection_group.py
@@ -120,20 +120,22 @@
         """Add a connection; close others if there are too many.
 
         Those go first that nobody waits at: with nothing left to be taken,
-        silent, idle, then with an incomplete request, each from the longest.
-        Connections with a request that is served are kept, and the new one is
-        refused if there are no others.
+        silent, idle, then with an incomplete request or an answer that is not
+        read, each from the longest. Connections with a request that is served
+        are kept, and the new one is refused if there are no others.
         """
         self.connections.add(connection)
         if len(self.connections) <= self.max_connections:
             return
-        ranked = [
+        ranked = sorted(
             (rank, id(other), other)
             for other in self.connections
-            if (rank := other.idle_timer.rank()) is not None
-        ]
+            if other is not connection
+            and (rank := other.idle_timer.rank()) is not None
+        )
         count = 1 + self.max_connections // _DISPLACED_SHARE
-        for _, _, other in sorted(ranked)[:count]:
+        displaced = [other for _, _, other in ranked[:count]] or [connection]
+        for other in displaced:
             self.connections.discard(other)
-            other.close()
-        self.displaced_connections += min(count, len(ranked))
+            other.hand_over.abort()
+        self.displaced_connections += len(displaced)
--- a/merlintrail/transport/_connection_state.py
+++ b/merlintrail/transport/_connection_state.py
@@ -192,6 +192,16 @@
         elif self.phase == ConnectionPhase.HANDING_OVER:
             self._await_close(now)
 
+    def find_stall(self, now: float) -> float | None:
+        """Return since when the caller has taken nothing of an answer.
+
+        :returns: ``None`` unless that is longer than the short time.
+        """
+        waited_s = now - self._progress_at
+        if self._untaken_bytes and waited_s >= self._limits.short_stall_s:
+            return self._progress_at
+        return None
+
     def record_shortage(self, now: float) -> None:
         """Record that other answers wait for memory that this one takes.
 
--- a/merlintrail/transport/_hand_over.py
+++ b/merlintrail/transport/_hand_over.py
@@ -70,6 +70,12 @@
         self._stop()
         self.watch()
 
+    def abort(self) -> None:
+        """Close the connection at once, to make room for others."""
+        self._state.close()
+        if self.transport is not None:
+            self.transport.abort()
+
     def describe(self) -> EndingConnection | None:
         """Describe the end that is under way, ``None`` if there is none."""
         since = self._state.ending_since
--- a/merlintrail/transport/_idle_timer.py
+++ b/merlintrail/transport/_idle_timer.py
@@ -69,8 +69,11 @@
             request is served, or whose answer is taken.
         """
         since = self._state.idle_since
+        stalled_since = self._state.find_stall(self._loop.time())
         if self._state.phase == ConnectionPhase.AWAITING_CLOSE:
             return (0, since)
+        if stalled_since is not None:
+            return (4, stalled_since)
         if self._state.phase != ConnectionPhase.RECEIVING:
             return None
         if self._parser.is_receiving:
--- a/merlintrail/transport/_server_connection.py
+++ b/merlintrail/transport/_server_connection.py
@@ -164,7 +164,7 @@
     # Request handling
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection, when the socket has taken what is written."""
         if self._transport is not None:
             self._end_cause = self._end_cause or EndCause.NODE
             self._transport.close()
--- a/merlintrail/transport/tests/test_crowded_server.py
+++ b/merlintrail/transport/tests/test_crowded_server.py
@@ -13,6 +13,11 @@
     create_pool,
     start_server,
 )
+from merlintrail.transport._connection_state import EndLimits
+from merlintrail.transport.tests.slow_callers import (
+    build_request,
+    connect_slowly,
+)
 
 _REQUEST: Final = b'GET / HTTP/1.1\r\nhost: a\r\n\r\n'
 _PARTIAL_BODY: Final = (
@@ -120,6 +125,23 @@
             self.assertIn(b' 200 ', await caller.readline())
         self.assertEqual(server.displaced_connections, 2)
 
+    async def test_callers_that_read_nothing_keep_a_caller_out(self) -> None:
+        """They do so for more than the short time, with answers on the way."""
+
+        async def answer(request: HttpRequest) -> HttpResponse:
+            return HttpResponse(200, (), _LARGE)
+
+        memory = create_memory()._replace(max_connections=4)
+        server = await start_server(answer, _ADDRESS, 0, memory=memory)
+        self.addCleanup(server.close)
+        for _ in range(4):
+            caller = await connect_slowly(server)
+            self.addCleanup(caller.close)
+            caller.send(build_request(1))
+        await asyncio.sleep(EndLimits().short_stall_s + 1.0)
+        reader = await self.send(server, _REQUEST)
+        self.assertIn(b' 200 ', await reader.readline())
+
     async def test_requests_of_one_read_are_all_parsed(self) -> None:
         """A caller sends 5,000 at once; few wait, and the rest as bytes."""
         rig, server = await self.start(50_000_000)
