Keep an answer that waits for room apart from what follows it

Cause: the beginning of the next message reset what was received, which is safe only once the answer has been handed over. Now an answer that waits is handed over when another message begins, room or not, and the connection is not used again. Evidence: the test got the answer behind it before.

--- a/merlintrail/transport/_client.py
+++ b/merlintrail/transport/_client.py
@@ -197,6 +197,10 @@
 
     def on_message_begin(self) -> None:
         """Begin an answer; an unsolicited one prevents reuse."""
+        if self._hold.is_waiting:
+            # What follows a whole answer must not take its place.
+            self._hold.force()
+            self._deliver_waiting()
         if self._answer is None or self._answer.done():
             self.is_reusable = False
         self._reset_message()
@@ -295,12 +299,16 @@
 
     def _read_on(self) -> None:
         """Read on, or deliver the answer that waited for room."""
+        self._deliver_waiting()
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def _deliver_waiting(self) -> None:
+        """Deliver the answer that is complete and waited for room, if any."""
         status = self._waiting_status
+        self._waiting_status = None
         if status is not None:
-            self._waiting_status = None
             self._finish(status)
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
 
     def _finish(self, status: int) -> None:
         if self._answer is None or self._answer.done():
--- a/merlintrail/transport/_memory_budget.py
+++ b/merlintrail/transport/_memory_budget.py
@@ -118,6 +118,12 @@
         on_room()
         return True
 
+    def force(self) -> None:
+        """Hold the bytes that were requested, although there is no room."""
+        if self.is_waiting:
+            self._on_room = None
+            self.add(self._waits_for_bytes)
+
     def release(self) -> None:
         """Give the memory back, and wait no longer."""
         self._on_room = None
--- a/merlintrail/transport/tests/test_crowded_server.py
+++ b/merlintrail/transport/tests/test_crowded_server.py
@@ -212,3 +212,31 @@
         self.assertTrue(pool.budget.is_exhausted)
         del held, hold
         self.assertIsInstance(await second, HttpResponse)
+
+    async def test_answer_that_waits_is_replaced_by_the_next(self) -> None:
+        """The server sends a late one behind it, in the same bytes."""
+        lines = b''.join(b'x%d: \r\n' % number for number in range(5000))
+        payload = b''.join(
+            b'HTTP/1.1 200 OK\r\n%bcontent-length: 5\r\n\r\n%b' % (head, body)
+            for head, body in ((lines, b'first'), (b'', b'other'))
+        )
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(payload)
+            await writer.drain()
+
+        server = await asyncio.start_server(serve, _ADDRESS, 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        pool = create_pool()
+        pool.budget = MemoryBudget(1_000_000)
+        hold = pool.budget.open_hold()
+        hold.add(900_000)
+        answer = await pool.exchange(
+            f'{_ADDRESS}:{port}', 'GET', '/', (), b'', timeout_s=1
+        )
+        assert isinstance(answer, HttpResponse), answer
+        self.assertEqual(answer.body, b'first')
