Count small answers of unknown length with their own bytes

Cause: an answer without a length took a whole step from its first byte on. Evidence: 262,570 bytes were taken for two in the test before.

--- a/merlintrail/transport/_client.py
+++ b/merlintrail/transport/_client.py
@@ -247,7 +247,9 @@
         elif self._body.size > self._length:
             self._length = self._body.size
             if self._body.size > self._room_bytes:
-                self._request_room(self._body.size + _BODY_STEP_BYTES)
+                is_small = self._body.size <= SMALL_BYTES
+                step_bytes = 0 if is_small else _BODY_STEP_BYTES
+                self._request_room(self._body.size + step_bytes)
 
     def on_message_complete(self) -> None:
         """Deliver the complete answer; ignore an interim one."""
--- a/merlintrail/transport/tests/test_crowded_server.py
+++ b/merlintrail/transport/tests/test_crowded_server.py
@@ -240,3 +240,30 @@
         )
         assert isinstance(answer, HttpResponse), answer
         self.assertEqual(answer.body, b'first')
+
+    async def test_small_answer_of_unknown_length_takes_a_large_room(
+        self,
+    ) -> None:
+        """It is sent in chunks, and counts with its own bytes."""
+        payload = (
+            b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+            b'2\r\nhi\r\n0\r\n\r\n'
+        )
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(payload)
+            await writer.drain()
+
+        server = await asyncio.start_server(serve, _ADDRESS, 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        pool = create_pool()
+        answer = await pool.exchange(
+            f'{_ADDRESS}:{port}', 'GET', '/', (), b'', timeout_s=1
+        )
+        assert isinstance(answer, HttpResponse), answer
+        self.assertEqual(answer.body, b'hi')
+        self.assertLess(pool.budget.taken_bytes, 2000)
