Count what the ledger keeps of answers as other kept answers

What callers would have seen: answers that the ledger keeps for repeated keys took their part of the connections' budget for up to 11 minutes; a fault of the budget of answers, found by reading it. Their heads counted nothing. Now a kept answer takes nothing of that budget and counts with its head, as the one for inquiries does, within 16 MiB, so that as many small ones are kept. No test of its own; those of the ledger and of keyed requests pass (17).

--- a/merlintrail/coordination/_ledger.py
+++ b/merlintrail/coordination/_ledger.py
@@ -33,7 +33,7 @@
 
 #: Bytes of answers that are cached for resent requests; beyond that the
 #: oldest answers are evicted.
-MAX_CACHED_ANSWER_BYTES: Final = 8388608
+MAX_CACHED_ANSWER_BYTES: Final = 16777216
 #: Bytes counted for each cached answer besides its body.
 ANSWER_OVERHEAD_BYTES: Final = 1024
 #: Seconds by which the timestamp of a key may be ahead of the local clock.
@@ -315,11 +315,13 @@
         return slot
 
     def _cache_answer(self, key: str, answer: HttpResponse) -> None:
-        self._answers[key] = answer
-        self._answer_bytes += len(answer.body) + ANSWER_OVERHEAD_BYTES
+        # What is kept has a limit of its own.
+        self._answers[key] = answer._replace(hold=None)
+        self._answer_bytes += answer.estimate_bytes() + ANSWER_OVERHEAD_BYTES
         while self._answer_bytes > MAX_CACHED_ANSWER_BYTES:
             _, evicted = self._answers.popitem(last=False)
-            self._answer_bytes -= len(evicted.body) + ANSWER_OVERHEAD_BYTES
+            evicted_bytes = evicted.estimate_bytes() + ANSWER_OVERHEAD_BYTES
+            self._answer_bytes -= evicted_bytes
 
 
 def _refuse_reused_key() -> Refusal:
--- a/merlintrail/state/_call_table.py
+++ b/merlintrail/state/_call_table.py
@@ -6,7 +6,7 @@
 from typing import Final, NamedTuple
 
 from merlintrail.protocol import InquiryState
-from merlintrail.transport import HttpResponse, estimate_head_bytes
+from merlintrail.transport import HttpResponse
 
 #: Seconds beyond a call's deadline for which an inquiry about it may arrive.
 INQUIRY_MARGIN_S: Final = 5.0
@@ -38,14 +38,6 @@
     size: int
 
 
-def _estimate_bytes(answer: HttpResponse) -> int:
-    """Estimate the memory of an answer, whose head may cost more than its body."""
-    head_bytes = sum(len(name) + len(text) for name, text in answer.headers)
-    return len(answer.body) + estimate_head_bytes(
-        len(answer.headers), head_bytes
-    )
-
-
 _RUNNING: Final = CallRecord(InquiryState.RUNNING)
 _TOMBSTONE: Final = CallRecord(InquiryState.TOMBSTONE)
 _UNKNOWN: Final = CallRecord(InquiryState.UNKNOWN)
@@ -104,7 +96,7 @@
     def finish(self, call_id: str, answer: HttpResponse) -> None:
         """Record the answer to a running call for later inquiries."""
         self.abandon(call_id)
-        kept = _KeptAnswer(answer, self._clock(), _estimate_bytes(answer))
+        kept = _KeptAnswer(answer, self._clock(), answer.estimate_bytes())
         if kept.size > MAX_ANSWER_BYTES:
             return
         # What is kept has a limit of its own.
--- a/merlintrail/transport/__init__.py
+++ b/merlintrail/transport/__init__.py
@@ -18,7 +18,6 @@
 )
 from merlintrail.transport._failure import FailureStage, TransportFailure
 from merlintrail.transport._memory_budget import MemoryBudget, MemoryHold
-from merlintrail.transport._memory_costs import estimate_head_bytes
 from merlintrail.transport._message import (
     HeaderList,
     HttpRequest,
@@ -61,7 +60,6 @@
     'create_pool',
     'encode_request',
     'encode_response',
-    'estimate_head_bytes',
     'parse_address',
     'start_server',
 )
--- a/merlintrail/transport/_message.py
+++ b/merlintrail/transport/_message.py
@@ -5,6 +5,7 @@
 from typing import Final, NamedTuple, TypeAlias
 
 from merlintrail.transport._memory_budget import MemoryHold
+from merlintrail.transport._memory_costs import estimate_head_bytes
 
 HeaderList: TypeAlias = Sequence[tuple[str, str]]
 
@@ -44,6 +45,13 @@
     #: Memory that the answer takes, if it is counted.
     hold: MemoryHold | None = None
 
+    def estimate_bytes(self) -> int:
+        """Estimate its memory; its head may cost more than its body."""
+        head_bytes = sum(len(name) + len(text) for name, text in self.headers)
+        return len(self.body) + estimate_head_bytes(
+            len(self.headers), head_bytes
+        )
+
     def find_header(self, name: str) -> str | None:
         """Return the first value of the header with a lower-case name."""
         for header_name, text in self.headers:
