--- a/merlintrail/transport/tests/test_crowded_server.py
+++ b/merlintrail/transport/tests/test_crowded_server.py
@@ -154,6 +154,21 @@
 class CrowdedPoolTest(unittest.IsolatedAsyncioTestCase):
     """Answers wait for room, in their order."""
 
+    async def serve(self, payload: bytes) -> str:
+        """Start a server that sends some bytes; return its address."""
+
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(payload)
+            await writer.drain()
+
+        server = await asyncio.start_server(answer, _ADDRESS, 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        return f'{_ADDRESS}:{port}'
+
     async def test_answers_of_all_servers_are_read_at_once(self) -> None:
         """Each is whole, and few of them are held at a time."""
 
@@ -221,23 +236,12 @@
             for head, body in ((lines, b'first'), (b'', b'other'))
         )
 
-        async def serve(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            await reader.readuntil(b'\r\n\r\n')
-            writer.write(payload)
-            await writer.drain()
-
-        server = await asyncio.start_server(serve, _ADDRESS, 0)
-        self.addCleanup(server.close)
-        port = server.sockets[0].getsockname()[1]
+        address = await self.serve(payload)
         pool = create_pool()
         pool.budget = MemoryBudget(1_000_000)
         hold = pool.budget.open_hold()
         hold.add(900_000)
-        answer = await pool.exchange(
-            f'{_ADDRESS}:{port}', 'GET', '/', (), b'', timeout_s=1
-        )
+        answer = await pool.exchange(address, 'GET', '/', (), b'', timeout_s=1)
         assert isinstance(answer, HttpResponse), answer
         self.assertEqual(answer.body, b'first')
 
@@ -250,20 +254,9 @@
             b'2\r\nhi\r\n0\r\n\r\n'
         )
 
-        async def serve(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            await reader.readuntil(b'\r\n\r\n')
-            writer.write(payload)
-            await writer.drain()
-
-        server = await asyncio.start_server(serve, _ADDRESS, 0)
-        self.addCleanup(server.close)
-        port = server.sockets[0].getsockname()[1]
+        address = await self.serve(payload)
         pool = create_pool()
-        answer = await pool.exchange(
-            f'{_ADDRESS}:{port}', 'GET', '/', (), b'', timeout_s=1
-        )
+        answer = await pool.exchange(address, 'GET', '/', (), b'', timeout_s=1)
         assert isinstance(answer, HttpResponse), answer
         self.assertEqual(answer.body, b'hi')
         self.assertLess(pool.budget.taken_bytes, 2000)
