--- a/merlintrail/bench/tests/crowd.py
+++ b/merlintrail/bench/tests/crowd.py
@@ -1,6 +1,5 @@
 """Crowds of misbehaving clients against one node that runs as a process."""
 
-import os
 import selectors
 import socket
 import string
@@ -15,8 +14,8 @@
 
 from merlintrail.lab.processes import Deployment, Worker, WorkerPlan
 
-#: Memory in bytes of the smallest machine that a node runs on.
-MEMORY_BYTES: Final = 200 * 1000 * 1000
+#: Megabytes of memory of the smallest machine that a node runs on.
+MEMORY_MB: Final = 200
 #: Descriptors of that machine.
 DESCRIPTORS: Final = 4100
 #: Name of the node.
@@ -33,12 +32,19 @@
 #: End of an attempt that was served.
 _SERVED: Final = '200'
 _BYTES_PER_KB: Final = 1024
+_BYTES_PER_MB: Final = 1_000_000
+#: Fields of a line of ``/proc/net/tcp``, and the state of a listener.
+_STATE_FIELD: Final = 3
+_QUEUES_FIELD: Final = 4
+_INODE_FIELD: Final = 9
+_LISTENING: Final = '0A'
 #: Characters of header names that differ whatever their case.
 _TOKEN_CHARACTERS: Final = (
     f"{string.ascii_lowercase}{string.digits}!#$%&'*+-.^_`|~"
 )
 
-_DOCUMENT: Final = {
+#: Configuration with the service of the backend server.
+DOCUMENT: Final[Mapping[str, Any]] = {
     'format': 1,
     'services': [
         {
@@ -112,7 +118,14 @@
 
         Connections that are closed or take no more in the time are left.
         """
-        unsent = {sock: memoryview(payload) for sock in self._sockets}
+        self.send_each([payload] * len(self._sockets), limit_s)
+
+    def send_each(self, payloads: Sequence[bytes], limit_s: float) -> None:
+        """Send bytes of its own on each connection."""
+        unsent = {
+            sock: memoryview(payload)
+            for sock, payload in zip(self._sockets, payloads, strict=True)
+        }
         with selectors.DefaultSelector() as selector:
             for sock in self._sockets:
                 selector.register(sock, selectors.EVENT_WRITE, sock)
@@ -177,31 +190,77 @@
         return
 
 
+def _read_link(path: Path) -> str:
+    """Return what a descriptor refers to, empty if it was closed meanwhile."""
+    try:
+        return str(path.readlink())
+    except FileNotFoundError:
+        return ''
+
+
+def _count_unread_bytes(links: frozenset[str]) -> int:
+    """Count the bytes that sockets have received and nobody has read.
+
+    :param links: what the descriptors of a process refer to.
+    """
+    lines = Path('/proc/net/tcp').read_text().splitlines()[1:]
+    return sum(
+        int(fields[_QUEUES_FIELD].partition(':')[2], 16)
+        for fields in map(str.split, lines)
+        if f'socket:[{fields[_INODE_FIELD]}]' in links
+        and fields[_STATE_FIELD] != _LISTENING
+    )
+
+
 class CrowdTestCase(unittest.TestCase):
     """One node with its backend server, as processes."""
 
     #: Fields of the plan of the backend server.
     backend: Mapping[str, Any] = {}
+    #: Memory and descriptors of the machine, for settings and bounds.
+    memory_mb = MEMORY_MB
+    descriptors = DESCRIPTORS
 
     def setUp(self) -> None:
         """Start the processes."""
-        self.deployment = Deployment()
+        machine = {
+            'memory_mb': self.memory_mb,
+            'descriptors': self.descriptors,
+        }
+        self.deployment = Deployment(
+            settings={'machine': machine, **self.build_settings()}
+        )
         self.addCleanup(self.deployment.stop)
         self.deployment.start_store()
+        self._http = urllib3.PoolManager(
+            retries=False, timeout=_ANSWER_TIMEOUT_S
+        )
+        self._most_descriptors = 0
+        self._most_bytes = 0
+        self.start_nodes()
+
+    def build_settings(self) -> Mapping[str, Any]:
+        """Build further settings of the nodes."""
+        return {}
+
+    def start_nodes(self) -> None:
+        """Start the nodes, and wait until they serve."""
         plan = {
             'service': 'echo',
             'slots': 400,
             'service_ms': 5.0,
             **self.backend,
         }
-        self.deployment.start_workers([WorkerPlan(INSTANCE, 'dc', plan)])
+        self.start_configured([WorkerPlan(INSTANCE, 'dc', plan)], DOCUMENT)
+
+    def start_configured(
+        self, plans: Sequence[WorkerPlan], document: Mapping[str, Any]
+    ) -> None:
+        """Start workers, and wait until a configuration is in force."""
+        self.deployment.start_workers(plans)
         self.deployment.wait_until_listening()
-        generation = self.deployment.apply_configuration(_DOCUMENT)
+        generation = self.deployment.apply_configuration(document)
         self.deployment.wait_until_ready(generation)
-        self._http = urllib3.PoolManager(
-            retries=False, timeout=_ANSWER_TIMEOUT_S
-        )
-        self._most_descriptors = 0
 
     @property
     def worker(self) -> Worker:
@@ -220,15 +279,23 @@
         It lives, an ordinary request gets its answer, and memory and
         descriptors have stayed within the machine's.
         """
-        self.note_descriptors()
+        self.note_resources()
         self.check_ordinary_request()
-        self.note_descriptors()
+        self.note_resources()
         for crowd in crowds:
             crowd.close()
         self.check_ordinary_request()
-        self.assertFalse(self.deployment.has_exited(f'node {INSTANCE}'))
-        self.assertLess(self.read_peak_bytes(), MEMORY_BYTES)
-        self.assertLess(self._most_descriptors, DESCRIPTORS)
+        self.check_bounds()
+
+    def check_bounds(self) -> None:
+        """Check that the nodes live, and stayed within their machines."""
+        for instance in self.deployment.workers:
+            self.assertFalse(self.deployment.has_exited(f'node {instance}'))
+            self._most_bytes = max(
+                self._most_bytes, self._read_memory(instance, 'VmHWM')
+            )
+        self.assertLess(self._most_bytes, self.memory_mb * _BYTES_PER_MB)
+        self.assertLess(self._most_descriptors, self.descriptors)
 
     def check_ordinary_request(self) -> None:
         """Check that an ordinary client gets an answer of its server."""
@@ -240,21 +307,31 @@
         url = f'http://{self.worker.admin_address}/metrics'
         self.assertIn(_SERVED, self._send_until_served(url))
 
-    def note_descriptors(self) -> None:
-        """Note how many descriptors the node has open."""
-        descriptors = len(os.listdir(self._find_process() / 'fd'))
-        self._most_descriptors = max(self._most_descriptors, descriptors)
+    def note_resources(self) -> None:
+        """Note the descriptors and the memory of each node now.
 
-    def read_peak_bytes(self) -> int:
-        """Return the most resident memory that the node has had, in bytes."""
-        status = (self._find_process() / 'status').read_text()
+        What a socket has received and the node has not read counts as memory.
+        """
+        for instance in self.deployment.workers:
+            links = [
+                _read_link(path)
+                for path in (self._find_process(instance) / 'fd').iterdir()
+            ]
+            self._most_descriptors = max(self._most_descriptors, len(links))
+            unread = _count_unread_bytes(frozenset(links))
+            resident = self._read_memory(instance, 'VmRSS')
+            self._most_bytes = max(self._most_bytes, resident + unread)
+
+    def _read_memory(self, instance: str, name: str) -> int:
+        """Return bytes of memory of a node by their name in its status."""
+        status = (self._find_process(instance) / 'status').read_text()
         line = next(
-            line for line in status.splitlines() if line.startswith('VmHWM')
+            line for line in status.splitlines() if line.startswith(name)
         )
         return int(line.split()[1]) * _BYTES_PER_KB
 
-    def _find_process(self) -> Path:
-        process_id = self.deployment.read_process_id(f'node {INSTANCE}')
+    def _find_process(self, instance: str) -> Path:
+        process_id = self.deployment.read_process_id(f'node {instance}')
         return Path(f'/proc/{process_id}')
 
     def _send_until_served(self, url: str) -> list[str]:
--- a/merlintrail/lab/processes.py
+++ b/merlintrail/lab/processes.py
@@ -45,9 +45,19 @@
 class Deployment(ProcessGroup):
     """Store, nodes and backend servers of one deployment."""
 
-    def __init__(self, *, log_level: str = 'info') -> None:
+    def __init__(
+        self,
+        *,
+        log_level: str = 'info',
+        settings: Mapping[str, Any] | None = None,
+    ) -> None:
+        """Initialize without processes.
+
+        :param settings: fields that the settings of each node have besides.
+        """
         super().__init__()
         self._log_level = log_level
+        self._settings = settings or {}
         self._http = urllib3.PoolManager(retries=False, timeout=5.0)
         self._plans: dict[str, WorkerPlan] = {}
         #: Peer addresses that nodes listen on, by instance, where they
@@ -288,6 +298,7 @@
             else {'peer_listen_address': listen_address}
         )
         return {
+            **self._settings,
             **override,
             'instance': worker.instance,
             'data_centre': worker.data_centre,
--- a/merlintrail/node/tests/test_leaving_servers.py
+++ b/merlintrail/node/tests/test_leaving_servers.py
@@ -138,6 +138,38 @@
 
         run_virtually(scenario())
 
+    def test_own_requests_after_a_restart(self) -> None:
+        """A restarted node sends its callers' requests to the server it let go.
+
+        Others know of the departure; a late announcement comes before or
+        after the node joins them.
+        """
+        for is_announced_first in (True, False):
+            with self.subTest(is_announced_first=is_announced_first):
+                run_virtually(self.restart_and_send(is_announced_first))
+
+    async def restart_and_send(self, is_announced_first: bool) -> None:
+        """Send requests to the node beside a server that has left."""
+        load = NoticeLoad(2, entries=2)
+        registry = load.session.nodes['server-0'].gateway.registry
+        registry.record_departure('i-server-0', 1000)
+        load.session.share_members()
+        load.session.restart_node('server-0')
+        node = load.session.nodes['server-0']
+        if is_announced_first:
+            load.announce('server-0')
+        self.assertTrue(await node.heartbeats.join('server-1:2'))
+        if not is_announced_first:
+            load.announce('server-0')
+        load.session.share_members()
+        load.entries = ('server-0',)
+        await load.run(2.0, _RATE, 'write')
+        await load.finish()
+        self.assertFalse(load.servers['server-0'].arrivals)
+        self.assertEqual(
+            {answer.status for _, _, answer in load.answers}, {_OK}
+        )
+
     def test_new_run_under_the_same_identity(self) -> None:
         """A later run has said nothing yet and gets calls."""
 
