Tell a restarted node which backend servers it has let go

Callers saw: requests that may not be repeated, sent at a node that had been killed and started again, were cut off by the end of a server whose leaving that node had acknowledged 4.5 s before (502, may have run).

Cause: what a node let go is kept in its own memory. Other nodes know it by its member record and tell it with the calls that they send, so that their calls are refused; for requests that begin at the node itself nobody tells it, and a heartbeat from before the leave makes the server ready.

The other tests of the file pass with the fix and without.

--- a/merlintrail/coordination/__init__.py
+++ b/merlintrail/coordination/__init__.py
@@ -16,6 +16,7 @@
 from merlintrail.coordination._configuration_source import ConfigurationSource
 from merlintrail.coordination._configuration_watch import ConfigurationWatch
 from merlintrail.coordination._confirmation import ConfirmationRecord
+from merlintrail.coordination._departures import DepartureRecord
 from merlintrail.coordination._heartbeat import Heartbeats
 from merlintrail.coordination._http_store import HttpStore, create_http_store
 from merlintrail.coordination._ledger import (
@@ -84,6 +85,7 @@
     'ConfigurationSource',
     'ConfigurationWatch',
     'ConfirmationRecord',
+    'DepartureRecord',
     'Gossip',
     'Heartbeats',
     'HttpPeerClient',
--- a/merlintrail/coordination/_heartbeat.py
+++ b/merlintrail/coordination/_heartbeat.py
@@ -11,6 +11,10 @@
 from typing import Any, Final
 
 from merlintrail.coordination._configuration_pull import ConfigurationPull
+from merlintrail.coordination._departures import (
+    DepartureRecord,
+    NoDepartures,
+)
 from merlintrail.coordination._membership import Membership
 from merlintrail.coordination._messages import Gossip, encode_gossip
 from merlintrail.coordination._outbox import Outbox
@@ -77,6 +81,8 @@
         self.pull = ConfigurationPull(
             membership.holder, peers, self.notify_neighbours
         )
+        #: Departures of which a node that joins is told.
+        self.departures: DepartureRecord = NoDepartures()
         self._clock = clock
         self._rng = rng
         self._tasks: dict[str, asyncio.Task[None]] = {}
@@ -152,18 +158,25 @@
             return False
         self._membership.accept_members(answer.get('members', ()), '')
         self._membership.accept_suspicions(answer.get('suspicions', ()), '')
+        self.departures.restore(answer.get('departures', ()))
         self.refresh_neighbours()
         if pulls_configuration:
             await self.pull.pull(address)
         return True
 
     def handle_join(self, document: dict[str, Any]) -> dict[str, object]:
-        """Merge a joining node's record; return all members and suspicions."""
-        self._membership.accept_members([document.get('member', ())], '')
+        """Merge a joining node's record; return what it does not know.
+
+        That is all members and suspicions, and the backend servers that left
+        the node in its earlier runs.
+        """
+        record = document.get('member', ())
+        self._membership.accept_members([record], '')
         self.refresh_neighbours()
         return {
             'members': list(self._membership.table),
             'suspicions': self._membership.list_suspicions(),
+            'departures': self.departures.list_for(record),
         }
 
     def handle_configuration(
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -21,6 +21,7 @@
     run_supervised,
 )
 from merlintrail.node._call_path import CallPathDependencies, create_call_path
+from merlintrail.node._departures import NodeDepartures
 from merlintrail.node._environment import Environment, split_host_port
 from merlintrail.node._gauges import (
     register_connection_gauges,
@@ -124,6 +125,9 @@
         self.holder.add_listener(self._apply_configuration)
         self.table.add_listener(self.routing.update_member)
         self.table.add_listener(self.dispatcher.notices.record_member)
+        self.heartbeats.departures = NodeDepartures(
+            self.dispatcher.notices, self.gateway.registry
+        )
         self.table.add_listener(self._drop_idle_connections)
 
     @property
--- a/merlintrail/node/backend/_backend_registry.py
+++ b/merlintrail/node/backend/_backend_registry.py
@@ -108,6 +108,21 @@
                 return True
         return False
 
+    def restore_departure(self, notice: RunNotice) -> None:
+        """Record a departure that an earlier run of this node acknowledged.
+
+        :param notice: as another node tells it.
+        """
+        if notice.identity is None:
+            return
+        is_known = self.record_departure(notice.identity, notice.started_at_ms)
+        log_decision(
+            'backend-server-leave',
+            identity=notice.identity,
+            is_known=is_known,
+            source='another node',
+        )
+
     def adopt_notice(self, service: str, notice: RunNotice) -> None:
         """Apply what a backend server stated to an earlier run of this node.
 
--- a/merlintrail/node/tests/test_leaving_servers.py
+++ b/merlintrail/node/tests/test_leaving_servers.py
@@ -154,6 +154,7 @@
         registry = load.session.nodes['server-0'].gateway.registry
         registry.record_departure('i-server-0', 1000)
         load.session.share_members()
+        await asyncio.sleep(1)
         load.session.restart_node('server-0')
         node = load.session.nodes['server-0']
         if is_announced_first:
--- a/merlintrail/state/_backend_notices.py
+++ b/merlintrail/state/_backend_notices.py
@@ -93,6 +93,17 @@
                 )
         return tuple(lost)
 
+    def list_departures(self, member: Member) -> list[RunNotice]:
+        """Return the departures that earlier runs of a node reported."""
+        return [
+            kept.notice
+            for place, kept in self._kept.items()
+            if place.node_id == member.node_id
+            and kept.incarnation != member.incarnation
+            and kept.notice.is_leaving
+            and kept.notice.identity is not None
+        ]
+
     def adopt(self, service: str, records: object) -> None:
         """Keep the notices of a service that another node has told.
 
