Bound what sockets receive and the node does not read

Operators saw: a node over its machine's memory although its own count was below the limit; the machine counts received bytes that are not read yet.

Cause: a connection that is paused (requests kept back, an answer that waits for room) goes on receiving until its socket is full, up to some megabytes, and what was read before the pause was counted nowhere.

Accepted connections now have receive buffers of 64 KiB, opened ones half of it (connections.receive_buffer_kb); large objects have room only if the answers that wait have it too; requests are begun early one for each megabyte of the budget, not 256. New gauge merlintrail_answers_waiting.

--- a/merlintrail/bench/tests/test_caller_crowds.py
+++ b/merlintrail/bench/tests/test_caller_crowds.py
@@ -116,6 +116,13 @@
         crowd.read_slowly(6554, 6)
         self.check_node([crowd])
 
+    def test_many_long_answers_take_all_memory(self) -> None:
+        """600 connections with one answer each, read slowly."""
+        crowd = self.open_crowd(self.worker.call_address, 600, 65536)
+        crowd.send(build_request(_LARGE_ANSWER), 2)
+        crowd.read_slowly(6554, 4)
+        self.check_node([crowd])
+
     def test_answers_that_are_never_read_take_all_memory(self) -> None:
         """1,500 connections with 20 answers of 30,000 bytes each."""
         crowd = self.open_crowd(self.worker.call_address, 1500, 4096)
--- a/merlintrail/node/_gauges.py
+++ b/merlintrail/node/_gauges.py
@@ -172,6 +172,12 @@
         'Requests refused for want of memory, since the start.',
         lambda: [GaugePoint(budget.refusals)],
     )
+    metrics.register_gauge(
+        'merlintrail.answers_waiting',
+        '{answer}',
+        'Answers that are not read on, since there is no room for them.',
+        lambda: [GaugePoint(budget.count_waiting())],
+    )
     metrics.register_gauge(
         'merlintrail.repeat_room',
         '{call}',
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -153,7 +153,8 @@
                 port,
                 limits=PEER_LIMITS,
                 memory=self.servers.memory._replace(
-                    max_connections=limits.peer_connections
+                    max_connections=limits.peer_connections,
+                    receive_buffer_bytes=limits.receive_buffer_bytes,
                 ),
                 reports=self.servers.build_peer_reports(),
             )
@@ -166,7 +167,8 @@
                 port,
                 listener=call_listener,
                 memory=self.servers.memory._replace(
-                    max_connections=limits.caller_connections
+                    max_connections=limits.caller_connections,
+                    receive_buffer_bytes=limits.receive_buffer_bytes,
                 ),
                 reports=self.servers.build_caller_reports(),
             )
@@ -384,9 +386,11 @@
 
     def _create_services(self) -> None:
         settings = self.settings
-        budget = MemoryBudget(settings.connection_limits.memory_bytes)
+        limits = settings.connection_limits
+        budget = MemoryBudget(limits.memory_bytes)
         for pool in (self._pool, self._peer_pool):
             pool.budget = budget
+            pool.receive_buffer_bytes = limits.opened_receive_buffer_bytes
         self.servers = NodeServers(self.ingress, create_memory(budget))
         self.lifecycle = Lifecycle(
             LifecycleDependencies(
--- a/merlintrail/node/_settings.py
+++ b/merlintrail/node/_settings.py
@@ -26,6 +26,12 @@
 CALLER_DESCRIPTOR_SHARE: Final = 0.4
 PEER_DESCRIPTOR_SHARE: Final = 0.4
 _BYTES_PER_MB: Final = 1_000_000
+_BYTES_PER_KB: Final = 1024
+#: Kibibytes that an accepted connection receives before they are read.
+DEFAULT_RECEIVE_BUFFER_KB: Final = 64
+#: Share of that for connections that a node opens. Each of them may hold an
+#: answer that waits for memory.
+OPENED_RECEIVE_BUFFER_SHARE: Final = 0.5
 _SCHEMA_NAME: Final = 'settings.schema.json'
 
 
@@ -62,6 +68,13 @@
     caller_connections: int = 1640
     #: Connections of other nodes.
     peer_connections: int = 1640
+    #: Bytes that an accepted connection receives before they are read.
+    receive_buffer_bytes: int = 65536
+
+    @property
+    def opened_receive_buffer_bytes(self) -> int:
+        """The same of connections that the node opens."""
+        return int(OPENED_RECEIVE_BUFFER_SHARE * self.receive_buffer_bytes)
 
 
 class Settings(NamedTuple):
@@ -163,6 +176,8 @@
         ),
         limits.get('callers', int(descriptors * CALLER_DESCRIPTOR_SHARE)),
         limits.get('nodes', int(descriptors * PEER_DESCRIPTOR_SHARE)),
+        limits.get('receive_buffer_kb', DEFAULT_RECEIVE_BUFFER_KB)
+        * _BYTES_PER_KB,
     )
 
 
--- a/merlintrail/transport/_client.py
+++ b/merlintrail/transport/_client.py
@@ -25,6 +25,8 @@
 MAX_FRAMING_BYTES: Final = 65536
 #: Maximum number of interim answers before an answer.
 MAX_INTERIM_ANSWERS: Final = 16
+#: Bytes that a connection receives before they are read.
+RECEIVE_BUFFER_BYTES: Final = 32768
 #: Steps in bytes in which an answer of unknown length takes its room.
 _BODY_STEP_BYTES: Final = 262144
 _LENGTH_HEADERS: Final = frozenset((b'content-length', b'transfer-encoding'))
@@ -65,11 +67,15 @@
         timers: TimerQueue,
         max_body_bytes: int,
         budget: MemoryBudget | None = None,
+        receive_buffer_bytes: int = RECEIVE_BUFFER_BYTES,
     ) -> None:
         """Initialize without a connection.
 
         :param budget: room for answers; unlimited by default.
+        :param receive_buffer_bytes: what the socket receives before it is
+            read.
         """
+        self._receive_buffer_bytes = receive_buffer_bytes
         self._budget = budget or MemoryBudget(sys.maxsize)
         #: Memory of the answer that is being received.
         self._hold = self._budget.open_hold()
@@ -160,7 +166,7 @@
         """Set the socket options."""
         transport = cast(asyncio.Transport, transport)
         self._transport = transport
-        set_socket_options(transport)
+        set_socket_options(transport, self._receive_buffer_bytes)
 
     def eof_received(self) -> None:
         """Deliver an answer that the end of the connection delimits."""
--- a/merlintrail/transport/_connection_group.py
+++ b/merlintrail/transport/_connection_group.py
@@ -17,8 +17,9 @@
 
 #: Part of the open connections that are closed at once to make room.
 _DISPLACED_SHARE: Final = 16
-#: Requests of all connections that are served beside others of their own.
-MAX_EARLY_REQUESTS: Final = 256
+#: Bytes of the memory limit for each request that is served beside others of
+#: its connection. Each may bring a large answer.
+BYTES_PER_EARLY_REQUEST: Final = 1_000_000
 #: Requests a second of all connections that keep others back.
 MAX_DEEP_REQUESTS_PER_S: Final = 250
 
@@ -75,6 +76,7 @@
         self.is_closing = False
         #: Connections that are open at the same time.
         self.max_connections = memory.max_connections
+        self.receive_buffer_bytes = memory.receive_buffer_bytes
         #: Connections that were closed to make room for others.
         self.displaced_connections = 0
 
@@ -86,7 +88,8 @@
         :returns: ``None`` if it is to be served in its turn, since memory is
             short or many requests are served so.
         """
-        if not self.budget.is_calm or len(self._early) >= MAX_EARLY_REQUESTS:
+        limit = self.budget.limit_bytes // BYTES_PER_EARLY_REQUEST
+        if not self.budget.is_calm or len(self._early) >= limit:
             return None
         task: asyncio.Task[HttpResponse] = (
             asyncio.get_running_loop().create_task(
--- a/merlintrail/transport/_memory_budget.py
+++ b/merlintrail/transport/_memory_budget.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from merlintrail.transport._memory_costs import SMALL_BYTES
+from merlintrail.transport._memory_costs import SMALL_BYTES, WAITING_BYTES
 
 #: Default limit in bytes; fits a machine with 200 MB.
 DEFAULT_MEMORY_BYTES: Final = 70_000_000
@@ -160,6 +160,10 @@
         """Whether answers wait for room."""
         return any(hold.is_waiting for hold in self.waiting)
 
+    def count_waiting(self) -> int:
+        """Count the answers that wait for room."""
+        return sum(1 for hold in self.waiting if hold.is_waiting)
+
     def open_account(self, free: Callable[[], None]) -> MemoryAccount:
         """Open the account of a connection.
 
@@ -192,8 +196,10 @@
         """Return whether there is room for some bytes."""
         if self.is_calm:
             return True
-        share = 1.0 if count <= SMALL_BYTES else LARGE_SHARE
-        return self.taken_bytes + count <= self.limit_bytes * share
+        if count <= SMALL_BYTES:
+            return self.taken_bytes + count <= self.limit_bytes
+        taken_bytes = self.taken_bytes + WAITING_BYTES * len(self.waiting)
+        return taken_bytes + count <= self.limit_bytes * LARGE_SHARE
 
     def make_room(self, count: int) -> bool:
         """Return whether there is room, after memory was freed if needed.
--- a/merlintrail/transport/_memory_costs.py
+++ b/merlintrail/transport/_memory_costs.py
@@ -11,6 +11,9 @@
 HEADER_LINE_BYTES: Final = 320
 #: Copies of the text of a head: as received, decoded, encoded for the next hop.
 HEAD_COPIES: Final = 4
+#: Bytes of an answer that waits for room: what was read before its connection
+#: was paused, and what the socket receives meanwhile.
+WAITING_BYTES: Final = 131072
 #: Size in bytes up to which a request or an answer is an ordinary one.
 SMALL_BYTES: Final = 65536
 
--- a/merlintrail/transport/_pool.py
+++ b/merlintrail/transport/_pool.py
@@ -7,7 +7,11 @@
 from typing import Final
 
 from merlintrail.transport._address import parse_address
-from merlintrail.transport._client import ClientConnection, ExchangeTimeouts
+from merlintrail.transport._client import (
+    RECEIVE_BUFFER_BYTES,
+    ClientConnection,
+    ExchangeTimeouts,
+)
 from merlintrail.transport._failure import FailureStage, TransportFailure
 from merlintrail.transport._memory_budget import MemoryBudget
 from merlintrail.transport._memory_costs import SMALL_BYTES
@@ -43,6 +47,8 @@
         self._timers: TimerQueue | None = None
         #: Room for answers, which others may share.
         self.budget = MemoryBudget(sys.maxsize)
+        #: Bytes that each connection receives before they are read.
+        self.receive_buffer_bytes = RECEIVE_BUFFER_BYTES
         #: Bytes of requests sent, for measurements of control traffic.
         self.bytes_sent = 0
         #: Bytes of answer bodies received.
@@ -135,7 +141,11 @@
             async with asyncio.timeout(limit_s):
                 _, connection = await loop.create_connection(
                     lambda: ClientConnection(
-                        loop, timers, self._max_answer_bytes, self.budget
+                        loop,
+                        timers,
+                        self._max_answer_bytes,
+                        self.budget,
+                        self.receive_buffer_bytes,
                     ),
                     parsed.host,
                     parsed.port,
--- a/merlintrail/transport/_server.py
+++ b/merlintrail/transport/_server.py
@@ -18,6 +18,7 @@
     ServerMemory,
     create_memory,
 )
+from merlintrail.transport._socket_options import limit_receive_buffer
 
 #: Connections that wait to be accepted.
 BACKLOG: Final = 1024
@@ -42,6 +43,7 @@
         self._listener = await loop.create_server(
             lambda: ServerConnection(self), host, port, backlog=BACKLOG
         )
+        self._limit_receive_buffers(self._listener)
 
     async def accept_from(self, listener: socket.socket) -> None:
         """Accept connections from a socket that listens already."""
@@ -49,6 +51,7 @@
         self._listener = await loop.create_server(
             lambda: ServerConnection(self), sock=listener, backlog=BACKLOG
         )
+        self._limit_receive_buffers(self._listener)
 
     def count_busy(self) -> int:
         """Count the connections with an unfinished request or answer."""
@@ -91,6 +94,11 @@
             connection.report_end(EndCause.PROCESS_END)
             connection.close()
 
+    def _limit_receive_buffers(self, listener: asyncio.Server) -> None:
+        """Limit the receive buffers of the connections that are accepted."""
+        for sock in listener.sockets:
+            limit_receive_buffer(sock, self.receive_buffer_bytes)
+
 
 async def start_server(
     handler: RequestHandler,
--- a/merlintrail/transport/_server_memory.py
+++ b/merlintrail/transport/_server_memory.py
@@ -8,6 +8,8 @@
 
 #: Connections of a server that are open at the same time, by default.
 MAX_CONNECTIONS: Final = 1640
+#: Bytes that an accepted connection receives before they are read.
+RECEIVE_BUFFER_BYTES: Final = 65536
 
 
 class ServerMemory(NamedTuple):
@@ -19,6 +21,8 @@
     answers: UntakenAnswers
     #: Connections of a server that are open at the same time.
     max_connections: int = MAX_CONNECTIONS
+    #: Bytes that each of them receives before they are read.
+    receive_buffer_bytes: int = RECEIVE_BUFFER_BYTES
 
 
 def create_memory(
--- a/merlintrail/transport/_socket_options.py
+++ b/merlintrail/transport/_socket_options.py
@@ -14,11 +14,26 @@
 USER_TIMEOUT_MS: Final = 3000
 
 
-def set_socket_options(transport: BaseTransport) -> None:
-    """Enable TCP_NODELAY, keepalive and the user timeout of a connection."""
+def limit_receive_buffer(sock: socket.socket, size: int) -> None:
+    """Limit what a socket, or one that it accepts, receives before it is read.
+
+    :param size: bytes of payload.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+
+def set_socket_options(
+    transport: BaseTransport, receive_buffer_bytes: int
+) -> None:
+    """Set the options of a connection that this process has opened.
+
+    TCP_NODELAY, keepalive and the user timeout are enabled, and the receive
+    buffer is limited.
+    """
     sock = transport.get_extra_info('socket')
     if sock is None or sock.family not in {socket.AF_INET, socket.AF_INET6}:
         return
+    limit_receive_buffer(sock, receive_buffer_bytes)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, setting in (
         (socket.TCP_NODELAY, 1),
