Count requests that run on when their callers have left

Operators saw: a node over its machine's memory while its own count was near zero.

Cause: a request that may not be repeated runs on when its caller leaves, with its body, but what it had taken of the budget was given back with the connection; a keyed request runs in a task of its own, which outlives that of its caller. Callers that send and leave could so make a node hold any number of bodies.

Requests behind one that runs on are cancelled at once, not when that one ends.

--- a/merlintrail/coordination/_ledger.py
+++ b/merlintrail/coordination/_ledger.py
@@ -180,6 +180,13 @@
             running = self._start(request)
         return await asyncio.shield(running.task)
 
+    def find_running(
+        self, key: str
+    ) -> 'asyncio.Task[HttpResponse | Refusal] | None':
+        """Return the run in progress of a key, ``None`` if there is none."""
+        running = self._running.get(key)
+        return running and running.task
+
     def find_answer(self, key: str) -> HttpResponse | Refusal | None:
         """Return the cached answer for a key.
 
--- a/merlintrail/node/_call_path.py
+++ b/merlintrail/node/_call_path.py
@@ -251,6 +251,7 @@
             dispatcher,
             exchange,
             deps.peers,
+            deps.pool.budget,
             environment.clock,
             environment.wall_clock,
             environment.rng,
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -303,6 +303,11 @@
         settings = self.settings
         self._pool = self._environment.create_pool()
         self._peer_pool = self._environment.create_pool()
+        limits = settings.connection_limits
+        self._budget = MemoryBudget(limits.memory_bytes)
+        for pool in (self._pool, self._peer_pool):
+            pool.budget = self._budget
+            pool.receive_buffer_bytes = limits.opened_receive_buffer_bytes
         self.peers = HttpPeerClient(self._peer_pool, settings.fleet_key)
         own = Member(
             settings.instance,
@@ -386,12 +391,7 @@
 
     def _create_services(self) -> None:
         settings = self.settings
-        limits = settings.connection_limits
-        budget = MemoryBudget(limits.memory_bytes)
-        for pool in (self._pool, self._peer_pool):
-            pool.budget = budget
-            pool.receive_buffer_bytes = limits.opened_receive_buffer_bytes
-        self.servers = NodeServers(self.ingress, create_memory(budget))
+        self.servers = NodeServers(self.ingress, create_memory(self._budget))
         self.lifecycle = Lifecycle(
             LifecycleDependencies(
                 settings.instance,
--- a/merlintrail/node/keyed/_keyed.py
+++ b/merlintrail/node/keyed/_keyed.py
@@ -43,7 +43,12 @@
     MemberTable,
     RetryAccount,
 )
-from merlintrail.transport import HttpResponse, TransportFailure
+from merlintrail.transport import (
+    REQUEST_BYTES,
+    HttpResponse,
+    MemoryBudget,
+    TransportFailure,
+)
 
 #: Maximum attempts to reach the owner of a slot, while ownership changes.
 MAX_OWNER_ATTEMPTS: Final = 3
@@ -69,6 +74,8 @@
     dispatcher: Dispatcher
     exchange: PeerExchange
     peers: PeerClient
+    #: Memory of the requests that run on.
+    budget: MemoryBudget
     clock: Callable[[], float]
     wall_clock: Callable[[], float]
     rng: random.Random
@@ -86,6 +93,8 @@
         self._ledger: Ledger | None = None
         self._owners: dict[int, Member | None] = {}
         self._owners_version = (0, 0)
+        #: Keys whose runs hold memory, as their callers have left.
+        self._held_keys: set[str] = set()
 
     @property
     def ledger(self) -> Ledger:
@@ -137,6 +146,8 @@
                 answer = await self.ledger.execute(request)
         except TimeoutError:
             answer = Refusal(Outcome.MAY_HAVE_RUN, Reason.DEADLINE_PASSED)
+        finally:
+            self._hold_until_end(request.key, call)
         return CallResult(answer, downstream_levels)
 
     async def handle_peer_call(
@@ -201,6 +212,20 @@
             'body': base64.b64encode(answer.body).decode(),
         }
 
+    def _hold_until_end(self, key: str, call: OutgoingCall) -> None:
+        """Hold the memory of a request that runs on without its caller."""
+        running = self.ledger.find_running(key)
+        if running is None or key in self._held_keys:
+            return
+        size = REQUEST_BYTES + len(call.body)
+        self._held_keys.add(key)
+        self._deps.budget.add(size)
+        running.add_done_callback(lambda _: self._end_hold(key, size))
+
+    def _end_hold(self, key: str, size: int) -> None:
+        self._held_keys.discard(key)
+        self._deps.budget.add(-size)
+
     async def _execute_once(
         self, call: OutgoingCall, configuration: Configuration
     ) -> CallResult:
--- a/merlintrail/transport/__init__.py
+++ b/merlintrail/transport/__init__.py
@@ -18,6 +18,7 @@
 )
 from merlintrail.transport._failure import FailureStage, TransportFailure
 from merlintrail.transport._memory_budget import MemoryBudget, MemoryHold
+from merlintrail.transport._memory_costs import REQUEST_BYTES
 from merlintrail.transport._message import (
     HeaderList,
     HttpRequest,
@@ -33,6 +34,7 @@
 from merlintrail.transport._untaken_answers import UntakenAnswers
 
 __all__ = (
+    'REQUEST_BYTES',
     'TIMEOUT',
     'Address',
     'BadRequest',
--- a/merlintrail/transport/_memory_budget.py
+++ b/merlintrail/transport/_memory_budget.py
@@ -35,35 +35,51 @@
 class MemoryAccount:
     """Memory that one connection takes of the budget."""
 
-    __slots__ = ('_budget', '_is_open', 'free', 'held_bytes')
+    __slots__ = ('_budget', 'free', 'held_bytes')
 
     def __init__(
         self, budget: 'MemoryBudget', free: Callable[[], None]
     ) -> None:
         self._budget = budget
-        self._is_open = True
         #: Called to free what can be given up, when memory is exceeded.
         self.free = free
         #: Bytes that the connection takes.
         self.held_bytes = 0
 
     def add(self, count: int) -> None:
-        """Take some bytes, or give them back if the number is negative.
+        """Take some bytes, or give them back if the number is negative."""
+        self.held_bytes += count
+        self._budget.add(count)
 
-        Nothing changes once the account is closed.
-        """
-        if self._is_open:
-            self.held_bytes += count
-            self._budget.add(count)
+    def close(self, count: int) -> None:
+        """Free nothing any more, as the connection has ended.
 
-    def close(self) -> None:
-        """Give back everything, for good."""
+        Requests that run on give back what they hold when they end.
+
+        :param count: bytes of the connection itself, which are given back.
+        """
+        self.add(-count)
         self._budget.remove_account(self)
-        self.add(-self.held_bytes)
-        self._is_open = False
         self.free = _ignore
 
 
+class RequestHold:
+    """Memory that one complete request takes of its connection's account."""
+
+    __slots__ = ('_account', '_size')
+
+    def __init__(self, account: MemoryAccount, size: int) -> None:
+        """Initialize the hold of bytes that the account has taken already."""
+        self._account = account
+        self._size = size
+
+    def release(self) -> None:
+        """Give the memory back, once however often this is called."""
+        if self._size:
+            self._account.add(-self._size)
+            self._size = 0
+
+
 class MemoryHold:
     """Memory of one answer, held until the last reference to it is dropped."""
 
--- a/merlintrail/transport/_message.py
+++ b/merlintrail/transport/_message.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Final, NamedTuple, TypeAlias
 
-from merlintrail.transport._memory_budget import MemoryHold
+from merlintrail.transport._memory_budget import MemoryHold, RequestHold
 from merlintrail.transport._memory_costs import estimate_head_bytes
 
 HeaderList: TypeAlias = Sequence[tuple[str, str]]
@@ -31,8 +31,8 @@
     remote_host: str = ''
     #: Whether the sender keeps the connection open after the answer.
     keeps_alive: bool = True
-    #: Memory in bytes that it takes of the account of its connection.
-    taken_bytes: int = 0
+    #: Memory that it takes, if it is counted.
+    hold: RequestHold | None = None
 
 
 class HttpResponse(NamedTuple):
--- a/merlintrail/transport/_pending_request.py
+++ b/merlintrail/transport/_pending_request.py
@@ -1,11 +1,11 @@
 """Received requests of a connection that have no answer yet."""
 
 import asyncio
+from collections import deque
 from collections.abc import Awaitable
 from typing import NamedTuple
 
 from merlintrail.transport._bad_request import BadRequest
-from merlintrail.transport._memory_budget import MemoryAccount
 from merlintrail.transport._message import HttpRequest, HttpResponse
 from merlintrail.transport._own_answers import AnswerBuilder, build_refusal
 
@@ -35,16 +35,19 @@
         """Whether it is being served, or refused already."""
         return self.task is not None or isinstance(self.request, BadRequest)
 
-    def drop(self, account: MemoryAccount) -> None:
+    def drop(self) -> None:
         """Cancel its task, and give back the memory that it has taken.
 
-        :param account: that of its connection.
+        A task that runs on, as the request may not be interrupted, keeps the
+        memory until it ends.
         """
-        if self.task is not None and not self.task.cancel():
-            _take_exception(self.task)
-        request = self.request
-        if isinstance(request, HttpRequest) and request.taken_bytes:
-            account.add(-request.taken_bytes)
+        task = self.task
+        if task is not None and task.cancel():
+            task.add_done_callback(lambda _: self._give_back())
+            return
+        if task is not None:
+            _take_exception(task)
+        self._give_back()
 
     def find_answer(self, build_answer: AnswerBuilder) -> HttpResponse:
         """Return the answer if it is known, or build one.
@@ -64,6 +67,11 @@
             return build_answer(self.request)
         return task.result()
 
+    def _give_back(self) -> None:
+        request = self.request
+        if isinstance(request, HttpRequest) and request.hold is not None:
+            request.hold.release()
+
 
 def _take_exception(task: 'asyncio.Task[HttpResponse]') -> None:
     """Take the exception of a task that ended, which is not needed."""
@@ -74,3 +82,10 @@
 async def await_answer(answer: Awaitable[HttpResponse]) -> HttpResponse:
     """Await an answer, as the coroutine of a task."""
     return await answer
+
+
+def drop_all(pending_requests: deque[PendingRequest]) -> None:
+    """Drop requests, and empty their queue."""
+    for pending in pending_requests:
+        pending.drop()
+    pending_requests.clear()
--- a/merlintrail/transport/_request_room.py
+++ b/merlintrail/transport/_request_room.py
@@ -3,7 +3,11 @@
 from typing import Final
 
 from merlintrail.transport._header_lines import HeaderLines
-from merlintrail.transport._memory_budget import MemoryAccount, MemoryBudget
+from merlintrail.transport._memory_budget import (
+    MemoryAccount,
+    MemoryBudget,
+    RequestHold,
+)
 from merlintrail.transport._memory_costs import REQUEST_BYTES, SMALL_BYTES
 
 #: Steps in bytes in which a body of unknown length takes its room.
@@ -65,12 +69,12 @@
         steps = size // _BODY_STEP_BYTES + 1
         return self._take_body(steps * _BODY_STEP_BYTES)
 
-    def hand_over(self) -> int:
-        """Leave the memory to the complete request; return its bytes."""
-        taken_bytes = self._taken_bytes
+    def hand_over(self) -> RequestHold:
+        """Leave the memory to the complete request."""
+        hold = RequestHold(self._account, self._taken_bytes)
         self._taken_bytes = 0
         self._body_bytes = 0
-        return taken_bytes
+        return hold
 
     def give_back(self) -> None:
         """Give the memory back."""
--- a/merlintrail/transport/_server_connection.py
+++ b/merlintrail/transport/_server_connection.py
@@ -26,7 +26,7 @@
     announce_close,
     build_refusal,
 )
-from merlintrail.transport._pending_request import PendingRequest
+from merlintrail.transport._pending_request import PendingRequest, drop_all
 from merlintrail.transport._receive_timer import ReceiveTimer
 from merlintrail.transport._request_parser import NO_ROOM, RequestParser
 from merlintrail.transport._send_queue import count_untaken_bytes
@@ -114,7 +114,8 @@
         self._parser.close()
         self._backlog.clear()
         self._writer.close()
-        self._account.close()
+        drop_all(self._pending)
+        self._account.close(CONNECTION_BYTES)
         self._transport = None
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
@@ -204,7 +205,7 @@
             answer = held or pending.find_answer(build_answer)
             held = None
             self._write_answer(pending, answer, is_stopping=True)
-            pending.drop(self._account)
+            pending.drop()
 
     def refuse_incomplete(self, reason: str) -> None:
         """Refuse a request that has not arrived whole."""
@@ -219,7 +220,7 @@
         """
         for index, pending in enumerate(self._pending):
             if not pending.has_begun:
-                pending.drop(self._account)
+                pending.drop()
                 self._pending[index] = PendingRequest(_NO_ROOM)
         is_partial = len(self._backlog) or self._parser.is_receiving
         if self._is_parsing or not is_partial or not self._state.is_open:
@@ -239,7 +240,7 @@
             await self._serve_requests()
         finally:
             for pending in self._list_unanswered():
-                pending.drop(self._account)
+                pending.drop()
             if not self._state.is_ending:
                 self.close()
 
@@ -259,7 +260,7 @@
             self._write_answer(
                 self._current, answer, is_stopping=self._server.is_closing
             )
-            self._current.drop(self._account)
+            self._current.drop()
             # An idle connection does not keep the last messages.
             del answer
             self._current = None
@@ -326,7 +327,7 @@
         pending = PendingRequest(request)
         has_others = self._state.unanswered > 0
         if not self._state.take_request(keeps_alive=pending.keeps_alive):
-            pending.drop(self._account)
+            pending.drop()
             return
         task: asyncio.Task[HttpResponse] | None = None
         if isinstance(request, BadRequest):
