Prove that a call has not run which another node's server refused

Callers saw: 504, may have run, for a request that may not be repeated, though the other node had refused it before it knew it (no memory, headers too large).

Cause: a server refuses such calls without a report, which was taken for the answer to another call. Nothing is known of the call then, but the node did not ask.

An answer without a report now leads to an inquiry on a new connection, as a lost answer does: the other node has never seen the call, leaves a tombstone, and the caller is told not-run with the time to come back. The new line peer-answer tells who refused and why. The stub of test_exchange answers with a report, as nodes do; its assertions are the same.

--- a/merlintrail/node/calling/_exchange.py
+++ b/merlintrail/node/calling/_exchange.py
@@ -8,6 +8,8 @@
 from merlintrail.node._calls import OutgoingCall, build_call_headers
 from merlintrail.observability import log_decision
 from merlintrail.protocol import (
+    REASON_HEADER,
+    REPORT_HEADER,
     CallHeader,
     DecodeFailure,
     Inquiry,
@@ -114,8 +116,10 @@
         if watch.result is not None:
             return watch.result
         if isinstance(answer, HttpResponse):
-            return answer
-        if answer.stage == FailureStage.CONNECT:
+            if answer.find_header(REPORT_HEADER) is not None:
+                return answer
+            _log_unreported(member, header, answer)
+        elif answer.stage == FailureStage.CONNECT:
             return Refusal(Outcome.NOT_RUN, Reason.PEER_LOST, answer.reason)
         return await self._inquire_outcome(member, header, call.deadline)
 
@@ -239,6 +243,23 @@
         )
 
 
+def _log_unreported(
+    member: Member, header: CallHeader, answer: HttpResponse
+) -> None:
+    """Log an answer of the peer's server, which does not know the call.
+
+    It may have refused the call for want of room, or belong to another one.
+    """
+    log_decision(
+        'peer-answer',
+        request_id=header.request_id,
+        call_id=header.call_id,
+        instance=member.node_id,
+        status=answer.status,
+        reason=answer.find_header(REASON_HEADER),
+    )
+
+
 def _distrust_late_proof(
     result: HttpResponse | Refusal,
 ) -> HttpResponse | Refusal:
--- a/merlintrail/node/tests/test_exchange.py
+++ b/merlintrail/node/tests/test_exchange.py
@@ -7,7 +7,7 @@
 
 from merlintrail.node._calls import OutgoingCall
 from merlintrail.node.calling._exchange import PeerExchange
-from merlintrail.protocol import CallHeader, InquiryState
+from merlintrail.protocol import REPORT_HEADER, CallHeader, InquiryState
 from merlintrail.state import Member, MemberStatus, RetryAccount
 from merlintrail.transport import (
     HttpRequest,
@@ -19,6 +19,8 @@
 _HEADER = CallHeader(
     'request', 'call', 'svc/read', 32, True, 5000.0, 0, 1, 1, 'one', 'svc'
 )
+#: Header by which an answer is that of a node, and not of its server.
+_REPORT = ((REPORT_HEADER, '{}'),)
 
 
 class _RunningPeers:
@@ -60,7 +62,7 @@
 
         async def answer(request: HttpRequest) -> HttpResponse:
             await asyncio.sleep(0.4 if request.target == '/slow' else 0.1)
-            return HttpResponse(200, (), request.target.encode())
+            return HttpResponse(200, _REPORT, request.target.encode())
 
         server = await start_server(answer, '127.0.0.1', 0)
         self.addCleanup(server.close)
