Share descriptors between accepted and opened connections

Operators saw: a node that runs out of descriptors though the connections of callers and of other nodes keep to their limits; and callers beside a crowd at the platform's addresses that find no connection there.

Cause: each call that is passed on opens a connection, and each slow one another for every inquiry, which stayed open idle; nothing counted them. At the platform's addresses connections with long pipelines were served without a pause that could be used to let others in.

Accepted and opened connections share 0.8 of the descriptors (connections.sockets); a call without one is refused as not run (no-room), and nothing is concluded about its server. Idle connections go first, inquiries are made 0.02 of the descriptors at a time.

Both faults are in one commit, as they share the limits of a server.

--- a/merlintrail/bench/tests/crowd.py
+++ b/merlintrail/bench/tests/crowd.py
@@ -349,3 +349,10 @@
             if ends[-1] != _SERVED:
                 time.sleep(float(answer.headers.get('retry-after', _POLL_S)))
         return ends
+
+
+class SmallMachineTestCase(CrowdTestCase):
+    """A machine with 120 MB and 400 descriptors."""
+
+    memory_mb = 120
+    descriptors = 400
--- a/merlintrail/cli/_explain.py
+++ b/merlintrail/cli/_explain.py
@@ -29,6 +29,7 @@
     Reason.DEADLINE_PASSED: 'the call ran out of time while it was running',
     Reason.DRAINING: 'the node or its backend server was leaving',
     Reason.NO_BACKEND_SERVER: 'no backend server of the service takes calls',
+    Reason.NO_ROOM: 'the node had no memory or no connection left',
     Reason.NO_CONFIGURATION: 'the node had not read a configuration yet',
     Reason.BACKEND_LOST: 'the connection to the backend server ended early',
     Reason.BACKEND_REFUSED: 'the backend server itself refused',
--- a/merlintrail/console/_server.py
+++ b/merlintrail/console/_server.py
@@ -17,8 +17,6 @@
 WORKER_THREADS: Final = 4
 #: Maximum size in bytes of the request line and headers of a request.
 MAX_HEADER_BYTES: Final = 65536
-#: Connections that may be open without a request.
-MAX_IDLE_CONNECTIONS: Final = 64
 #: Requests that may wait for a thread; further ones get 503.
 MAX_WAITING_REQUESTS: Final = 32
 #: Seconds in which a client has to send the next part of a request.
@@ -30,13 +28,16 @@
 
     max_request_header_size = MAX_HEADER_BYTES
     max_request_body_size = MAX_BODY_BYTES
+    #: Connections that may be open without a request.
+    max_idle_connections = 0
     #: Connections that wait for input; set when the server is prepared.
     _connections: Any
 
     def process_conn(self, conn: Any) -> None:
         """Serve a connection with input; let a new one wait for its own."""
         is_new = conn.last_used is None
-        if is_new and self._connections._num_connections > MAX_IDLE_CONNECTIONS:  # noqa: SLF001
+        open_connections = self._connections._num_connections  # noqa: SLF001
+        if is_new and open_connections > self.max_idle_connections:
             conn.close()
         elif is_new:
             self._connections.put(conn)
@@ -47,7 +48,14 @@
 class Console:
     """The running administration server of a node."""
 
-    def __init__(self, application: Application, address: str) -> None:
+    def __init__(
+        self, application: Application, address: str, max_idle_connections: int
+    ) -> None:
+        """Start to listen.
+
+        :param max_idle_connections: connections that may be open without a
+            request.
+        """
         host, port = split_host_port(address)
         self._server: Any = _ConsoleServer(
             (host, port),
@@ -57,6 +65,7 @@
             accepted_queue_size=MAX_WAITING_REQUESTS,
             accepted_queue_timeout=0,
         )
+        self._server.max_idle_connections = max_idle_connections
         self._server.prepare()
         self._thread = threading.Thread(
             target=self._server.serve, name='console', daemon=True
@@ -73,4 +82,8 @@
 
     :raises OSError: when the address cannot be bound.
     """
-    return Console(create_application(node, loop), node.settings.admin_address)
+    return Console(
+        create_application(node, loop),
+        node.settings.admin_address,
+        node.settings.connection_limits.operator_connections,
+    )
--- a/merlintrail/node/_call_path.py
+++ b/merlintrail/node/_call_path.py
@@ -108,6 +108,7 @@
         deps.peers,
         deps.settings.fleet_key,
         environment.clock,
+        deps.settings.connection_limits.inquiries,
     )
     routing = RoutingTable(
         NodeLocation(deps.settings.instance, deps.settings.data_centre),
--- a/merlintrail/node/_gauges.py
+++ b/merlintrail/node/_gauges.py
@@ -211,6 +211,26 @@
         'Accepted connections that are open.',
         lambda: [GaugePoint(servers.count_open())],
     )
+    descriptors = servers.memory.descriptors
+    metrics.register_gauge(
+        'merlintrail.connections_opened',
+        '{connection}',
+        'Connections to backend servers and other nodes that are open.',
+        lambda: [GaugePoint(descriptors.opened)],
+    )
+    metrics.register_gauge(
+        'merlintrail.connections_limit',
+        '{connection}',
+        'Accepted and opened connections that may be open together.',
+        lambda: [GaugePoint(descriptors.limit)],
+    )
+    metrics.register_gauge(
+        'merlintrail.connection_refusals',
+        '{connection}',
+        'Connections that were not opened for want of descriptors, since the '
+        'start.',
+        lambda: [GaugePoint(descriptors.refusals)],
+    )
     metrics.register_gauge(
         'merlintrail.connections_displaced',
         '{connection}',
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -60,7 +60,9 @@
 )
 from merlintrail.state.repeats import SlotRight
 from merlintrail.transport import (
+    DescriptorBudget,
     MemoryBudget,
+    PipelineLimits,
     create_memory,
     start_server,
 )
@@ -305,9 +307,12 @@
         self._peer_pool = self._environment.create_pool()
         limits = settings.connection_limits
         self._budget = MemoryBudget(limits.memory_bytes)
+        self._descriptors = DescriptorBudget(limits.sockets)
         for pool in (self._pool, self._peer_pool):
             pool.budget = self._budget
+            pool.descriptors = self._descriptors
             pool.receive_buffer_bytes = limits.opened_receive_buffer_bytes
+        self._peer_pool.is_vital = True
         self.peers = HttpPeerClient(self._peer_pool, settings.fleet_key)
         own = Member(
             settings.instance,
@@ -391,7 +396,15 @@
 
     def _create_services(self) -> None:
         settings = self.settings
-        self.servers = NodeServers(self.ingress, create_memory(self._budget))
+        limits = settings.connection_limits
+        self.servers = NodeServers(
+            self.ingress,
+            create_memory(self._budget, descriptors=self._descriptors)._replace(
+                pipelines=PipelineLimits(
+                    limits.early_requests, limits.deep_requests_per_s
+                )
+            ),
+        )
         self.lifecycle = Lifecycle(
             LifecycleDependencies(
                 settings.instance,
--- a/merlintrail/node/_settings.py
+++ b/merlintrail/node/_settings.py
@@ -6,6 +6,10 @@
 
 import orjson
 
+from merlintrail.node._connection_limits import (
+    ConnectionLimits,
+    build_connection_limits,
+)
 from merlintrail.protocol import parse_duration
 from merlintrail.state import (
     Finding,
@@ -14,24 +18,6 @@
     parse_json_object,
 )
 
-#: Memory in megabytes of a machine whose settings do not tell it.
-DEFAULT_MEMORY_MB: Final = 200
-#: Descriptors of a machine whose settings do not tell them.
-DEFAULT_DESCRIPTORS: Final = 4100
-#: Share of the machine's memory that connections may take. The rest is for
-#: the program, what it knows of the fleet, and copies that are being made.
-CONNECTION_MEMORY_SHARE: Final = 0.35
-#: Shares of the descriptors for accepted connections. The rest is for
-#: connections to backend servers, nodes and the store, and for files.
-CALLER_DESCRIPTOR_SHARE: Final = 0.4
-PEER_DESCRIPTOR_SHARE: Final = 0.4
-_BYTES_PER_MB: Final = 1_000_000
-_BYTES_PER_KB: Final = 1024
-#: Kibibytes that an accepted connection receives before they are read.
-DEFAULT_RECEIVE_BUFFER_KB: Final = 64
-#: Share of that for connections that a node opens. Each of them may hold an
-#: answer that waits for memory.
-OPENED_RECEIVE_BUFFER_SHARE: Final = 0.5
 _SCHEMA_NAME: Final = 'settings.schema.json'
 
 
@@ -59,24 +45,6 @@
     retry_window_s: float
 
 
-class ConnectionLimits(NamedTuple):
-    """Limits on what the connections of a node may take together."""
-
-    #: Bytes of memory of all connections, requests and answers.
-    memory_bytes: int = 70_000_000
-    #: Connections of callers and the backend server.
-    caller_connections: int = 1640
-    #: Connections of other nodes.
-    peer_connections: int = 1640
-    #: Bytes that an accepted connection receives before they are read.
-    receive_buffer_bytes: int = 65536
-
-    @property
-    def opened_receive_buffer_bytes(self) -> int:
-        """The same of connections that the node opens."""
-        return int(OPENED_RECEIVE_BUFFER_SHARE * self.receive_buffer_bytes)
-
-
 class Settings(NamedTuple):
     """Settings that a node process reads at startup.
 
@@ -157,30 +125,12 @@
         document.get('metrics', {}).get('otlp_endpoint'),
         document.get('peer_listen_address'),
         _build_platform(document.get('platform')),
-        _build_connection_limits(
+        build_connection_limits(
             document.get('machine', {}), document.get('connections', {})
         ),
     )
 
 
-def _build_connection_limits(
-    machine: Mapping[str, Any], limits: Mapping[str, Any]
-) -> ConnectionLimits:
-    """Build the limits; those that are not set follow from the machine."""
-    memory_mb = machine.get('memory_mb', DEFAULT_MEMORY_MB)
-    descriptors = machine.get('descriptors', DEFAULT_DESCRIPTORS)
-    return ConnectionLimits(
-        int(
-            limits.get('memory_mb', memory_mb * CONNECTION_MEMORY_SHARE)
-            * _BYTES_PER_MB
-        ),
-        limits.get('callers', int(descriptors * CALLER_DESCRIPTOR_SHARE)),
-        limits.get('nodes', int(descriptors * PEER_DESCRIPTOR_SHARE)),
-        limits.get('receive_buffer_kb', DEFAULT_RECEIVE_BUFFER_KB)
-        * _BYTES_PER_KB,
-    )
-
-
 def _build_platform(
     document: Mapping[str, Any] | None,
 ) -> PlatformSettings | None:
--- a/merlintrail/node/backend/_backend_exchange.py
+++ b/merlintrail/node/backend/_backend_exchange.py
@@ -81,7 +81,7 @@
             )
             is_open = (
                 isinstance(answer, TransportFailure)
-                and answer.stage != FailureStage.CONNECT
+                and answer.stage == FailureStage.ANSWER
             )
             if isinstance(answer, TransportFailure):
                 return await self._handle_failure(gate, header, answer)
@@ -228,6 +228,8 @@
     async def _handle_failure(
         self, gate: AdmissionGate, header: CallHeader, failure: TransportFailure
     ) -> Refusal:
+        if failure.stage == FailureStage.ROOM:
+            return Refusal(Outcome.NOT_RUN, Reason.NO_ROOM, failure.reason)
         if failure.stage == FailureStage.CONNECT:
             self._mark_unreachable(gate)
             return Refusal(Outcome.NOT_RUN, Reason.BACKEND_LOST, failure.reason)
--- a/merlintrail/node/backend/_backend_gateway.py
+++ b/merlintrail/node/backend/_backend_gateway.py
@@ -421,7 +421,7 @@
     return (
         isinstance(answer, Refusal)
         and answer.outcome == Outcome.NOT_RUN
-        and answer.reason == Reason.BACKEND_LOST
+        and answer.reason in {Reason.BACKEND_LOST, Reason.NO_ROOM}
     )
 
 
--- a/merlintrail/node/calling/_exchange.py
+++ b/merlintrail/node/calling/_exchange.py
@@ -39,6 +39,8 @@
 INQUIRY_DELAY_FACTOR: Final = 4.0
 #: Seconds to wait for the answer to an inquiry.
 INQUIRY_TIMEOUT_S: Final = 0.25
+#: Inquiries that are made at the same time, by default.
+MAX_INQUIRIES: Final = 82
 #: Consecutive unanswered inquiries after which the peer counts as lost.
 MAX_UNANSWERED_INQUIRIES: Final = 3
 #: Factor by which the interval between inquiries about a running call grows.
@@ -75,11 +77,19 @@
         peers: PeerClient,
         fleet_key: str,
         clock: Callable[[], float],
+        max_inquiries: int = MAX_INQUIRIES,
     ) -> None:
+        """Initialize without exchanges.
+
+        :param max_inquiries: inquiries that are made at the same time.
+        """
         self._pool = pool
         self._peers = peers
         self._fleet_key = fleet_key
         self._clock = clock
+        #: Inquiries that may be made at the same time, each on a connection of
+        #: its own.
+        self._inquiries = asyncio.Semaphore(max_inquiries)
 
     async def send(
         self,
@@ -119,6 +129,8 @@
             if answer.find_header(REPORT_HEADER) is not None:
                 return answer
             _log_unreported(member, header, answer)
+        elif answer.stage == FailureStage.ROOM:
+            return Refusal(Outcome.NOT_RUN, Reason.NO_ROOM, answer.reason)
         elif answer.stage == FailureStage.CONNECT:
             return Refusal(Outcome.NOT_RUN, Reason.PEER_LOST, answer.reason)
         return await self._inquire_outcome(member, header, call.deadline)
@@ -197,13 +209,14 @@
     async def _inquire(
         self, member: Member, header: CallHeader
     ) -> InquiryAnswer | None:
-        answer = await self._peers.send_request(
-            member.peer_address,
-            INQUIRY_SUBJECT,
-            Inquiry(header.call_id, header.incarnation)._asdict(),
-            timeout_s=INQUIRY_TIMEOUT_S,
-            is_fresh=True,
-        )
+        async with self._inquiries:
+            answer = await self._peers.send_request(
+                member.peer_address,
+                INQUIRY_SUBJECT,
+                Inquiry(header.call_id, header.incarnation)._asdict(),
+                timeout_s=INQUIRY_TIMEOUT_S,
+                is_fresh=True,
+            )
         if isinstance(answer, TransportFailure):
             return None
         inquiry_answer = decode_record(InquiryAnswer, answer)
--- a/merlintrail/node/calling/_retry_policy.py
+++ b/merlintrail/node/calling/_retry_policy.py
@@ -27,6 +27,7 @@
         Reason.STALE_INCARNATION,
         Reason.TOMBSTONE,
         Reason.NO_CONFIGURATION,
+        Reason.NO_ROOM,
         Reason.SUSPECT_ALREADY_RUNNING,
         Reason.REPEAT_SHARE_SPENT,
     )
--- a/merlintrail/node/tests/test_connection_limits.py
+++ b/merlintrail/node/tests/test_connection_limits.py
@@ -5,7 +5,7 @@
 from typing import Any, Final
 
 from merlintrail.node import Settings, parse_settings
-from merlintrail.node._settings import ConnectionLimits
+from merlintrail.node._connection_limits import ConnectionLimits
 
 _DOCUMENT: Final = {
     'instance': 'a',
@@ -29,21 +29,31 @@
 
     def test_smallest_machine_by_default(self) -> None:
         """It has 200 MB and 4,100 descriptors."""
-        self.assertEqual(
-            _read_limits(), ConnectionLimits(70_000_000, 1640, 1640)
-        )
+        self.assertEqual(_read_limits(), ConnectionLimits())
 
     def test_limits_follow_from_the_machine(self) -> None:
         """Unless they are set."""
         machine = {'memory_mb': 552, 'descriptors': 8192}
         self.assertEqual(
             _read_limits(machine=machine),
-            ConnectionLimits(193_200_000, 3276, 3276),
+            ConnectionLimits(
+                193_200_000, 3276, 2867, 6553, 245, 64, 163, 65536, 193
+            ),
         )
-        limits = {'memory_mb': 50, 'callers': 100}
+        limits = {
+            'memory_mb': 50,
+            'callers': 100,
+            'sockets': 500,
+            'platform': 10,
+            'operators': 5,
+            'inquiries': 7,
+            'receive_buffer_kb': 16,
+            'pipelined': 8,
+            'pipelined_per_s': 9,
+        }
         self.assertEqual(
             _read_limits(machine=machine, connections=limits),
-            ConnectionLimits(50_000_000, 100, 3276),
+            ConnectionLimits(50_000_000, 100, 2867, 500, 10, 5, 7, 16384, 8, 9),
         )
 
     def test_bad_limits(self) -> None:
--- a/merlintrail/platform/_adapter.py
+++ b/merlintrail/platform/_adapter.py
@@ -14,8 +14,6 @@
     start_server,
 )
 
-#: Connections at each of the two addresses.
-MAX_CONNECTIONS: Final = 128
 _READY_PATH: Final = '/ready'
 _READY: Final = HttpResponse(200, (), b'')
 _NOT_READY: Final = HttpResponse(503, (), b'')
@@ -43,6 +41,7 @@
 
         :raises OSError: when an address cannot be bound.
         """
+        limits = self._node.settings.connection_limits
         for address, handler in (
             (self._settings.ready_address, self._answer_readiness),
             (self._settings.announce_address, self._heartbeats.handle),
@@ -53,8 +52,8 @@
                     handler,
                     host,
                     port,
-                    memory=self._node.servers.memory._replace(
-                        max_connections=MAX_CONNECTIONS
+                    memory=self._node.servers.memory.reserve(
+                        limits.platform_connections
                     ),
                 )
             )
--- a/merlintrail/protocol/_outcome.py
+++ b/merlintrail/protocol/_outcome.py
@@ -39,6 +39,8 @@
     INTERNAL_ERROR = 'internal-error'
     PLANNED_STOP = 'planned-stop'
     NO_BACKEND_SERVER = 'no-backend-server'
+    #: The node has no memory or no connection left for the call.
+    NO_ROOM = 'no-room'
     NO_CONFIGURATION = 'no-configuration'
     UNKNOWN_SERVICE = 'unknown-service'
     #: The route exists, but takes no requests for the time being.
--- a/merlintrail/transport/__init__.py
+++ b/merlintrail/transport/__init__.py
@@ -16,6 +16,7 @@
     RequestHandler,
     ServerReports,
 )
+from merlintrail.transport._descriptor_budget import DescriptorBudget
 from merlintrail.transport._failure import FailureStage, TransportFailure
 from merlintrail.transport._memory_budget import MemoryBudget, MemoryHold
 from merlintrail.transport._memory_costs import REQUEST_BYTES
@@ -30,7 +31,11 @@
 from merlintrail.transport._pool import ConnectionPool, create_pool
 from merlintrail.transport._request_parser import ServerLimits
 from merlintrail.transport._server import HttpServer, start_server
-from merlintrail.transport._server_memory import ServerMemory, create_memory
+from merlintrail.transport._server_memory import (
+    PipelineLimits,
+    ServerMemory,
+    create_memory,
+)
 from merlintrail.transport._untaken_answers import UntakenAnswers
 
 __all__ = (
@@ -41,6 +46,7 @@
     'ClientConnection',
     'ConnectionEnd',
     'ConnectionPool',
+    'DescriptorBudget',
     'EndCause',
     'EndingConnection',
     'ExchangeTimeouts',
@@ -51,6 +57,7 @@
     'HttpServer',
     'MemoryBudget',
     'MemoryHold',
+    'PipelineLimits',
     'RequestHandler',
     'ServerLimits',
     'ServerMemory',
--- a/merlintrail/transport/_client.py
+++ b/merlintrail/transport/_client.py
@@ -9,6 +9,10 @@
 import httptools
 
 from merlintrail.transport._body import BodyBuffer
+from merlintrail.transport._descriptor_budget import (
+    DescriptorLease,
+    create_unlimited_budget,
+)
 from merlintrail.transport._failure import FailureStage, TransportFailure
 from merlintrail.transport._framing import FramingAllowance
 from merlintrail.transport._header_lines import HeaderLines
@@ -68,13 +72,17 @@
         max_body_bytes: int,
         budget: MemoryBudget | None = None,
         receive_buffer_bytes: int = RECEIVE_BUFFER_BYTES,
+        lease: DescriptorLease | None = None,
     ) -> None:
         """Initialize without a connection.
 
         :param budget: room for answers; unlimited by default.
         :param receive_buffer_bytes: what the socket receives before it is
             read.
+        :param lease: descriptor that is given back when it is closed;
+            unlimited by default.
         """
+        self._lease = lease or create_unlimited_budget().lease()
         self._receive_buffer_bytes = receive_buffer_bytes
         self._budget = budget or MemoryBudget(sys.maxsize)
         #: Memory of the answer that is being received.
@@ -157,6 +165,7 @@
     def close(self) -> None:
         """Close the connection immediately."""
         self.is_reusable = False
+        self._lease.release()
         if self._transport is not None:
             self._transport.abort()
 
@@ -177,6 +186,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange in progress."""
         self.is_reusable = False
+        self._lease.release()
         # The parser refers to this object and would keep what it holds.
         del self._parser
         self._transport = None
--- a/merlintrail/transport/_connection_group.py
+++ b/merlintrail/transport/_connection_group.py
@@ -17,11 +17,6 @@
 
 #: Part of the open connections that are closed at once to make room.
 _DISPLACED_SHARE: Final = 16
-#: Bytes of the memory limit for each request that is served beside others of
-#: its connection. Each may bring a large answer.
-BYTES_PER_EARLY_REQUEST: Final = 1_000_000
-#: Requests a second of all connections that keep others back.
-MAX_DEEP_REQUESTS_PER_S: Final = 250
 
 RequestHandler: TypeAlias = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
@@ -77,6 +72,8 @@
         #: Connections that are open at the same time.
         self.max_connections = memory.max_connections
         self.receive_buffer_bytes = memory.receive_buffer_bytes
+        self._descriptors = memory.descriptors
+        self._pipelines = memory.pipelines
         #: Connections that were closed to make room for others.
         self.displaced_connections = 0
 
@@ -88,8 +85,8 @@
         :returns: ``None`` if it is to be served in its turn, since memory is
             short or many requests are served so.
         """
-        limit = self.budget.limit_bytes // BYTES_PER_EARLY_REQUEST
-        if not self.budget.is_calm or len(self._early) >= limit:
+        is_full = len(self._early) >= self._pipelines.early_requests
+        if is_full or not self.budget.is_calm:
             return None
         task: asyncio.Task[HttpResponse] = (
             asyncio.get_running_loop().create_task(
@@ -102,6 +99,7 @@
 
     def remove(self, connection: 'ServerConnection') -> None:
         """Forget a connection that has ended."""
+        self._descriptors.accepted -= 1
         self.connections.discard(connection)
         self._deep.discard(connection)
 
@@ -117,7 +115,7 @@
             self._deep.discard(connection)
             return 0.0
         self._deep.add(connection)
-        return len(self._deep) / MAX_DEEP_REQUESTS_PER_S
+        return len(self._deep) / self._pipelines.deep_requests_per_s
 
     def admit(self, connection: 'ServerConnection') -> None:
         """Add a connection; close others if there are too many.
@@ -127,8 +125,10 @@
         read, each from the longest. Connections with a request that is served
         are kept, and the new one is refused if there are no others.
         """
+        self._descriptors.accepted += 1
         self.connections.add(connection)
-        if len(self.connections) <= self.max_connections:
+        is_full = len(self.connections) > self.max_connections
+        if not (is_full or self._descriptors.is_exceeded):
             return
         ranked = sorted(
             (rank, id(other), other)
--- a/merlintrail/transport/_connection_state.py
+++ b/merlintrail/transport/_connection_state.py
@@ -71,6 +71,7 @@
         'has_received',
         'idle_since',
         'ignored_bytes',
+        'is_between_requests',
         'phase',
         'unanswered',
     )
@@ -94,6 +95,9 @@
         self._awaiting_since = now
         self._input_at = now
         self._has_caller_ended = False
+        #: Whether all requests that wait for their turn can be given up, since
+        #: none of them has been passed on.
+        self.is_between_requests = False
         #: Whether a request has been taken.
         self.has_received = False
         #: Time at which the last answer was written, ``None`` before.
--- a/merlintrail/transport/_failure.py
+++ b/merlintrail/transport/_failure.py
@@ -9,6 +9,9 @@
 
     #: Nothing was sent, so the peer cannot have received the request.
     CONNECT = 'connect'
+    #: Nothing was sent, as this process may open no further connection. It
+    #: tells nothing of the peer.
+    ROOM = 'room'
     #: The request was sent, but no complete answer was received.
     ANSWER = 'answer'
 
--- a/merlintrail/transport/_idle_timer.py
+++ b/merlintrail/transport/_idle_timer.py
@@ -74,6 +74,8 @@
             return (0, since)
         if stalled_since is not None:
             return (4, stalled_since)
+        if self._state.is_between_requests:
+            return (5, since)
         if self._state.phase != ConnectionPhase.RECEIVING:
             return None
         if self._parser.is_receiving:
--- a/merlintrail/transport/_pool.py
+++ b/merlintrail/transport/_pool.py
@@ -6,12 +6,16 @@
 from collections.abc import Callable
 from typing import Final
 
-from merlintrail.transport._address import parse_address
+from merlintrail.transport._address import Address, parse_address
 from merlintrail.transport._client import (
     RECEIVE_BUFFER_BYTES,
     ClientConnection,
     ExchangeTimeouts,
 )
+from merlintrail.transport._descriptor_budget import (
+    DescriptorLease,
+    create_unlimited_budget,
+)
 from merlintrail.transport._failure import FailureStage, TransportFailure
 from merlintrail.transport._memory_budget import MemoryBudget
 from merlintrail.transport._memory_costs import SMALL_BYTES
@@ -49,6 +53,10 @@
         self.budget = MemoryBudget(sys.maxsize)
         #: Bytes that each connection receives before they are read.
         self.receive_buffer_bytes = RECEIVE_BUFFER_BYTES
+        #: Descriptors, which others may share.
+        self.descriptors = create_unlimited_budget()
+        #: Whether connections are opened also if there is no descriptor left.
+        self.is_vital = False
         #: Bytes of requests sent, for measurements of control traffic.
         self.bytes_sent = 0
         #: Bytes of answer bodies received.
@@ -105,8 +113,11 @@
         return answer
 
     async def can_connect(self, address: str) -> bool:
-        """Return whether a new connection can be established."""
-        connection = await self._connect(address)
+        """Return whether a new connection can be established.
+
+        A want of descriptors here tells nothing of the address.
+        """
+        connection = await self._connect(address, is_vital=True)
         if isinstance(connection, TransportFailure):
             return False
         connection.close()
@@ -125,38 +136,73 @@
             self.drop_idle(address)
 
     async def _connect(
-        self, address: str, timeout_s: float | None = None
+        self,
+        address: str,
+        timeout_s: float | None = None,
+        *,
+        is_vital: bool = False,
     ) -> ClientConnection | TransportFailure:
         parsed = parse_address(address)
         if parsed is None:
             return TransportFailure(
                 FailureStage.CONNECT, f'not an address: {address!r}'
             )
-        loop = asyncio.get_running_loop()
-        if self._timers is None:
-            self._timers = TimerQueue(loop)
-        timers = self._timers
+        has_room = self._make_room()
+        if not (has_room or is_vital or self.is_vital):
+            self.descriptors.refusals += 1
+            return TransportFailure(FailureStage.ROOM, 'no descriptor is left')
         limit_s = min(CONNECT_TIMEOUT_S, timeout_s or CONNECT_TIMEOUT_S)
+        lease = self.descriptors.lease()
+        connection: ClientConnection | None = None
         try:
             async with asyncio.timeout(limit_s):
-                _, connection = await loop.create_connection(
-                    lambda: ClientConnection(
-                        loop,
-                        timers,
-                        self._max_answer_bytes,
-                        self.budget,
-                        self.receive_buffer_bytes,
-                    ),
-                    parsed.host,
-                    parsed.port,
-                )
+                connection = await self._open(parsed, lease)
         except (OSError, TimeoutError, UnicodeError) as error:
             # A host with a label over 63 characters cannot be encoded.
             return TransportFailure(
                 FailureStage.CONNECT, f'cannot connect: {error}'
             )
+        finally:
+            if connection is None:
+                lease.release()
         return connection
 
+    async def _open(
+        self, address: Address, lease: DescriptorLease
+    ) -> ClientConnection:
+        """Open a connection.
+
+        :raises OSError: when that fails.
+        """
+        loop = asyncio.get_running_loop()
+        if self._timers is None:
+            self._timers = TimerQueue(loop)
+        timers = self._timers
+        _, connection = await loop.create_connection(
+            lambda: ClientConnection(
+                loop,
+                timers,
+                self._max_answer_bytes,
+                self.budget,
+                self.receive_buffer_bytes,
+                lease,
+            ),
+            address.host,
+            address.port,
+        )
+        return connection
+
+    def _make_room(self) -> bool:
+        """Return whether another connection may be opened.
+
+        Idle ones are closed for it.
+        """
+        if self.descriptors.has_room:
+            return True
+        for address in tuple(self._idle):
+            self.drop_idle(address)
+        return self.descriptors.has_room
+
     def _take_idle(self, address: str) -> ClientConnection | None:
         idle = self._idle.get(address)
         while idle:
@@ -169,7 +215,7 @@
 
     def _put_idle(self, address: str, connection: ClientConnection) -> None:
         idle = self._idle[address]
-        if len(idle) >= MAX_IDLE_CONNECTIONS:
+        if len(idle) >= MAX_IDLE_CONNECTIONS or not self.descriptors.has_room:
             connection.close()
             return
         connection.mark_idle()
--- a/merlintrail/transport/_server_connection.py
+++ b/merlintrail/transport/_server_connection.py
@@ -267,11 +267,14 @@
             if self._pending:
                 # Each connection answers one request in its turn, also if no
                 # handler had to wait.
-                await asyncio.sleep(
-                    self._server.compute_pause(
-                        self, has_backlog=len(self._backlog) > 0
-                    )
+                pause_s = self._server.compute_pause(
+                    self, has_backlog=len(self._backlog) > 0
                 )
+                self._state.is_between_requests = pause_s > 0 and not any(
+                    pending.task for pending in self._pending
+                )
+                await asyncio.sleep(pause_s)
+                self._state.is_between_requests = False
 
     async def _respond(self, pending: PendingRequest) -> HttpResponse:
         """Await the answer; a handler that fails costs this request alone."""
@@ -334,6 +337,8 @@
             self._receive_timer.stop()
         elif has_others:
             task = self._server.begin_early(request)
+            if task is not None:
+                self._state.is_between_requests = False
         self._pending.append(PendingRequest(request, task))
         self._wake()
 
