Name the client whose requests or connections a node refuses

On-call saw: a node refuses requests (no-room) or closes connections, and no line tells for whom: refusals before a request is passed on had a reason only, displaced connections no line at all.

Cause: a server reported the reason of a refusal when its turn to be answered came, and nothing if the connection ended before; requests given up for memory lost their id.

Refusals are logged when they are decided, with host, memory of the connection, and the id of a complete request; the ends of connections with their host, displaced ones by host. Calls of other nodes that are refused so have a line too.

--- a/merlintrail/bench/tests/test_caller_crowds.py
+++ b/merlintrail/bench/tests/test_caller_crowds.py
@@ -10,6 +10,8 @@
 
 #: Bytes of headers within the default limit of 16,384.
 _HEAD_BYTES: Final = 16000
+#: The same of headers whose lines all count within it.
+_ACCEPTED_BYTES: Final = 13_000
 #: Bytes of a body that had its own limit alone.
 _SMALL_BODY_BYTES: Final = 65000
 _LARGE_ANSWER: Final = b'x-answer-bytes:2000000\r\n'
@@ -45,6 +47,20 @@
         crowd.send(build_request(build_short_lines(_HEAD_BYTES)) * 20, 5)
         self.check_node([crowd])
 
+    def test_accepted_heads_of_waiting_requests_take_all_memory(self) -> None:
+        """They are within the limit, which counts four bytes more a line."""
+        self.deployment.control_backend('node', {'slowdown': 600})
+        crowd = self.open_crowd(self.worker.call_address, 200)
+        crowd.send(build_request(build_short_lines(_ACCEPTED_BYTES)) * 16, 5)
+        self.deployment.control_backend('node', {'slowdown': 1})
+        self.check_node([crowd])
+
+    def test_accepted_heads_behind_each_other_take_all_memory(self) -> None:
+        """400 connections with 20 heads each."""
+        crowd = self.open_crowd(self.worker.call_address, 400)
+        crowd.send(build_request(build_short_lines(_ACCEPTED_BYTES)) * 20, 5)
+        self.check_node([crowd])
+
 
 class BodyCrowdTest(CrowdTestCase):
     """Bodies, within the limit and beyond it."""
--- a/merlintrail/node/serving/_connection_ends.py
+++ b/merlintrail/node/serving/_connection_ends.py
@@ -5,7 +5,14 @@
 from typing import Final
 
 from merlintrail.observability import log_decision
-from merlintrail.transport import ConnectionEnd, EndCause, HttpRequest
+from merlintrail.protocol import Outcome
+from merlintrail.transport import (
+    ConnectionEnd,
+    DisplacedConnections,
+    EndCause,
+    HttpRequest,
+    RefusedRequest,
+)
 
 #: Unanswered requests of one connection that are logged.
 MAX_LOGGED_REQUESTS: Final = 16
@@ -35,7 +42,8 @@
     @property
     def left(self) -> int:
         """Connections that the other end closed, or that were reset."""
-        return self.counts.total() - self.cut
+        displaced = self.counts[EndCause.DISPLACED]
+        return self.counts.total() - self.cut - displaced
 
     def record(self, end: ConnectionEnd) -> None:
         """Record an end; each unanswered request gets a line."""
@@ -49,4 +57,29 @@
                 cause=end.cause.value,
                 unanswered=len(end.unanswered),
                 unsent_bytes=end.unsent_bytes,
+                remote_host=end.remote_host,
             )
+
+    def record_refusal(self, refused: RefusedRequest) -> None:
+        """Log a request that was refused without being passed on."""
+        request = refused.request
+        log_decision(
+            'refuse',
+            request_id=request and self._read_request_id(request),
+            peer=self._peer,
+            reason=refused.bad_request.reason,
+            outcome=Outcome.NOT_RUN.value,
+            remote_host=refused.remote_host,
+            connection_bytes=refused.connection_bytes,
+        )
+
+    def record_displaced(self, displaced: DisplacedConnections) -> None:
+        """Log connections of a host that were closed to make room."""
+        log_decision(
+            'connection-end',
+            peer=self._peer,
+            cause=EndCause.DISPLACED.value,
+            connections=displaced.connections,
+            connection_bytes=displaced.connection_bytes,
+            remote_host=displaced.remote_host,
+        )
--- a/merlintrail/node/serving/_connections.py
+++ b/merlintrail/node/serving/_connections.py
@@ -13,7 +13,6 @@
 )
 from merlintrail.state import CallerLimits
 from merlintrail.transport import (
-    BadRequest,
     EndingConnection,
     HttpRequest,
     HttpResponse,
@@ -89,13 +88,19 @@
         """Build what the server for callers reports."""
         return ServerReports(
             self._caller_answers.build_failure,
-            _log_bad_request,
+            self.caller_ends.record_refusal,
             self.caller_ends.record,
+            self.caller_ends.record_displaced,
         )
 
     def build_peer_reports(self) -> ServerReports:
         """Build what the server for other nodes reports."""
-        return ServerReports(_answer_peer_failure, end=self.peer_ends.record)
+        return ServerReports(
+            _answer_peer_failure,
+            self.peer_ends.record_refusal,
+            self.peer_ends.record,
+            self.peer_ends.record_displaced,
+        )
 
     def apply_limits(self, limits: CallerLimits) -> None:
         """Apply the limits of a configuration to all connections."""
@@ -154,10 +159,6 @@
         return [*self.callers, *self.peers]
 
 
-def _log_bad_request(bad_request: BadRequest) -> None:
-    log_decision('refuse', reason=bad_request.reason)
-
-
 def _answer_peer_failure(
     request: HttpRequest, error: BaseException
 ) -> HttpResponse:
--- a/merlintrail/transport/__init__.py
+++ b/merlintrail/transport/__init__.py
@@ -9,8 +9,10 @@
 )
 from merlintrail.transport._connection_end import (
     ConnectionEnd,
+    DisplacedConnections,
     EndCause,
     EndingConnection,
+    RefusedRequest,
 )
 from merlintrail.transport._connection_group import (
     RequestHandler,
@@ -47,6 +49,7 @@
     'ConnectionEnd',
     'ConnectionPool',
     'DescriptorBudget',
+    'DisplacedConnections',
     'EndCause',
     'EndingConnection',
     'ExchangeTimeouts',
@@ -58,6 +61,7 @@
     'MemoryBudget',
     'MemoryHold',
     'PipelineLimits',
+    'RefusedRequest',
     'RequestHandler',
     'ServerLimits',
     'ServerMemory',
--- a/merlintrail/transport/_connection_end.py
+++ b/merlintrail/transport/_connection_end.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from merlintrail.transport._bad_request import BadRequest
 from merlintrail.transport._message import HttpRequest
 
 
@@ -16,6 +17,8 @@
     RESET = 'reset'
     #: The caller took no byte of an answer for too long.
     STALLED = 'stalled'
+    #: This process closed it to make room for others.
+    DISPLACED = 'displaced'
     #: This process closed it.
     NODE = 'node'
     #: This process ends.
@@ -30,6 +33,30 @@
     unanswered: Sequence[HttpRequest]
     #: Bytes of answers that the socket had not taken.
     unsent_bytes: int
+    #: IP address of the caller.
+    remote_host: str = ''
+
+
+class RefusedRequest(NamedTuple):
+    """A request that a server refused without passing it on."""
+
+    bad_request: BadRequest
+    #: IP address of the caller.
+    remote_host: str
+    #: Memory in bytes that its connection took then.
+    connection_bytes: int
+    #: The request, ``None`` if it was not complete.
+    request: HttpRequest | None = None
+
+
+class DisplacedConnections(NamedTuple):
+    """Connections of one host that were closed to make room for others."""
+
+    #: IP address of the callers.
+    remote_host: str
+    connections: int
+    #: Memory in bytes that they took together.
+    connection_bytes: int
 
 
 class EndingConnection(NamedTuple):
--- a/merlintrail/transport/_connection_group.py
+++ b/merlintrail/transport/_connection_group.py
@@ -5,7 +5,12 @@
 from typing import TYPE_CHECKING, Final, NamedTuple, TypeAlias
 
 from merlintrail.transport._bad_request import BadRequest
-from merlintrail.transport._connection_end import ConnectionEnd
+from merlintrail.transport._connection_end import (
+    ConnectionEnd,
+    DisplacedConnections,
+    EndCause,
+    RefusedRequest,
+)
 from merlintrail.transport._message import HttpRequest, HttpResponse
 from merlintrail.transport._own_answers import build_failure
 from merlintrail.transport._pending_request import await_answer
@@ -21,8 +26,12 @@
 RequestHandler: TypeAlias = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
 
-def _ignore_bad_request(bad_request: BadRequest) -> None:
-    """Do not report an invalid request."""
+def _ignore_refusal(refused: RefusedRequest) -> None:
+    """Do not report a refused request."""
+
+
+def _ignore_displaced(displaced: DisplacedConnections) -> None:
+    """Do not report connections that were closed to make room."""
 
 
 def _ignore_end(end: ConnectionEnd) -> None:
@@ -37,10 +46,12 @@
         build_failure
     )
 
-    #: Called for each invalid request.
-    bad_request: Callable[[BadRequest], None] = _ignore_bad_request
+    #: Called for each request that is refused without being passed on.
+    refusal: Callable[[RefusedRequest], None] = _ignore_refusal
     #: Called when a connection ends with something left undelivered.
     end: Callable[[ConnectionEnd], None] = _ignore_end
+    #: Called for the connections of a host that are closed to make room.
+    displaced: Callable[[DisplacedConnections], None] = _ignore_displaced
 
 
 class ConnectionGroup:
@@ -138,7 +149,41 @@
         )
         count = 1 + self.max_connections // _DISPLACED_SHARE
         displaced = [other for _, _, other in ranked[:count]] or [connection]
+        self._report_displaced(displaced)
         for other in displaced:
             self.connections.discard(other)
+            other.report_end(EndCause.DISPLACED)
             other.hand_over.abort()
         self.displaced_connections += len(displaced)
+
+    def report_refusal(
+        self,
+        connection: 'ServerConnection',
+        bad_request: BadRequest,
+        request: HttpRequest | BadRequest | None = None,
+    ) -> None:
+        """Report a request that is refused without being passed on.
+
+        :param request: the request, if it is complete.
+        """
+        self.reports.refusal(
+            RefusedRequest(
+                bad_request,
+                connection.remote_host,
+                connection.account.held_bytes,
+                request if isinstance(request, HttpRequest) else None,
+            )
+        )
+
+    def _report_displaced(self, displaced: 'list[ServerConnection]') -> None:
+        """Report connections by the host that they come from."""
+        hosts = {connection.remote_host for connection in displaced}
+        for host in hosts:
+            sizes = [
+                connection.account.held_bytes
+                for connection in displaced
+                if connection.remote_host == host
+            ]
+            self.reports.displaced(
+                DisplacedConnections(host, len(sizes), sum(sizes))
+            )
--- a/merlintrail/transport/_server_connection.py
+++ b/merlintrail/transport/_server_connection.py
@@ -52,11 +52,12 @@
         )
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
-        self._account = server.budget.open_account(self._free_memory)
-        self._account.add(CONNECTION_BYTES)
-        self._parser = RequestParser(
-            server.limits, server.budget, self._account
-        )
+        #: IP address of the caller.
+        self.remote_host = ''
+        #: Memory that the connection takes.
+        self.account = server.budget.open_account(self._free_memory)
+        self.account.add(CONNECTION_BYTES)
+        self._parser = RequestParser(server.limits, server.budget, self.account)
         self._is_parsing = False
         self._writer = AnswerWriter()
         #: Wakes the task that waits for a request, ``None`` while it serves.
@@ -67,7 +68,7 @@
         self._current: PendingRequest | None = None
         self._answer: HttpResponse | None = None
         #: Bytes received while too many requests were waiting.
-        self._backlog = Backlog(self._account)
+        self._backlog = Backlog(self.account)
         self._receive_timer = ReceiveTimer(
             self._loop, self._parser, self._enqueue
         )
@@ -93,7 +94,8 @@
         self._transport = transport
         self.hand_over.transport = transport
         peer = transport.get_extra_info('peername')
-        self._parser.remote_host = str(peer[0]) if peer else ''
+        self.remote_host = str(peer[0]) if peer else ''
+        self._parser.remote_host = self.remote_host
         self._writer.open(transport)
         self._task = self._loop.create_task(self._serve())
         self._server.admit(self)
@@ -115,7 +117,7 @@
         self._backlog.clear()
         self._writer.close()
         drop_all(self._pending)
-        self._account.close(CONNECTION_BYTES)
+        self.account.close(CONNECTION_BYTES)
         self._transport = None
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
@@ -187,7 +189,9 @@
         )
         if (unanswered or unsent) and not self._has_reported_end:
             self._has_reported_end = True
-            self._server.reports.end(ConnectionEnd(cause, unanswered, unsent))
+            self._server.reports.end(
+                ConnectionEnd(cause, unanswered, unsent, self.remote_host)
+            )
 
     def answer_unfinished(self, build_answer: AnswerBuilder) -> None:
         """Answer the requests that are still being served, and close.
@@ -220,6 +224,7 @@
         """
         for index, pending in enumerate(self._pending):
             if not pending.has_begun:
+                self._server.report_refusal(self, _NO_ROOM, pending.request)
                 pending.drop()
                 self._pending[index] = PendingRequest(_NO_ROOM)
         is_partial = len(self._backlog) or self._parser.is_receiving
@@ -280,7 +285,6 @@
         """Await the answer; a handler that fails costs this request alone."""
         request = pending.request
         if isinstance(request, BadRequest):
-            self._server.reports.bad_request(request)
             return build_refusal(request)
         try:
             if pending.task is not None:
@@ -334,6 +338,7 @@
             return
         task: asyncio.Task[HttpResponse] | None = None
         if isinstance(request, BadRequest):
+            self._server.report_refusal(self, request)
             self._receive_timer.stop()
         elif has_others:
             task = self._server.begin_early(request)
