Bound the idempotency keys that a node keeps

Operators would see: a node whose memory grows by some 500 bytes with each new key for ten minutes, at a rate that callers choose.

Cause: the ledger keeps a record of each key for the whole retention, and nothing bounds their number; batches take any number of keys in one write to the store.

A node keeps a tenth of its machine's memory, 512 bytes each (39,062 keys at 200 MB; connections.keys). A further key is refused before it is recorded (no-room, not run), as soon as forgetting expired ones does not help; known keys are answered, and those that come with a slot are kept in any case. Gauges merlintrail_ledger_keys and merlintrail_ledger_keys_limit.

--- a/merlintrail/coordination/_ledger.py
+++ b/merlintrail/coordination/_ledger.py
@@ -153,6 +153,10 @@
         """Number of requests in progress."""
         return len(self._running)
 
+    def count_keys(self) -> int:
+        """Count the keys that the slots of this node keep."""
+        return sum(len(slot.index) for slot in self._slots.values())
+
     def update_settings(self, settings: LedgerSettings) -> None:
         """Apply the ledger settings of a new configuration.
 
@@ -215,6 +219,7 @@
         if existing is not None and existing.state != KeyState.RELEASED:
             return await self._answer_existing(request, existing)
         refusal = self._check_restore(request.key, slot)
+        refusal = refusal or self._check_room(existing)
         if refusal is not None:
             return refusal
         record = KeyRecord(
@@ -251,6 +256,20 @@
             'the key may have been recorded before the store was restored',
         )
 
+    def _check_room(self, existing: KeyRecord | None) -> Refusal | None:
+        """Refuse a new key if no more can be kept."""
+        if existing is not None or self.count_keys() < self._deps.max_keys:
+            return None
+        for slot in self._slots.values():
+            slot.forget_expired()
+        if self.count_keys() < self._deps.max_keys:
+            return None
+        return Refusal(
+            Outcome.NOT_RUN,
+            Reason.NO_ROOM,
+            f'{self._deps.max_keys} keys are kept already',
+        )
+
     async def _acquire(self, slot: LedgerSlot) -> Refusal | None:
         now = asyncio.get_running_loop().time()
         if now < self._backoff_until:
--- a/merlintrail/coordination/_ledger_slot.py
+++ b/merlintrail/coordination/_ledger_slot.py
@@ -33,6 +33,10 @@
 WRITE_BURST: Final = 4.0
 
 
+#: Keys that a node keeps by default: a tenth of 200 MB, 512 bytes each.
+DEFAULT_MAX_KEYS: Final = 39062
+
+
 class SlotDependencies(NamedTuple):
     """Dependencies of a ledger slot."""
 
@@ -43,6 +47,9 @@
     wall_clock: Callable[[], float]
     #: Returns a new unique string to identify a write.
     create_nonce: Callable[[], str]
+    #: Keys that the slots of a node keep together. Those that a slot has when
+    #: it is acquired are kept in any case.
+    max_keys: int = DEFAULT_MAX_KEYS
 
 
 class PendingKey(NamedTuple):
@@ -148,6 +155,11 @@
         self.index.put(released)
         self._pending_releases[record.key] = released
 
+    def forget_expired(self) -> None:
+        """Forget the keys that are past retention."""
+        oldest = self._deps.wall_clock() - self.retention_s - TRIM_MARGIN_S
+        self.index.remove_older(oldest)
+
     def relinquish(self) -> None:
         """Give up ownership without a write to the store."""
         self._tail = None
@@ -337,7 +349,7 @@
     async def _trim(self) -> None:
         """Remove the oldest segment if all its keys are past retention."""
         oldest = self._deps.wall_clock() - self.retention_s - TRIM_MARGIN_S
-        self.index.remove_older(oldest)
+        self.forget_expired()
         if not self._sealed or self._sealed[0].last_recorded_at >= oldest:
             return
         expired = self._sealed[0]
--- a/merlintrail/node/_call_path.py
+++ b/merlintrail/node/_call_path.py
@@ -263,6 +263,7 @@
         instance,
         environment.wall_clock,
         lambda: create_id(environment.rng),
+        deps.settings.connection_limits.ledger_keys,
     )
     keyed.attach(create_ledger(slot_deps, keyed.query_previous_owner))
     return keyed
--- a/merlintrail/node/_connection_limits.py
+++ b/merlintrail/node/_connection_limits.py
@@ -27,6 +27,10 @@
 #: Share of that for connections that a node opens. Each of them may hold an
 #: answer that waits for memory.
 OPENED_RECEIVE_BUFFER_SHARE: Final = 0.5
+#: Share of the machine's memory for the keys of the ledger, and what a key
+#: costs in bytes.
+LEDGER_MEMORY_SHARE: Final = 0.1
+BYTES_PER_KEY: Final = 512
 #: Requests served beside others of their connections, for each megabyte that
 #: connections may take.
 EARLY_REQUESTS_PER_MB: Final = 1.0
@@ -59,6 +63,8 @@
     early_requests: int = 70
     #: Requests a second of all connections that keep others back.
     deep_requests_per_s: float = 250
+    #: Idempotency keys that the ledger of the node keeps.
+    ledger_keys: int = 39062
 
     @property
     def opened_receive_buffer_bytes(self) -> int:
@@ -70,8 +76,9 @@
     machine: Mapping[str, Any], limits: Mapping[str, Any]
 ) -> ConnectionLimits:
     """Build the limits; those that are not set follow from the machine."""
-    memory_mb = machine.get('memory_mb', DEFAULT_MEMORY_MB)
-    memory_mb = limits.get('memory_mb', memory_mb * CONNECTION_MEMORY_SHARE)
+    machine_mb = machine.get('memory_mb', DEFAULT_MEMORY_MB)
+    memory_mb = limits.get('memory_mb', machine_mb * CONNECTION_MEMORY_SHARE)
+    ledger_bytes = machine_mb * LEDGER_MEMORY_SHARE * _BYTES_PER_MB
     descriptors = machine.get('descriptors', DEFAULT_DESCRIPTORS)
     receive_buffer_kb = limits.get(
         'receive_buffer_kb', DEFAULT_RECEIVE_BUFFER_KB
@@ -102,4 +109,5 @@
         deep_requests_per_s=limits.get(
             'pipelined_per_s', DEFAULT_DEEP_REQUESTS_PER_S
         ),
+        ledger_keys=limits.get('keys', int(ledger_bytes / BYTES_PER_KEY)),
     )
--- a/merlintrail/node/_gauges.py
+++ b/merlintrail/node/_gauges.py
@@ -186,6 +186,24 @@
     )
 
 
+def register_ledger_gauges(
+    metrics: NodeMetrics, count_keys: Callable[[], int], max_keys: int
+) -> None:
+    """Register the gauges of the keys that a node keeps."""
+    metrics.register_gauge(
+        'merlintrail.ledger_keys',
+        '{key}',
+        'Idempotency keys that this node keeps.',
+        lambda: [GaugePoint(count_keys())],
+    )
+    metrics.register_gauge(
+        'merlintrail.ledger_keys_limit',
+        '{key}',
+        'Idempotency keys that it may keep.',
+        lambda: [GaugePoint(max_keys)],
+    )
+
+
 def register_connection_gauges(
     metrics: NodeMetrics, servers: NodeServers
 ) -> None:
--- a/merlintrail/node/_node.py
+++ b/merlintrail/node/_node.py
@@ -27,6 +27,7 @@
     register_connection_gauges,
     register_coordination_gauges,
     register_gauges,
+    register_ledger_gauges,
 )
 from merlintrail.node._settings import Settings
 from merlintrail.node._status import (
@@ -124,6 +125,11 @@
             self.servers.memory.budget,
         )
         register_connection_gauges(self.metrics, self.servers)
+        register_ledger_gauges(
+            self.metrics,
+            self.keyed.ledger.count_keys,
+            settings.connection_limits.ledger_keys,
+        )
         self.holder.add_listener(self._apply_configuration)
         self.table.add_listener(self.routing.update_member)
         self.table.add_listener(self.dispatcher.notices.record_member)
--- a/merlintrail/node/tests/test_connection_limits.py
+++ b/merlintrail/node/tests/test_connection_limits.py
@@ -37,7 +37,17 @@
         self.assertEqual(
             _read_limits(machine=machine),
             ConnectionLimits(
-                193_200_000, 3276, 2867, 6553, 245, 64, 163, 65536, 193
+                193_200_000,
+                3276,
+                2867,
+                6553,
+                245,
+                64,
+                163,
+                65536,
+                193,
+                250,
+                107_812,
             ),
         )
         limits = {
@@ -50,10 +60,13 @@
             'receive_buffer_kb': 16,
             'pipelined': 8,
             'pipelined_per_s': 9,
+            'keys': 99,
         }
         self.assertEqual(
             _read_limits(machine=machine, connections=limits),
-            ConnectionLimits(50_000_000, 100, 2867, 500, 10, 5, 7, 16384, 8, 9),
+            ConnectionLimits(
+                50_000_000, 100, 2867, 500, 10, 5, 7, 16384, 8, 9, 99
+            ),
         )
 
     def test_bad_limits(self) -> None:
