Trace what a call costs since memory is counted, and save a little

Profiles of both nodes, 5,000 requests each: 733 calls of functions a request then, 830 on where it enters, 700 and 816 where it runs. What came is the accounting (budget 14 calls, holds and rooms some 15) and the header lines (8 appends, 10 steps of a generator), each small; nothing waits or is done twice beside releases of nothing.

--- a/merlintrail/transport/_client.py
+++ b/merlintrail/transport/_client.py
@@ -334,7 +334,7 @@
         if self._hold.is_waiting:
             self._waiting_status = status
             return
-        headers = list(self._lines.decode())
+        headers = self._lines.decode()
         self._lines.clear()
         hold = self._hold
         self._hold = self._budget.open_hold()
--- a/merlintrail/transport/_header_lines.py
+++ b/merlintrail/transport/_header_lines.py
@@ -1,6 +1,5 @@
 """Header lines of a message, kept in few objects until it is complete."""
 
-from collections.abc import Iterator
 from typing import Final
 
 from merlintrail.transport._memory_costs import estimate_head_bytes
@@ -37,13 +36,14 @@
         self._text += b'%b:%b\n' % (name, text)
         self.count += 1
 
-    def decode(self) -> Iterator[tuple[str, str]]:
-        """Yield names in lower case, and texts without spaces around them."""
-        for line in self._text.decode(_ENCODING).split('\n')[:-1]:
-            name, _, text = line.partition(':')
-            yield name.lower(), text.strip()
+    def decode(self) -> list[tuple[str, str]]:
+        """Return names in lower case, and texts without spaces around them."""
+        lines = self._text.decode(_ENCODING).split('\n')[:-1]
+        parts = [line.partition(':') for line in lines]
+        return [(name.lower(), text.strip()) for name, _, text in parts]
 
     def clear(self) -> None:
         """Forget the lines."""
-        self._text = bytearray()
-        self.count = 0
+        if self.count:
+            self._text = bytearray()
+            self.count = 0
--- a/merlintrail/transport/_memory_budget.py
+++ b/merlintrail/transport/_memory_budget.py
@@ -143,9 +143,10 @@
     def release(self) -> None:
         """Give the memory back, and wait no longer."""
         self._on_room = None
-        count = self.size
-        self.size = 0
-        self._budget.add(-count)
+        if self.size:
+            count = self.size
+            self.size = 0
+            self._budget.add(-count)
 
 
 class MemoryBudget:
