Leave the record of a key alone that another owner has made

Callers would see: a request with an idempotency key run twice, after the slot of the key had moved to another node and back.

Cause: an owner whose own record of a key was refused (it had lost the slot) releases it, also if it has acquired the slot again meanwhile and read the other owner's record, which says that the request ran. The release replaced that record in its index.

Evidence: the model of the ledger failed in two runs beside other test modules (it draws on the constants of what is loaded); the shrunk history runs the key twice on too, and fails as a test of its own before the fix.

A release now does nothing if another owner has recorded the key, as reading the log has it already. Both models pass.

--- a/merlintrail/coordination/_ledger_slot.py
+++ b/merlintrail/coordination/_ledger_slot.py
@@ -149,8 +149,12 @@
     def release(self, record: KeyRecord) -> None:
         """Record that a request was proved not to have run.
 
-        The release is written to the store with the next batch.
+        The release is written to the store with the next batch. If another
+        owner has recorded the key meanwhile, its record holds.
         """
+        existing = self.index.find(record.key)
+        if existing is not None and existing.owner != record.owner:
+            return
         released = record._replace(state=KeyState.RELEASED)
         self.index.put(released)
         self._pending_releases[record.key] = released
--- a/merlintrail/coordination/tests/test_ledger_machine.py
+++ b/merlintrail/coordination/tests/test_ledger_machine.py
@@ -173,5 +173,33 @@
 )
 
 
+class LedgerTest(unittest.TestCase):
+    """Cases of the machine that need many steps."""
+
+    def setUp(self) -> None:
+        self.machine = LedgerMachine()
+        self.addCleanup(self.machine.teardown)
+
+    def test_refused_owner_releases_the_key_of_its_successor(self) -> None:
+        """An owner that lost its slot meets the key that the next one ran.
+
+        It acquires the slot again, for another request, while it still
+        handles the refusal of its own record.
+        """
+        machine = self.machine
+        machine.send('second', 'node-a')
+        machine.decide_all()
+        machine.restart('node-a')
+        machine.send('second', 'node-a')
+        machine.send('first', 'node-b')
+        machine.decide_all()
+        for keys in (('first', 'second'), ('first',)):
+            for key in keys:
+                machine.send(key, 'node-a')
+            machine.decide_all()
+            machine.runs_at_most_once()
+            machine.not_run_answers_are_true()
+
+
 if __name__ == '__main__':
     unittest.main()
