Bound the length of a log line

Operators would see: a log whose lines callers make as long as their heads, up to some 30 KB with the escapes, 2,000 a second; the buffer for a slow reader holds 70 of them.

Cause: lines were bounded in number, not in size, and identifiers and paths are texts that callers choose.

Evidence: the test of long texts, which had 7,000 bytes below a bound of 8,192 and so could not fail, has 14,000 now, and failed on the code before: a line of 14,237 bytes.

A line above 8 KiB has its texts, lists and mappings shortened.

--- a/merlintrail/bench/tests/test_small_machine_crowds.py
+++ b/merlintrail/bench/tests/test_small_machine_crowds.py
@@ -23,8 +23,8 @@
 #: Bytes of a body within the default limit of a mebibyte.
 _BODY_BYTES: Final = 900_000
 _ROUNDS: Final = 8
-#: Bytes of a path, and of an identifier, within the limit on a head.
-_LONG_TEXT_BYTES: Final = 7000
+#: Bytes of a path, or of an identifier, within the limit on a head.
+_LONG_TEXT_BYTES: Final = 14_000
 #: Bytes of short header lines that are within the limit on a head, which counts
 #: four more a line than a colon.
 _HEAD_BYTES: Final = 13_000
@@ -147,13 +147,20 @@
     """Texts that callers choose, in the log of a node."""
 
     def test_long_texts_take_the_log(self) -> None:
-        """Paths and identifiers of 7,000 bytes, which JSON writes longer."""
-        text = b'\x7f' * _LONG_TEXT_BYTES
-        header = b'merlintrail-request-id:%b\r\n' % text
-        crowd = self.open_crowd(self.worker.call_address, 100)
-        crowd.send(build_request(header, target=b'/%b' % (b'p' * 7000)), 5)
-        crowd.read_slowly(10000, 1)
-        self.check_node([crowd])
+        """Paths and identifiers of 14,000 bytes, some of which JSON escapes."""
+        header = b'merlintrail-request-id:%b\r\n' % (b'"' * _LONG_TEXT_BYTES)
+        requests = (
+            build_request(target=b'/' + b'p' * _LONG_TEXT_BYTES),
+            build_request(header, target=b'/unknown/path'),
+            build_request(header),
+        )
+        crowds = [
+            self.open_crowd(self.worker.call_address, 50) for _ in requests
+        ]
+        for crowd, request in zip(crowds, requests, strict=True):
+            crowd.send(request, 5)
+            crowd.read_slowly(20000, 1)
+        self.check_node(crowds)
         log = (self.deployment.folder / f'{INSTANCE}.log').read_bytes()
         self.assertLess(max(map(len, log.splitlines())), _MAX_LINE_BYTES)
 
--- a/merlintrail/observability/_logs.py
+++ b/merlintrail/observability/_logs.py
@@ -8,9 +8,9 @@
 from typing import Any, Final, TextIO
 
 import logbook
-import orjson
 
 from merlintrail.observability._deferred import defer
+from merlintrail.observability._line import encode_line
 from merlintrail.observability._writer import LineWriter
 
 
@@ -30,7 +30,7 @@
 
         Records of level ERROR and above are flushed at once.
         """
-        line = orjson.dumps(
+        line = encode_line(
             {
                 'time': record.time.isoformat(timespec='milliseconds'),
                 **self._origin_fields,
@@ -38,8 +38,7 @@
                 'channel': record.channel,
                 'event': record.msg,
                 **record.extra,
-            },
-            default=str,
+            }
         )
         is_error = record.level >= logbook.ERROR
         self._writer.write(line, is_rate_exempt=True)
@@ -54,7 +53,7 @@
         :param decided_at: Unix time of the decision in seconds.
         """
         timestamp = datetime.fromtimestamp(decided_at, UTC).replace(tzinfo=None)
-        line = orjson.dumps(
+        line = encode_line(
             {
                 'time': timestamp.isoformat(timespec='milliseconds'),
                 **self._origin_fields,
@@ -62,8 +61,7 @@
                 'channel': 'decision',
                 'event': event,
                 **fields,
-            },
-            default=str,
+            }
         )
         self._writer.write(line)
 
--- a/merlintrail/observability/tests/test_logs_and_metrics.py
+++ b/merlintrail/observability/tests/test_logs_and_metrics.py
@@ -17,6 +17,7 @@
     log_decision,
     run_deferred,
 )
+from merlintrail.observability._line import MAX_LINE_BYTES
 from merlintrail.observability._writer import MAX_LINES_PER_S, LineWriter
 from merlintrail.transport import HttpRequest, HttpResponse, start_server
 
@@ -37,6 +38,24 @@
         self.assertEqual(lines[0]['instance'], 'a\n"b"')
         self.assertEqual(lines[0]['level'], 'info')
 
+    def test_long_line(self) -> None:
+        """Texts and lists are shortened, what tells them apart stays."""
+        stream = io.StringIO()
+        with JsonLinesHandler(stream).applicationbound():
+            log_decision(
+                'refuse',
+                request_id='i' * 9000,
+                findings=['f' * 9000] * 100,
+                repeated={'r' * 9000: 1},
+                status=404,
+            )
+        run_deferred()
+        line = stream.getvalue()
+        self.assertLess(len(line), MAX_LINE_BYTES)
+        document = json.loads(line)
+        self.assertIn('(9000 characters)', document['request_id'])
+        self.assertEqual(document['status'], 404)
+
 
 class WriterTest(unittest.TestCase):
     """The writer drops lines instead of blocking the process."""
