Give connections of a crowd smaller receive buffers

Operators saw: a node over its machine's memory for the seconds in which many callers send at once, although it refuses their bodies.

Cause: all connections may fill their receive buffers while the node is busy; 64 KiB each are some 140 MB for 1,600 of them.

The earlier crowds were looked at after they had sent.

--- a/merlintrail/bench/tests/crowd.py
+++ b/merlintrail/bench/tests/crowd.py
@@ -1,8 +1,10 @@
 """Crowds of misbehaving clients against one node that runs as a process."""
 
+import contextlib
 import selectors
 import socket
 import string
+import threading
 import time
 import unittest
 from collections.abc import Iterable, Iterator, Mapping, Sequence
@@ -28,6 +30,8 @@
 _CONNECT_TIMEOUT_S: Final = 0.5
 _ANSWER_TIMEOUT_S: Final = 5.0
 _POLL_S: Final = 0.05
+#: Seconds between two looks at the resources of the nodes.
+_OBSERVATION_INTERVAL_S: Final = 0.2
 _READ_BYTES: Final = 65536
 #: End of an attempt that was served.
 _SERVED: Final = '200'
@@ -307,6 +311,23 @@
         url = f'http://{self.worker.admin_address}/metrics'
         self.assertIn(_SERVED, self._send_until_served(url))
 
+    @contextlib.contextmanager
+    def observe(self) -> Iterator[None]:
+        """Note the resources of the nodes again and again meanwhile."""
+        is_over = threading.Event()
+
+        def note() -> None:
+            while not is_over.wait(_OBSERVATION_INTERVAL_S):
+                self.note_resources()
+
+        observer = threading.Thread(target=note)
+        observer.start()
+        try:
+            yield
+        finally:
+            is_over.set()
+            observer.join()
+
     def note_resources(self) -> None:
         """Note the descriptors and the memory of each node now.
 
--- a/merlintrail/bench/tests/test_caller_crowds.py
+++ b/merlintrail/bench/tests/test_caller_crowds.py
@@ -97,6 +97,25 @@
         self.check_node([crowd])
 
 
+class FloodTest(CrowdTestCase):
+    """What sockets receive while the node is busy."""
+
+    def test_bodies_of_callers_take_all_memory(self) -> None:
+        """1,600 callers send 900 KB each, at the same time."""
+        self.flood(self.worker.call_address, 1600)
+
+    def test_bodies_of_nodes_take_all_memory(self) -> None:
+        """1,400 clients without the key at the address for other nodes."""
+        self.flood(self.worker.peer_address, 1400)
+
+    def flood(self, address: str, size: int) -> None:
+        """Send bodies at the same time, and look at the node meanwhile."""
+        crowd = self.open_crowd(address, size)
+        with self.observe():
+            crowd.send(build_request(body=bytes(900_000)), 8)
+        self.check_node([crowd])
+
+
 class PipelineCrowdTest(CrowdTestCase):
     """Many requests behind each other on a connection."""
 
--- a/merlintrail/transport/_connection_group.py
+++ b/merlintrail/transport/_connection_group.py
@@ -16,10 +16,15 @@
 from merlintrail.transport._pending_request import await_answer
 from merlintrail.transport._request_parser import ServerLimits
 from merlintrail.transport._server_memory import ServerMemory
+from merlintrail.transport._socket_options import limit_transport_buffer
 
 if TYPE_CHECKING:
     from merlintrail.transport._server_connection import ServerConnection
 
+#: Part of the connections that may be open from which on further ones receive
+#: less before they are read, and which part of the buffer they get.
+CROWDED_SHARE: Final = 16
+CROWDED_BUFFER_SHARE: Final = 4
 #: Part of the open connections that are closed at once to make room.
 _DISPLACED_SHARE: Final = 16
 
@@ -138,6 +143,11 @@
         """
         self._descriptors.accepted += 1
         self.connections.add(connection)
+        if len(self.connections) > self.max_connections // CROWDED_SHARE:
+            limit_transport_buffer(
+                connection.hand_over.transport,
+                self.receive_buffer_bytes // CROWDED_BUFFER_SHARE,
+            )
         is_full = len(self.connections) > self.max_connections
         if not (is_full or self._descriptors.is_exceeded):
             return
--- a/merlintrail/transport/_socket_options.py
+++ b/merlintrail/transport/_socket_options.py
@@ -22,6 +22,16 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
 
 
+def limit_transport_buffer(transport: BaseTransport | None, size: int) -> None:
+    """Limit what the socket of a connection receives before it is read.
+
+    :param transport: ``None`` for a connection that is closed.
+    :param size: bytes of payload.
+    """
+    if transport is not None:
+        limit_receive_buffer(transport.get_extra_info('socket'), size)
+
+
 def set_socket_options(
     transport: BaseTransport, receive_buffer_bytes: int
 ) -> None:
